--- /dev/null
+++ b/api/operator.go
@@ -0,0 +1,190 @@
+package api
+
+import "time"
+
+// Paths of the operator listener.
+const (
+	PathConfig   = "/v1/config"
+	PathValidate = "/v1/validate"
+	PathHosts    = "/v1/hosts"
+	PathRollouts = "/v1/rollouts"
+	PathAudit    = "/v1/audit"
+	PathStatus   = "/v1/status"
+	PathAnnounce = "/v1/announce"
+	PathDrain    = "/v1/drain"
+)
+
+// Headers of the operator listener.
+const (
+	HeaderToken    = "Daisytide-Token"
+	HeaderOperator = "Daisytide-Operator"
+)
+
+// ApplyOutcome is the truthful end of an attempt to apply a document.
+type ApplyOutcome string
+
+// The outcomes of an apply.
+const (
+	ApplyAccepted ApplyOutcome = "accepted"
+	ApplyRefused  ApplyOutcome = "refused"
+	ApplyConflict ApplyOutcome = "conflict"
+	ApplyUnknown  ApplyOutcome = "unknown"
+)
+
+// ApplyResponse answers POST PathConfig.
+type ApplyResponse struct {
+	Outcome ApplyOutcome `json:"outcome"`
+	// Number is the configuration number given to the document when it was
+	// accepted, else the number in force.
+	Number uint64 `json:"number"`
+	// Winner names the operator whose document was accepted first, on conflict.
+	Winner string `json:"winner,omitempty"`
+	Error  *Error `json:"error,omitempty"`
+}
+
+// ConfigResponse answers GET PathConfig.
+type ConfigResponse struct {
+	Number   uint64    `json:"number"`
+	Hash     string    `json:"hash"`
+	Operator string    `json:"operator"`
+	At       time.Time `json:"at"`
+	// Document is the text of the document in force.
+	Document string `json:"document"`
+}
+
+// Host is one row of GET PathHosts.
+type Host struct {
+	Address     string `json:"address"`
+	Region      string `json:"region"`
+	DataCentre  string `json:"data_centre"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Service     string `json:"service,omitempty"`
+	Version     string `json:"version,omitempty"`
+	Upstream    string `json:"upstream,omitempty"`
+	Slots       int    `json:"slots,omitempty"`
+	// Number is the configuration in force there; 0 with Error set where the
+	// host could not be asked.
+	Number uint64 `json:"number"`
+	Error  string `json:"error,omitempty"`
+}
+
+// HostsResponse answers GET PathHosts.
+type HostsResponse struct {
+	Number uint64 `json:"number"`
+	Hosts  []Host `json:"hosts"`
+}
+
+// Rollout is one row of GET PathRollouts.
+type Rollout struct {
+	Service string `json:"service"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	// Since is the configuration number under which the move began.
+	Since uint64 `json:"since"`
+	// State is waiting, moving, watching, paused, done or taken-back.
+	State string `json:"state"`
+	// Share is the percentage of the service's calls sent to the new version.
+	Share    float64   `json:"share"`
+	Step     int       `json:"step"`
+	Steps    int       `json:"steps"`
+	Start    time.Time `json:"start"`
+	Deadline time.Time `json:"deadline"`
+	// ExpectedEnd is when the move will be done if no evidence stands against it.
+	ExpectedEnd time.Time `json:"expected_end"`
+	// Why says in one sentence why the move is where it is.
+	Why      string     `json:"why"`
+	Evidence []Evidence `json:"evidence,omitempty"`
+}
+
+// Evidence is what calls have shown of one version on one route.
+type Evidence struct {
+	Route    string `json:"route"`
+	Version  string `json:"version"`
+	Runs     uint64 `json:"runs"`
+	Failures uint64 `json:"failures"`
+	Slow     uint64 `json:"slow"`
+}
+
+// RolloutsResponse answers GET PathRollouts.
+type RolloutsResponse struct {
+	Number   uint64    `json:"number"`
+	Rollouts []Rollout `json:"rollouts"`
+}
+
+// RolloutAction is what an operator orders for a move.
+type RolloutAction string
+
+// The orders of an operator to a move.
+const (
+	RolloutTakeBack RolloutAction = "take-back"
+	RolloutPause    RolloutAction = "pause"
+	RolloutResume   RolloutAction = "resume"
+)
+
+// RolloutOrder is the body of POST PathRollouts.
+type RolloutOrder struct {
+	Service string        `json:"service"`
+	Action  RolloutAction `json:"action"`
+	Reason  string        `json:"reason,omitempty"`
+}
+
+// AuditEntry is one line of the audit trail.
+type AuditEntry struct {
+	At       time.Time `json:"at"`
+	Operator string    `json:"operator"`
+	// Action is apply, rollout-step, rollout-end or rollout-order.
+	Action string `json:"action"`
+	// From and To are configuration numbers.
+	From    uint64 `json:"from"`
+	To      uint64 `json:"to"`
+	Outcome string `json:"outcome"`
+	// Changes lists what differs, one line each.
+	Changes []string `json:"changes,omitempty"`
+}
+
+// AuditResponse answers GET PathAudit, the newest entry last.
+type AuditResponse struct {
+	Entries []AuditEntry `json:"entries"`
+}
+
+// StatusResponse answers GET PathStatus.
+type StatusResponse struct {
+	Address    string `json:"address"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+	Number     uint64 `json:"number"`
+	// Source says where the first configuration came from: store, peers or none.
+	Source  string `json:"source"`
+	Ready   bool   `json:"ready"`
+	Links   int    `json:"links"`
+	Members int    `json:"members"`
+	// Watcher tells whether this node watches the store for its data centre.
+	Watcher bool `json:"watcher"`
+	// StoreReached tells whether the last call to the store was answered.
+	StoreReached bool `json:"store_reached"`
+}
+
+// UpstreamState is what an upstream says of itself.
+type UpstreamState string
+
+// The states of an upstream.
+const (
+	UpstreamNone     UpstreamState = ""
+	UpstreamStarting UpstreamState = "starting"
+	UpstreamReady    UpstreamState = "ready"
+	UpstreamDraining UpstreamState = "draining"
+	UpstreamDown     UpstreamState = "down"
+)
+
+// Announcement is the body of POST PathAnnounce, sent by the local upstream.
+type Announcement struct {
+	Service string        `json:"service"`
+	Version string        `json:"version"`
+	Address string        `json:"address"`
+	State   UpstreamState `json:"state"`
+	// Slots is how many requests the upstream runs at once.
+	Slots int `json:"slots"`
+	// Connections is how many connections the upstream accepts.
+	Connections int `json:"connections"`
+}
--- /dev/null
+++ b/cmd/daisytided/main.go
@@ -0,0 +1,69 @@
+// Command daisytided is the node that runs beside each upstream.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/process/node"
+	"github.com/daisytide/daisytide/internal/process/settings"
+)
+
+// options of the command line.
+type options struct {
+	Settings string `long:"settings" required:"true" description:"settings file (INI)"`
+	Verbose  int    `long:"verbosity" default:"0" description:"log verbosity, 0 to 4"`
+}
+
+// exitUsage and exitFailed are the exit codes beside 0.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	var o options
+	if _, err := flags.NewParser(&o, flags.Default).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	startLog(o.Verbose)
+	os.Exit(run(o))
+}
+
+func startLog(verbosity int) {
+	set := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(set)
+	_ = set.Set("v", fmt.Sprint(verbosity))
+}
+
+func run(o options) int {
+	cfg, faults := settings.Load(o.Settings)
+	if len(faults) > 0 {
+		for _, f := range faults {
+			fmt.Fprintf(os.Stderr, "%s: %s\n", o.Settings, f)
+		}
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	n, err := node.New(cfg, nil)
+	if err == nil {
+		err = n.Run(ctx)
+	}
+	klog.Flush()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "daisytided:", err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/conn/dial/transport.go
@@ -0,0 +1,60 @@
+// Package dial makes the HTTP transports of a node: HTTP/2 with one
+// connection per peer, and pooled HTTP/1.1 to the local upstream.
+package dial
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Timeouts and sizes of the transports.
+const (
+	connectTimeout   = 500 * time.Millisecond
+	idleTimeout      = 90 * time.Second
+	pingAfter        = 5 * time.Second
+	pingTimeout      = 2 * time.Second
+	maxHeaderBytes   = 64 << 10
+	streamWindow     = 256 << 10
+	connectionWindow = 1 << 20
+)
+
+// Peers returns the transport for calls and questions between nodes: HTTP/2,
+// in cleartext when config is nil, one connection per peer.
+func Peers(config *tls.Config) *http.Transport {
+	var protocols http.Protocols
+	if config == nil {
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP2(true)
+	}
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		TLSClientConfig:        config,
+		Protocols:              &protocols,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ExpectContinueTimeout:  time.Second,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:               pingAfter,
+			PingTimeout:                   pingTimeout,
+			MaxReceiveBufferPerStream:     streamWindow,
+			MaxReceiveBufferPerConnection: connectionWindow,
+		},
+	}
+}
+
+// Upstream returns the transport to the local upstream: HTTP/1.1 with at most
+// connections connections, all reused.
+func Upstream(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DisableCompression:     true,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/internal/conn/link/conn.go
@@ -0,0 +1,112 @@
+package link
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/coder/websocket"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/request/call"
+)
+
+// Path is where the peer listener takes links.
+const Path = "/daisytide/link"
+
+// Conn is one link. Send and Receive may run at the same time; neither may
+// run twice at once.
+type Conn interface {
+	// Send writes one message.
+	Send(ctx context.Context, m *Message) error
+	// Receive waits for one message.
+	Receive(ctx context.Context) (*Message, error)
+	// Close ends the link.
+	Close() error
+}
+
+// Traffic counts the bytes of control messages, payloads only.
+type Traffic struct {
+	Sent     atomic.Uint64
+	Received atomic.Uint64
+	Messages atomic.Uint64
+}
+
+// wsConn is a Conn over a WebSocket.
+type wsConn struct {
+	ws      *websocket.Conn
+	traffic *Traffic
+}
+
+// Send implements Conn.
+func (c *wsConn) Send(ctx context.Context, m *Message) error {
+	b, err := Encode(m)
+	if err != nil {
+		return err
+	}
+	if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
+		return fmt.Errorf("send a peer message: %w", err)
+	}
+	c.traffic.Sent.Add(uint64(len(b)))
+	c.traffic.Messages.Add(1)
+	return nil
+}
+
+// Receive implements Conn.
+func (c *wsConn) Receive(ctx context.Context) (*Message, error) {
+	kind, b, err := c.ws.Read(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("receive a peer message: %w", err)
+	}
+	c.traffic.Received.Add(uint64(len(b)))
+	if kind != websocket.MessageBinary {
+		return nil, api.Errorf(api.PeerFrame, "a text frame")
+	}
+	return Decode(b)
+}
+
+// Close implements Conn.
+func (c *wsConn) Close() error { return c.ws.CloseNow() }
+
+// Dialer opens links to peers.
+type Dialer struct {
+	// Key is the peer key.
+	Key string
+	// TLS is nil for cleartext links.
+	TLS     *tls.Config
+	Traffic *Traffic
+}
+
+// Dial opens a link to the peer listener at address.
+func (d *Dialer) Dial(ctx context.Context, address string) (Conn, error) {
+	scheme := "ws"
+	options := &websocket.DialOptions{HTTPHeader: http.Header{call.HeaderPeerKey: {d.Key}}}
+	if d.TLS != nil {
+		scheme = "wss"
+		options.HTTPClient = &http.Client{Transport: &http.Transport{TLSClientConfig: d.TLS}}
+	}
+	ws, _, err := websocket.Dial(ctx, scheme+"://"+address+Path, options)
+	if err != nil {
+		return nil, fmt.Errorf("dial the peer %s: %w", address, err)
+	}
+	ws.SetReadLimit(MaxMessageBytes)
+	return &wsConn{ws: ws, traffic: d.Traffic}, nil
+}
+
+// Accept turns a request to Path into a link. The caller has checked the key.
+func Accept(w http.ResponseWriter, r *http.Request, traffic *Traffic) (Conn, error) {
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{InsecureSkipVerify: true})
+	if err != nil {
+		return nil, fmt.Errorf("accept a link: %w", err)
+	}
+	ws.SetReadLimit(MaxMessageBytes)
+	return &wsConn{ws: ws, traffic: traffic}, nil
+}
+
+// KeyMatches compares a request's peer key in constant time.
+func KeyMatches(r *http.Request, key string) bool {
+	return subtle.ConstantTimeCompare([]byte(r.Header.Get(call.HeaderPeerKey)), []byte(key)) == 1
+}
--- /dev/null
+++ b/internal/conn/link/message.go
@@ -0,0 +1,123 @@
+// Package link carries typed messages between two nodes over one WebSocket.
+package link
+
+import (
+	"fmt"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// ProtocolVersion is the version of the peer messages.
+const ProtocolVersion = 1
+
+// MaxMessageBytes bounds one encoded message: a whole envelope and its frame.
+const MaxMessageBytes = 1_100_000
+
+// Message is one frame; exactly one field is set.
+type Message struct {
+	Hello    *Hello    `cbor:"1,keyasint,omitempty"`
+	Digest   *Digest   `cbor:"2,keyasint,omitempty"`
+	Facts    *Facts    `cbor:"3,keyasint,omitempty"`
+	Announce *Announce `cbor:"4,keyasint,omitempty"`
+	Pull     *Pull     `cbor:"5,keyasint,omitempty"`
+	Body     *Body     `cbor:"6,keyasint,omitempty"`
+	Want     *Want     `cbor:"7,keyasint,omitempty"`
+	Refused  *Refused  `cbor:"8,keyasint,omitempty"`
+}
+
+// Hello opens a link in both directions.
+type Hello struct {
+	Protocol int           `cbor:"1,keyasint"`
+	Self     member.Record `cbor:"2,keyasint"`
+}
+
+// Digest summarises what the sender knows, for repair; it is the heartbeat too.
+type Digest struct {
+	// Number and Hash are of the configuration in force; 0 before the first.
+	Number uint64        `cbor:"1,keyasint"`
+	Hash   document.Hash `cbor:"2,keyasint"`
+	// Topics gives one sum per topic of facts.
+	Topics map[string]uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Facts carries small facts of one topic.
+type Facts struct {
+	Topic string   `cbor:"1,keyasint"`
+	Items [][]byte `cbor:"2,keyasint"`
+}
+
+// Want asks for all facts of a topic whose sums differ.
+type Want struct {
+	Topic string `cbor:"1,keyasint"`
+}
+
+// Announce tells of a configuration that the sender holds.
+type Announce struct {
+	Number uint64        `cbor:"1,keyasint"`
+	Hash   document.Hash `cbor:"2,keyasint"`
+	Size   int           `cbor:"3,keyasint"`
+}
+
+// Pull asks for a configuration; Base is the one that the asker holds.
+type Pull struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Base   uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Body carries a configuration, whole or as a delta to Base.
+type Body struct {
+	Number uint64        `cbor:"1,keyasint"`
+	Hash   document.Hash `cbor:"2,keyasint"`
+	Base   uint64        `cbor:"3,keyasint,omitempty"`
+	Whole  []byte        `cbor:"4,keyasint,omitempty"`
+	Delta  []byte        `cbor:"5,keyasint,omitempty"`
+}
+
+// Refused closes a link with a result code; Try names other peers.
+type Refused struct {
+	Code api.Code `cbor:"1,keyasint"`
+	Try  []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Encode encodes a message.
+func Encode(m *Message) ([]byte, error) {
+	b, err := wire.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode a peer message: %w", err)
+	}
+	if len(b) > MaxMessageBytes {
+		return nil, api.Errorf(api.PeerFrame, "a message of %d bytes is over the limit", len(b))
+	}
+	return b, nil
+}
+
+// Decode decodes a message and checks that exactly one field is set.
+func Decode(b []byte) (*Message, error) {
+	if len(b) > MaxMessageBytes {
+		return nil, api.Errorf(api.PeerFrame, "a message of %d bytes is over the limit", len(b))
+	}
+	var m Message
+	if err := wire.Unmarshal(b, &m); err != nil {
+		return nil, err
+	}
+	if m.fields() != 1 {
+		return nil, api.Errorf(api.PeerFrame, "a message with %d parts", m.fields())
+	}
+	return &m, nil
+}
+
+func (m *Message) fields() int {
+	n := 0
+	for _, set := range []bool{
+		m.Hello != nil, m.Digest != nil, m.Facts != nil, m.Announce != nil,
+		m.Pull != nil, m.Body != nil, m.Want != nil, m.Refused != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/conn/wire/wire.go
@@ -0,0 +1,48 @@
+// Package wire encodes what nodes send each other as deterministic CBOR and
+// decodes it within fixed limits.
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+var (
+	encoding = mustEnc()
+	decoding = mustDec()
+)
+
+func mustEnc() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDec() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 12,
+		MaxNestedLevels:  16,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Marshal encodes any peer value in the canonical form.
+func Marshal(v any) ([]byte, error) { return encoding.Marshal(v) }
+
+// Unmarshal decodes a peer value within the limits.
+func Unmarshal(b []byte, v any) error {
+	if err := decoding.Unmarshal(b, v); err != nil {
+		return api.Errorf(api.PeerFrame, "decode: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,216 @@
+// Package node wires the long-lived parts of one daisytided and runs them.
+package node
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/dial"
+	"github.com/daisytide/daisytide/internal/conn/link"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/process/audit"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/operator"
+	"github.com/daisytide/daisytide/internal/process/provider"
+	"github.com/daisytide/daisytide/internal/process/settings"
+	"github.com/daisytide/daisytide/internal/process/spread"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/request/entry"
+	"github.com/daisytide/daisytide/internal/request/gate"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+const logPrefix = "node: "
+
+// Limits of the listeners.
+const (
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 5 * time.Second
+	maxStreams     = 1000
+)
+
+// Node is one daisytided.
+type Node struct {
+	cfg      *settings.Settings
+	holder   *snapshot.Holder
+	members  *member.Table
+	self     *member.Self
+	spread   *spread.Manager
+	provider *provider.Provider
+	gate     *gate.Gate
+	entry    *entry.Entry
+	rpc      *rpc.Client
+	traffic  *link.Traffic
+	store    platform.Store
+	audit    audit.Recorder
+	versions entry.Versions
+	operator *operator.Server
+	metrics  *expvar.Map
+
+	runners []func(context.Context) error
+	peerMux *http.ServeMux
+
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+}
+
+// New builds a node from checked settings; store may be nil, then the
+// settings name it. It listens at once, so that the addresses are known.
+func New(cfg *settings.Settings, store platform.Store) (*Node, error) {
+	n := &Node{
+		cfg:     cfg,
+		holder:  &snapshot.Holder{},
+		members: member.NewTable(),
+		traffic: &link.Traffic{},
+		metrics: new(expvar.Map).Init(),
+		peerMux: http.NewServeMux(),
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	if store == nil {
+		store = &platform.Client{Base: cfg.Store.Address, HTTP: &http.Client{}, Timeout: cfg.Store.Timeout}
+	}
+	n.wire(store)
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&n.callers, n.cfg.Callers.Listen},
+		{&n.peers, n.cfg.Peers.Listen},
+		{&n.operators, n.cfg.Operators.Listen},
+	} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			n.closeListeners()
+			return fmt.Errorf("listen: %w", err)
+		}
+		*l.listener = opened
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.callers, n.peers, n.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// wire builds the parts. Each function adds its own runners and peer routes;
+// their order is that of what they need of each other.
+func (n *Node) wire(store platform.Store) {
+	transport := dial.Peers(nil)
+	n.store = store
+	n.rpc = &rpc.Client{HTTP: &http.Client{Transport: transport}, Key: n.cfg.Peers.Secret, Scheme: "http"}
+	n.audit = audit.Log{}
+	n.wireSpread()
+	n.wireRollouts()
+	n.wireCalls(transport)
+	n.wireOperators()
+}
+
+// addRunner adds a loop that lives as long as the node.
+func (n *Node) addRunner(run func(context.Context) error) {
+	n.runners = append(n.runners, run)
+}
+
+// CallersAddress returns where callers connect.
+func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
+
+// PeersAddress returns where peers connect.
+func (n *Node) PeersAddress() string { return n.peers.Addr().String() }
+
+// OperatorsAddress returns where operators and the local upstream connect.
+func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (n *Node) Run(ctx context.Context) error {
+	servers := []*http.Server{
+		n.server(n.entry),
+		n.server(n.peerHandler()),
+		n.server(n.operator.Handler()),
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	for i, l := range []net.Listener{n.callers, n.peers, n.operators} {
+		g.Go(func() error { return serve(servers[i], l) })
+	}
+	for _, run := range n.runners {
+		g.Go(func() error { return run(ctx) })
+	}
+	g.Go(func() error {
+		<-ctx.Done()
+		n.stop(servers)
+		return nil
+	})
+	klog.Infof(logPrefix+"callers on %s, peers on %s, operators on %s", n.CallersAddress(), n.PeersAddress(), n.OperatorsAddress())
+	return g.Wait()
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// stop spreads that the node leaves, lets requests end and closes listeners.
+func (n *Node) stop(servers []*http.Server) {
+	klog.Info(logPrefix + "stopping")
+	n.self.SetState(member.Leaving)
+	grace, cancel := context.WithTimeout(context.Background(), n.cfg.Upstream.StopGrace)
+	defer cancel()
+	select {
+	case <-n.gate.Leave():
+	case <-grace.Done():
+		klog.Warningf(logPrefix+"%d requests in progress at the end of the grace", n.gate.Running())
+	}
+	n.spread.CloseLinks()
+	for _, s := range servers {
+		if err := s.Shutdown(grace); err != nil {
+			_ = s.Close()
+		}
+	}
+	klog.Info(logPrefix + "stopped")
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &p,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+}
+
+// peerHandler checks the peer key before any peer route.
+func (n *Node) peerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !link.KeyMatches(r, n.cfg.Peers.Secret) {
+			n.metrics.Add("peer_key_refused", 1)
+			call.WriteRefusal(w, call.Result{Code: api.PeerKey, Ran: api.RanNo})
+			return
+		}
+		n.peerMux.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/process/operator/operator.go
@@ -0,0 +1,188 @@
+// Package operator serves the operator listener: documents, hosts, rollouts,
+// the audit trail, and the local upstream's announcements.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+// Node is what the operator listener needs of the node.
+type Node interface {
+	Status() api.StatusResponse
+	Hosts(ctx context.Context) api.HostsResponse
+	Rollouts() api.RolloutsResponse
+	Order(o api.RolloutOrder, operator string) *api.Error
+	Audit(ctx context.Context) (api.AuditResponse, *api.Error)
+	Announce(a api.Announcement) *api.Error
+}
+
+// Documents takes documents to the store.
+type Documents interface {
+	Validate(text []byte) (*document.Document, *api.Error)
+	Apply(ctx context.Context, text []byte, operator string, base uint64) api.ApplyResponse
+}
+
+// HeaderBase carries the configuration number that an operator started from.
+const HeaderBase = "Daisytide-Base"
+
+// Server is the handler of the operator listener.
+type Server struct {
+	Token     string
+	Node      Node
+	Documents Documents
+	Holder    *snapshot.Holder
+	// Refused counts requests with a wrong token.
+	Refused *expvar.Int
+}
+
+// Handler returns the routes of the listener.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+api.PathConfig, s.apply)
+	mux.HandleFunc("GET "+api.PathConfig, s.config)
+	mux.HandleFunc("POST "+api.PathValidate, s.validate)
+	mux.HandleFunc("GET "+api.PathHosts, func(w http.ResponseWriter, r *http.Request) { write(w, s.Node.Hosts(r.Context())) })
+	mux.HandleFunc("GET "+api.PathRollouts, func(w http.ResponseWriter, _ *http.Request) { write(w, s.Node.Rollouts()) })
+	mux.HandleFunc("POST "+api.PathRollouts, s.order)
+	mux.HandleFunc("GET "+api.PathAudit, s.audit)
+	mux.HandleFunc("GET "+api.PathStatus, func(w http.ResponseWriter, _ *http.Request) { write(w, s.Node.Status()) })
+	mux.HandleFunc("POST "+api.PathAnnounce, s.announce)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return s.authorise(mux)
+}
+
+// authorise refuses requests without the operator token.
+func (s *Server) authorise(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get(api.HeaderToken)), []byte(s.Token)) != 1 {
+			s.Refused.Add(1)
+			refuse(w, api.Errorf(api.OperatorToken, "the operator token is missing or wrong"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	text, err := body(w, r)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	base, _ := strconv.ParseUint(r.Header.Get(HeaderBase), 10, 64)
+	out := s.Documents.Apply(r.Context(), text, r.Header.Get(api.HeaderOperator), base)
+	if out.Error != nil {
+		w.Header().Set(call.HeaderCode, strconv.Itoa(int(out.Error.Code)))
+		w.WriteHeader(api.Info(out.Error.Code).HTTP)
+	}
+	write(w, out)
+}
+
+func (s *Server) validate(w http.ResponseWriter, r *http.Request) {
+	text, err := body(w, r)
+	if err == nil {
+		_, err = s.Documents.Validate(text)
+	}
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	write(w, api.ApplyResponse{Outcome: api.ApplyAccepted, Number: s.Holder.Current().Number()})
+}
+
+func (s *Server) config(w http.ResponseWriter, _ *http.Request) {
+	cur := s.Holder.Current()
+	if cur == nil {
+		refuse(w, api.Errorf(api.CallNotReady, "the node has no configuration yet"))
+		return
+	}
+	write(w, api.ConfigResponse{
+		Number:   cur.Number(),
+		Hash:     cur.Hash.String(),
+		Operator: cur.Accepted.Operator,
+		At:       cur.Accepted.At,
+		Document: string(cur.Accepted.Document),
+	})
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var o api.RolloutOrder
+	if err := decode(w, r, &o); err != nil {
+		refuse(w, err)
+		return
+	}
+	if err := s.Node.Order(o, r.Header.Get(api.HeaderOperator)); err != nil {
+		refuse(w, err)
+		return
+	}
+	write(w, s.Node.Rollouts())
+}
+
+func (s *Server) audit(w http.ResponseWriter, r *http.Request) {
+	out, err := s.Node.Audit(r.Context())
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	write(w, out)
+}
+
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	var a api.Announcement
+	if err := decode(w, r, &a); err != nil {
+		refuse(w, err)
+		return
+	}
+	if err := s.Node.Announce(a); err != nil {
+		refuse(w, err)
+		return
+	}
+	write(w, s.Node.Status())
+}
+
+func body(w http.ResponseWriter, r *http.Request) ([]byte, *api.Error) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, document.MaxBytes+1))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, api.Errorf(api.DocumentTooLarge, "the body is over %d bytes", document.MaxBytes)
+	}
+	if err != nil {
+		return nil, api.Errorf(api.OperatorBody, "read the body: %w", err)
+	}
+	return text, nil
+}
+
+func decode(w http.ResponseWriter, r *http.Request, in any) *api.Error {
+	text, err := body(w, r)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, in); err != nil {
+		return api.Errorf(api.OperatorBody, "decode the body: %w", err)
+	}
+	return nil
+}
+
+func write(w http.ResponseWriter, out any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func refuse(w http.ResponseWriter, err *api.Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(call.HeaderCode, strconv.Itoa(int(err.Code)))
+	w.WriteHeader(api.Info(err.Code).HTTP)
+	write(w, err)
+}
--- /dev/null
+++ b/internal/request/call/call.go
@@ -0,0 +1,212 @@
+// Package call holds what one request carries from hop to hop, the headers
+// that carry it, and how a request ended.
+package call
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// Headers that callers may send.
+const (
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderAttempt numbers the attempts with one key, from 1.
+	HeaderAttempt = "Daisytide-Attempt"
+	// HeaderTimeLeft gives the milliseconds that are left to answer.
+	HeaderTimeLeft = "Daisytide-Time-Left"
+	// HeaderDepth counts the hops between services above this call.
+	HeaderDepth = "Daisytide-Depth"
+)
+
+// Headers between entry and gate.
+const (
+	// HeaderService, HeaderRoute and HeaderVersion name what the entry picked.
+	HeaderService = "Daisytide-Service"
+	HeaderRoute   = "Daisytide-Route"
+	HeaderVersion = "Daisytide-Version"
+	// HeaderConfig is the configuration number that the entry used.
+	HeaderConfig = "Daisytide-Config"
+	// HeaderCaller is the caller class.
+	HeaderCaller = "Daisytide-Caller"
+	// HeaderIdempotent is "1" on calls that may run more than once.
+	HeaderIdempotent = "Daisytide-Idempotent"
+	// HeaderFence names the fence token under which a repeated attempt runs.
+	HeaderFence = "Daisytide-Fence"
+	// HeaderPeerKey authenticates a peer.
+	HeaderPeerKey = "Daisytide-Peer-Key"
+)
+
+// Headers on answers.
+const (
+	// HeaderCode is the result code of a refusal.
+	HeaderCode = "Daisytide-Code"
+	// HeaderRun tells whether the upstream ran the request.
+	HeaderRun = "Daisytide-Run"
+	// HeaderLoad carries the gate's load back to the entry.
+	HeaderLoad = "Daisytide-Load"
+)
+
+// Limits of what callers may send.
+const (
+	MaxKeyBytes    = 128
+	MaxHeaderBytes = 64 << 10
+	MaxDepth       = 64
+)
+
+// Call is one request at one hop.
+type Call struct {
+	Service    string
+	Version    string
+	Route      string
+	Caller     document.Caller
+	Idempotent bool
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
+	// Key is the caller's idempotency key; empty where there is none.
+	Key string
+	// Attempt numbers the caller's attempts with Key, from 1.
+	Attempt int
+	// Depth counts the hops between services above this call.
+	Depth int
+	// Config is the configuration number that the entry used.
+	Config uint64
+	// Fence is the token under which a repeated attempt may run.
+	Fence string
+	// BodyLimit caps the request body in bytes.
+	BodyLimit int64
+}
+
+// TimeLeft returns what is left of the call's time at now.
+func (c *Call) TimeLeft(now time.Time) time.Duration { return c.Deadline.Sub(now) }
+
+// Result is how one attempt at a call ended.
+type Result struct {
+	// Code is api.OK when the upstream's whole answer was passed on.
+	Code api.Code
+	// Ran tells whether the upstream ran the request.
+	Ran api.Ran
+	// Status is the HTTP status that was or should be sent.
+	Status int
+	// Sent tells that the answer's header has gone to the caller, so nothing
+	// else can be answered.
+	Sent bool
+	// Err is the cause of a failure.
+	Err error
+}
+
+// Refuse makes the result of a call that was not run.
+func Refuse(c api.Code, err error) Result {
+	return Result{Code: c, Ran: api.RanNo, Status: api.Info(c).HTTP, Err: err}
+}
+
+// Handler runs one call and writes its answer, unless the result says that
+// nothing was sent; then the caller of the handler writes the refusal.
+type Handler func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *Call) Result
+
+// Middleware wraps a handler with one more decision.
+type Middleware func(Handler) Handler
+
+// Chain applies middlewares so that the first one sees the call first.
+func Chain(h Handler, ms ...Middleware) Handler {
+	for i := len(ms) - 1; i >= 0; i-- {
+		h = ms[i](h)
+	}
+	return h
+}
+
+// WriteRefusal writes the numbered refusal of res.
+func WriteRefusal(w http.ResponseWriter, res Result) {
+	info := api.Info(res.Code)
+	h := w.Header()
+	h.Set(HeaderCode, strconv.Itoa(int(res.Code)))
+	h.Set(HeaderRun, string(res.Ran))
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	status := res.Status
+	if status == 0 {
+		status = info.HTTP
+	}
+	w.WriteHeader(status)
+	message := info.Meaning
+	if res.Err != nil {
+		message = res.Err.Error()
+	}
+	_, _ = w.Write([]byte(res.Code.String() + ": " + message + "\n"))
+}
+
+// FromCaller reads the headers that a caller may send. limit is the route's
+// time limit; a shorter time left wins.
+func FromCaller(h http.Header, limit time.Duration, now time.Time) (*Call, error) {
+	c := &Call{Attempt: 1, Key: h.Get(HeaderKey)}
+	if len(c.Key) > MaxKeyBytes {
+		return nil, api.Errorf(api.CallHeader, "%s is over %d bytes", HeaderKey, MaxKeyBytes)
+	}
+	var err error
+	if c.Attempt, err = number(h, HeaderAttempt, 1, 1, 1<<20); err != nil {
+		return nil, err
+	}
+	if c.Depth, err = number(h, HeaderDepth, 0, 0, MaxDepth); err != nil {
+		return nil, err
+	}
+	left, err := number(h, HeaderTimeLeft, int(limit.Milliseconds()), 0, 1<<31-1)
+	if err != nil {
+		return nil, err
+	}
+	c.Deadline = now.Add(min(limit, time.Duration(left)*time.Millisecond))
+	return c, nil
+}
+
+// number reads an integer header, or def when it is absent.
+func number(h http.Header, name string, def, low, high int) (int, error) {
+	s := h.Get(name)
+	if s == "" {
+		return def, nil
+	}
+	v, err := strconv.Atoi(s)
+	if err != nil || v < low || v > high {
+		return 0, api.Errorf(api.CallHeader, "%s must be a whole number from %d to %d", name, low, high)
+	}
+	return v, nil
+}
+
+// ToGate writes the headers that carry c from entry to gate.
+func (c *Call) ToGate(h http.Header, now time.Time) {
+	h.Set(HeaderService, c.Service)
+	h.Set(HeaderVersion, c.Version)
+	h.Set(HeaderRoute, c.Route)
+	h.Set(HeaderCaller, string(c.Caller))
+	h.Set(HeaderConfig, strconv.FormatUint(c.Config, 10))
+	h.Set(HeaderAttempt, strconv.Itoa(c.Attempt))
+	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
+	h.Set(HeaderTimeLeft, strconv.FormatInt(c.TimeLeft(now).Milliseconds(), 10))
+	if c.Idempotent {
+		h.Set(HeaderIdempotent, "1")
+	}
+	if c.Fence != "" {
+		h.Set(HeaderFence, c.Fence)
+	}
+}
+
+// AtGate reads what ToGate wrote.
+func AtGate(h http.Header, now time.Time) (*Call, error) {
+	c, err := FromCaller(h, time.Hour, now)
+	if err != nil {
+		return nil, err
+	}
+	c.Service = h.Get(HeaderService)
+	c.Version = h.Get(HeaderVersion)
+	c.Route = h.Get(HeaderRoute)
+	c.Caller = document.Caller(h.Get(HeaderCaller))
+	c.Idempotent = h.Get(HeaderIdempotent) == "1"
+	c.Fence = h.Get(HeaderFence)
+	c.Config, err = strconv.ParseUint(h.Get(HeaderConfig), 10, 64)
+	if err != nil {
+		return nil, api.Errorf(api.CallHeader, "%s: %w", HeaderConfig, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/request/route/route.go
@@ -0,0 +1,59 @@
+// Package route finds the route of a request in an immutable table.
+package route
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// DefaultBodyLimit caps a request body where its route sets no limit, in bytes.
+const DefaultBodyLimit = 1_000_000
+
+// Table holds routes, the most specific first.
+type Table struct {
+	routes []*document.Route
+}
+
+// NewTable orders the routes of a document.
+func NewTable(routes []document.Route) *Table {
+	t := &Table{}
+	for i := range routes {
+		t.routes = append(t.routes, &routes[i])
+	}
+	sort.SliceStable(t.routes, func(i, j int) bool { return rank(t.routes[i]) > rank(t.routes[j]) })
+	return t
+}
+
+// rank orders by prefix length, then by how many of method and host are set.
+func rank(r *document.Route) int {
+	n := 4 * len(r.Match.Prefix)
+	if r.Match.Host != "" {
+		n += 2
+	}
+	if r.Match.Method != "" {
+		n++
+	}
+	return n
+}
+
+// Find returns the most specific route that matches; nil where none does.
+func (t *Table) Find(method, host, path string) *document.Route {
+	for _, r := range t.routes {
+		if matches(&r.Match, method, host, path) {
+			return r
+		}
+	}
+	return nil
+}
+
+func matches(m *document.Match, method, host, path string) bool {
+	if m.Method != "" && m.Method != method {
+		return false
+	}
+	if m.Host != "" && m.Host != host {
+		return false
+	}
+	return strings.HasPrefix(path, m.Prefix)
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,309 @@
+// Package store is a small stand-in of the platform's key-value store, for
+// tests, the demo and the first steps of a developer. docs/PLATFORM.md gives
+// its protocol.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/platform"
+)
+
+// watchWait is how long a watch waits before it returns empty.
+const watchWait = 30 * time.Second
+
+// Store is the stand-in, usable in one process as platform.Store.
+type Store struct {
+	mu       sync.Mutex
+	entries  map[string]platform.Entry
+	leases   map[string]*lease
+	revision uint64
+	changed  chan struct{}
+	faults   Faults
+	counts   Counts
+	rng      *rand.Rand
+	reads    window
+	writes   window
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Faults are the failures that the stand-in brings about on order.
+type Faults struct {
+	// Down refuses every call as not reached.
+	Down bool `json:"down"`
+	// Delay is added to every call.
+	Delay time.Duration `json:"delay"`
+	// LostReplies is the share of writes, from 0 to 1, that take effect and
+	// whose reply is lost.
+	LostReplies float64 `json:"lost_replies"`
+	// ReadsPerSecond and WritesPerSecond limit the rates; 0 means no limit.
+	ReadsPerSecond  int `json:"reads_per_second"`
+	WritesPerSecond int `json:"writes_per_second"`
+}
+
+// Counts are the calls taken so far; a waiting watch is one.
+type Counts struct {
+	Reads   uint64 `json:"reads"`
+	Writes  uint64 `json:"writes"`
+	Watches uint64 `json:"watches"`
+	Leases  uint64 `json:"leases"`
+	Limited uint64 `json:"limited"`
+}
+
+// Total is the number of calls.
+func (c Counts) Total() uint64 { return c.Reads + c.Writes + c.Watches + c.Leases }
+
+// New returns an empty store whose random choices come from seed.
+func New(seed uint64) *Store {
+	return &Store{
+		entries: map[string]platform.Entry{},
+		leases:  map[string]*lease{},
+		changed: make(chan struct{}),
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Counts returns the calls taken so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// LapseLeases ends every lease at once, as if their holders had been paused.
+func (s *Store) LapseLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.drop(id)
+	}
+	s.wake()
+}
+
+var errDown = errors.New("the store is down")
+
+// enter counts a call, waits the injected delay and applies rate and outage.
+func (s *Store) enter(ctx context.Context, op, key string, counter *uint64, w *window, limit func(Faults) int) error {
+	s.mu.Lock()
+	*counter++
+	delay := s.faults.Delay
+	s.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-ctx.Done():
+			return &platform.Error{Op: op, Key: key, Outcome: platform.OutcomeUnknown, Err: ctx.Err()}
+		case <-time.After(delay):
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return &platform.Error{Op: op, Key: key, Outcome: platform.OutcomeNotReached, Err: errDown}
+	}
+	if n := limit(s.faults); n > 0 && !w.allow(time.Now(), n) {
+		s.counts.Limited++
+		return &platform.Error{Op: op, Key: key, Outcome: platform.OutcomeLimited}
+	}
+	s.expire(time.Now())
+	return nil
+}
+
+func readLimit(f Faults) int  { return f.ReadsPerSecond }
+func writeLimit(f Faults) int { return f.WritesPerSecond }
+
+// window counts calls of the running second.
+type window struct {
+	second int64
+	calls  int
+}
+
+func (w *window) allow(now time.Time, limit int) bool {
+	if now.Unix() != w.second {
+		w.second, w.calls = now.Unix(), 0
+	}
+	w.calls++
+	return w.calls <= limit
+}
+
+// expire ends the leases that ran out; the caller holds mu.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.drop(id)
+			s.wake()
+		}
+	}
+}
+
+// drop ends one lease with its entries; the caller holds mu.
+func (s *Store) drop(id string) {
+	delete(s.leases, id)
+	for k, e := range s.entries {
+		if e.Lease == id {
+			s.revision++
+			delete(s.entries, k)
+		}
+	}
+}
+
+// wake releases the waiting watches; the caller holds mu.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := s.enter(ctx, "get", key, &s.counts.Reads, &s.reads, readLimit); err != nil {
+		return platform.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[key]
+	e.Key = key
+	return e, nil
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	if err := s.enter(ctx, "list", prefix, &s.counts.Reads, &s.reads, readLimit); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.after(prefix, 0), nil
+}
+
+// after lists entries above a revision in key order; the caller holds mu.
+func (s *Store) after(prefix string, revision uint64) []platform.Entry {
+	var out []platform.Entry
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) && e.Revision > revision {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
+// CompareAndSwap implements platform.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte, leaseID string) (platform.Entry, error) {
+	if err := s.enter(ctx, "cas", key, &s.counts.Writes, &s.writes, writeLimit); err != nil {
+		return platform.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(value) > platform.MaxValueBytes {
+		return platform.Entry{}, &platform.Error{Op: "cas", Key: key, Outcome: platform.OutcomeRefused, Err: errors.New("the value is over a megabyte")}
+	}
+	if leaseID != "" && s.leases[leaseID] == nil {
+		return platform.Entry{}, &platform.Error{Op: "cas", Key: key, Outcome: platform.OutcomeRefused, Err: errors.New("the lease has lapsed")}
+	}
+	if old := s.entries[key]; old.Revision != revision {
+		old.Key = key
+		return platform.Entry{}, &platform.Error{Op: "cas", Key: key, Outcome: platform.OutcomeConflict, Current: old}
+	}
+	e := s.put(key, value, leaseID)
+	if s.faults.LostReplies > 0 && s.rng.Float64() < s.faults.LostReplies {
+		return platform.Entry{}, &platform.Error{Op: "cas", Key: key, Outcome: platform.OutcomeUnknown, Err: errors.New("the reply was lost")}
+	}
+	return e, nil
+}
+
+// put writes or deletes; the caller holds mu.
+func (s *Store) put(key string, value []byte, leaseID string) platform.Entry {
+	s.revision++
+	e := platform.Entry{Key: key, Value: value, Revision: s.revision, Lease: leaseID}
+	if value == nil {
+		delete(s.entries, key)
+	} else {
+		s.entries[key] = e
+	}
+	s.wake()
+	return e
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Entry, uint64, error) {
+	if err := s.enter(ctx, "watch", prefix, &s.counts.Watches, &s.reads, readLimit); err != nil {
+		return nil, 0, err
+	}
+	deadline := time.After(watchWait)
+	for {
+		s.mu.Lock()
+		found, revision, changed, down := s.after(prefix, after), s.revision, s.changed, s.faults.Down
+		s.mu.Unlock()
+		if down {
+			return nil, 0, &platform.Error{Op: "watch", Key: prefix, Outcome: platform.OutcomeUnknown, Err: errDown}
+		}
+		if len(found) > 0 {
+			return found, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, &platform.Error{Op: "watch", Key: prefix, Outcome: platform.OutcomeUnknown, Err: ctx.Err()}
+		case <-deadline:
+			return nil, revision, nil
+		case <-changed:
+		}
+	}
+}
+
+// Grant implements platform.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+	if err := s.enter(ctx, "grant", "", &s.counts.Leases, &s.writes, writeLimit); err != nil {
+		return platform.Lease{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id := fmt.Sprintf("lease-%d", s.revision)
+	s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return platform.Lease{ID: id, TTL: ttl}, nil
+}
+
+// KeepAlive implements platform.Store.
+func (s *Store) KeepAlive(ctx context.Context, id string) error {
+	if err := s.enter(ctx, "keep-alive", id, &s.counts.Leases, &s.writes, writeLimit); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return &platform.Error{Op: "keep-alive", Key: id, Outcome: platform.OutcomeRefused, Err: errors.New("the lease has lapsed")}
+	}
+	l.expires = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Revoke implements platform.Store.
+func (s *Store) Revoke(ctx context.Context, id string) error {
+	if err := s.enter(ctx, "revoke", id, &s.counts.Leases, &s.writes, writeLimit); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(id)
+	s.wake()
+	return nil
+}
--- /dev/null
+++ b/internal/version/document/accepted.go
@@ -0,0 +1,83 @@
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+// Accepted is the envelope stored under the configuration key: one document
+// with the number that the compare-and-swap gave it.
+type Accepted struct {
+	// Number rises by one with each accepted document, from 1.
+	Number uint64 `json:"number"`
+	// Session identifies the attempt to apply, so that a writer whose reply
+	// was lost can tell by reading back whether its own write took effect.
+	Session  string    `json:"session"`
+	Operator string    `json:"operator"`
+	At       time.Time `json:"at"`
+	// Moves gives, for each rollout of the document, the number of the
+	// configuration that first held it. A later document that keeps the
+	// rollout unchanged keeps the number, and with it the move's state, so an
+	// unrelated change never revives a withdrawn version.
+	Moves    []MoveRef       `json:"moves,omitempty"`
+	Document json.RawMessage `json:"document"`
+}
+
+// MoveRef names a move: its service and the configuration it began under.
+type MoveRef struct {
+	Service string `json:"service" cbor:"1,keyasint"`
+	Since   uint64 `json:"since" cbor:"2,keyasint"`
+}
+
+// Envelope encodes an accepted document for the store and the peers.
+func (a *Accepted) Envelope() ([]byte, error) {
+	return json.Marshal(a)
+}
+
+// DecodeAccepted reads an envelope and the document inside it.
+func DecodeAccepted(envelope []byte) (*Accepted, *Document, error) {
+	var a Accepted
+	if err := json.Unmarshal(envelope, &a); err != nil {
+		return nil, nil, api.Errorf(api.StoreCorrupt, "decode the accepted document: %w", err)
+	}
+	doc, faults := Decode(a.Document)
+	if len(faults) > 0 {
+		err := api.Errorf(api.StoreCorrupt, "configuration %d: %s", a.Number, faults[0])
+		err.Faults = faults
+		return nil, nil, err
+	}
+	return &a, doc, nil
+}
+
+// Next builds the envelope that follows prev, which is nil for the first.
+func Next(prev *Accepted, prevDoc *Document, text []byte, doc *Document, session, operator string, at time.Time) *Accepted {
+	a := &Accepted{Number: 1, Session: session, Operator: operator, At: at, Document: text}
+	if prev != nil {
+		a.Number = prev.Number + 1
+	}
+	for _, r := range doc.Rollouts {
+		a.Moves = append(a.Moves, MoveRef{Service: r.Service, Since: since(prev, prevDoc, r, a.Number)})
+	}
+	return a
+}
+
+// since returns the number under which the same rollout already runs, else n.
+func since(prev *Accepted, prevDoc *Document, r Rollout, n uint64) uint64 {
+	if prev == nil || prevDoc == nil {
+		return n
+	}
+	for i, old := range prevDoc.Rollouts {
+		if old.Equal(r) && i < len(prev.Moves) {
+			return prev.Moves[i].Since
+		}
+	}
+	return n
+}
+
+// Describe names the envelope in logs.
+func (a *Accepted) Describe() string {
+	return fmt.Sprintf("configuration %d by %s", a.Number, a.Operator)
+}
--- /dev/null
+++ b/internal/version/snapshot/snapshot.go
@@ -0,0 +1,115 @@
+// Package snapshot turns an accepted document into the immutable form that
+// requests use, and holds the one in force.
+package snapshot
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"github.com/daisytide/daisytide/internal/request/route"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/validate"
+)
+
+// Snapshot is one configuration, indexed for requests. It never changes.
+type Snapshot struct {
+	Accepted *document.Accepted
+	Document *document.Document
+	// Envelope is the stored form; peers receive these bytes.
+	Envelope []byte
+	Hash     document.Hash
+	// Routes finds a request's route without a lock.
+	Routes   *route.Table
+	services map[string]*document.Service
+	moves    map[string]Move
+}
+
+// Move is a rollout of the snapshot with the configuration it began under.
+type Move struct {
+	Rollout document.Rollout
+	Since   uint64
+}
+
+// ErrInvalid tells that an envelope's document breaks a rule of validation.
+var ErrInvalid = errors.New("the document is not valid")
+
+// Build decodes, checks and indexes an envelope. The whole is refused when any
+// part of it is wrong.
+func Build(envelope []byte) (*Snapshot, error) {
+	a, doc, err := document.DecodeAccepted(envelope)
+	if err != nil {
+		return nil, err
+	}
+	if faults := validate.Document(doc); len(faults) > 0 {
+		return nil, errors.Join(ErrInvalid, errors.New(faults[0].String()))
+	}
+	s := &Snapshot{
+		Accepted: a,
+		Document: doc,
+		Envelope: envelope,
+		Hash:     document.HashOf(envelope),
+		Routes:   route.NewTable(doc.Routes),
+		services: make(map[string]*document.Service, len(doc.Services)),
+		moves:    make(map[string]Move, len(doc.Rollouts)),
+	}
+	for i := range doc.Services {
+		s.services[doc.Services[i].Name] = &doc.Services[i]
+	}
+	for i, r := range doc.Rollouts {
+		s.moves[r.Service] = Move{Rollout: r, Since: a.Moves[i].Since}
+	}
+	return s, nil
+}
+
+// Number is the configuration number.
+func (s *Snapshot) Number() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Accepted.Number
+}
+
+// Service finds a service by name; nil where there is none.
+func (s *Snapshot) Service(name string) *document.Service { return s.services[name] }
+
+// Move finds the rollout of a service.
+func (s *Snapshot) Move(service string) (Move, bool) {
+	m, ok := s.moves[service]
+	return m, ok
+}
+
+// Holder keeps the snapshot in force. Readers take no lock.
+type Holder struct {
+	current atomic.Pointer[Snapshot]
+
+	// mu orders swaps, so that the number in force never falls and the
+	// listeners see each swap in order.
+	mu        sync.Mutex
+	listeners []func(*Snapshot)
+}
+
+// Current returns the snapshot in force; nil before the first.
+func (h *Holder) Current() *Snapshot { return h.current.Load() }
+
+// OnSwap registers fn, called with each new snapshot, in order.
+func (h *Holder) OnSwap(fn func(*Snapshot)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.listeners = append(h.listeners, fn)
+}
+
+// Offer puts s in force when its number is higher than the one in force, and
+// tells whether it did.
+func (h *Holder) Offer(s *Snapshot) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.Number() <= h.current.Load().Number() {
+		return false
+	}
+	h.current.Store(s)
+	for _, fn := range h.listeners {
+		fn(s)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/version/snapshot/snapshot_test.go
@@ -0,0 +1,44 @@
+package snapshot
+
+import (
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+func envelope(t *testing.T, number uint64, text string) []byte {
+	t.Helper()
+	a := document.Accepted{Number: number, Session: "s", Operator: "o", At: time.Unix(0, 0), Document: []byte(text)}
+	b, err := a.Envelope()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	var h Holder
+	var seen []uint64
+	h.OnSwap(func(s *Snapshot) { seen = append(seen, s.Number()) })
+	for _, n := range []uint64{2, 1, 2, 5, 4} {
+		s, err := Build(envelope(t, n, `{"services":[],"routes":[]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Offer(s)
+	}
+	if h.Current().Number() != 5 {
+		t.Errorf("in force: %d, want 5", h.Current().Number())
+	}
+	if len(seen) != 2 || seen[0] != 2 || seen[1] != 5 {
+		t.Errorf("swaps: %v, want [2 5]", seen)
+	}
+}
+
+func TestBuildRefusesRouteToLackingService(t *testing.T) {
+	text := `{"services":[],"routes":[{"name":"r","match":{"prefix":"/"},"service":"lacking","time_limit":"1s","caller":"buyer"}]}`
+	if _, err := Build(envelope(t, 1, text)); err == nil {
+		t.Fatal("a route to a lacking service was taken")
+	}
+}
