--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -59,6 +59,8 @@
 
 	runners []func(context.Context) error
 	peerMux *http.ServeMux
+	// gateMiddlewares see each call at the gate before it is admitted.
+	gateMiddlewares []call.Middleware
 
 	callers   net.Listener
 	peers     net.Listener
--- a/internal/process/node/wire_calls.go
+++ b/internal/process/node/wire_calls.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/daisytide/daisytide/internal/conn/dial"
+	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/entry"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/pick"
@@ -29,5 +30,6 @@
 		PeerKey:   n.cfg.Peers.Secret,
 		GatePath:  callPrefix,
 	}
-	n.peerMux.Handle(callPrefix+"/", http.StripPrefix(callPrefix, n.gate.ServeHTTP(n.gate.Handle)))
+	atGate := call.Chain(n.gate.Handle, n.gateMiddlewares...)
+	n.peerMux.Handle(callPrefix+"/", http.StripPrefix(callPrefix, n.gate.ServeHTTP(atGate)))
 }
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -41,6 +41,8 @@
 	PeerKey string
 	// GatePath prefixes the paths of calls on the peer listener.
 	GatePath string
+	// Middlewares see each call before it is sent to a gate, in order.
+	Middlewares []call.Middleware
 }
 
 // ServeHTTP implements http.Handler.
@@ -67,7 +69,10 @@
 	r.Body = http.MaxBytesReader(w, r.Body, c.BodyLimit)
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	return e.try(ctx, w, r, c, snap)
+	send := func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
+		return e.try(ctx, w, r, c, snap)
+	}
+	return call.Chain(send, e.Middlewares...)(ctx, w, r, c)
 }
 
 func newCall(r *http.Request, rt *document.Route, snap *snapshot.Snapshot) (*call.Call, error) {
