Let the demo drive load, rollouts and checks

Cause: the first demo made 100 look-ups and checked nothing.

Change: timed changes, three services under an open load with keys and repeats, one good and one bad rollout, a report with the invariants that did not hold, exit code 1 when one broke; nodes publish control bytes by expvar.

Conclusion: the demo is the check that the parts to come must turn green.

--- a/cmd/daisytide/demo.go
+++ b/cmd/daisytide/demo.go
@@ -46,10 +46,8 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
-			return fmt.Errorf("print the report: %w", err)
-		}
+	if err := c.print(report); err != nil {
+		return err
 	}
 	if len(report.Broken) > 0 {
 		return fmt.Errorf("invariants broken: %v", report.Broken)
@@ -57,6 +55,17 @@
 	return nil
 }
 
+// print writes the closing table, last.
+func (c *demoCommand) print(report demo.Report) error {
+	if !c.JSON {
+		return report.Print(os.Stdout)
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+		return fmt.Errorf("print the report: %w", err)
+	}
+	return nil
+}
+
 // quietLog keeps the nodes' logs out of the demo's output.
 func quietLog() {
 	set := flag.NewFlagSet("klog", flag.ContinueOnError)
--- a/cmd/daisytided/main.go
+++ b/cmd/daisytided/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"flag"
 	"fmt"
 	"os"
@@ -58,6 +59,7 @@
 	defer stop()
 	n, err := node.New(cfg, nil)
 	if err == nil {
+		expvar.Publish("daisytide", n.Metrics())
 		err = n.Run(ctx)
 	}
 	klog.Flush()
--- a/internal/conn/rpc/rpc.go
+++ b/internal/conn/rpc/rpc.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/wire"
@@ -35,6 +36,8 @@
 	Key string
 	// Scheme is http or https.
 	Scheme string
+	// Bytes counts the bodies of questions and answers.
+	Bytes atomic.Uint64
 }
 
 // Call implements Caller.
@@ -58,6 +61,7 @@
 	if err != nil {
 		return fmt.Errorf("read the answer of %s: %w", address, err)
 	}
+	c.Bytes.Add(uint64(len(body) + len(answer)))
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp, answer)
 	}
--- /dev/null
+++ b/internal/process/node/metrics.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+// Metrics returns the node's counters; the daemon publishes them by expvar.
+func (n *Node) Metrics() *expvar.Map { return n.metrics }
+
+// OnSwap calls fn with the number of each configuration that comes into force.
+func (n *Node) OnSwap(fn func(number uint64)) {
+	n.holder.OnSwap(func(s *snapshot.Snapshot) { fn(s.Number()) })
+}
+
+// ControlBytes returns the bytes of control messages sent and received so
+// far, over links and by questions to other nodes.
+func (n *Node) ControlBytes() uint64 {
+	return n.traffic.Sent.Load() + n.traffic.Received.Load() + n.rpc.Bytes.Load()
+}
+
+// wireMetrics publishes what is read at the moment of a request.
+func (n *Node) wireMetrics() {
+	counters := map[string]*atomic.Uint64{
+		"link_bytes_sent":     &n.traffic.Sent,
+		"link_bytes_received": &n.traffic.Received,
+		"link_messages_sent":  &n.traffic.Messages,
+		"question_bytes":      &n.rpc.Bytes,
+	}
+	for name, c := range counters {
+		n.metrics.Set(name, expvar.Func(func() any { return c.Load() }))
+	}
+	n.metrics.Set("configuration", expvar.Func(func() any { return n.holder.Current().Number() }))
+	n.metrics.Set("links", expvar.Func(func() any { return n.spread.Links() }))
+	n.metrics.Set("members", expvar.Func(func() any { return len(n.members.Index().Members) }))
+	n.metrics.Set("running", expvar.Func(func() any { return n.gate.Running() }))
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -126,6 +126,7 @@
 	n.wireRollouts()
 	n.wireCalls(transport)
 	n.wireOperators()
+	n.wireMetrics()
 }
 
 // addRunner adds a loop that lives as long as the node.
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,6 +16,28 @@
 	"github.com/daisytide/daisytide/internal/version/document"
 )
 
+// Times of the demo, as parts of its seconds of load.
+const (
+	// rolloutStart is when both rollouts start.
+	rolloutStart = 0.15
+	// rolloutDeadline is when a good version must have all calls.
+	rolloutDeadline = 0.65
+	// faultStart is when the bad version begins to fail.
+	faultStart = 0.30
+)
+
+// minHosts gives each service an upstream of either version.
+const minHosts = 6
+
+// convergeChanges is the number of documents whose spread is timed.
+const convergeChanges = 20
+
+// changePause separates two timed changes.
+const changePause = 20 * time.Millisecond
+
+// startLimit bounds the wait for nodes to find each other.
+const startLimit = 30 * time.Second
+
 // Options of a demo.
 type Options struct {
 	Hosts   int
@@ -26,112 +47,215 @@
 	Out io.Writer
 }
 
-// Report is the closing table.
-type Report struct {
-	Hosts               int     `json:"hosts"`
-	Seconds             float64 `json:"seconds"`
-	Seed                uint64  `json:"seed"`
-	ConvergeP50         float64 `json:"converge_ms_p50"`
-	ConvergeP99         float64 `json:"converge_ms_p99"`
-	ControlBytesPerHost float64 `json:"control_bytes_per_host_s"`
-	StoreCallsPerSecond float64 `json:"store_calls_per_s"`
-	Calls               uint64  `json:"calls"`
-	CallsFailed         uint64  `json:"calls_failed"`
-	CallsWrong          uint64  `json:"calls_wrong"`
-	RunTwice            uint64  `json:"run_twice"`
-	MovesDone           int     `json:"moves_done"`
-	MovesTakenBack      int     `json:"moves_taken_back"`
-	BadVersionCalls     uint64  `json:"bad_version_calls"`
-	// Broken lists the invariants that did not hold.
-	Broken []string `json:"broken"`
-}
-
-// services of the demo, with the caller class and path of each.
-var services = []struct {
-	name       string
-	path       string
-	method     string
-	caller     document.Caller
-	idempotent bool
-}{
-	{"status-desk", "/status", http.MethodGet, document.Buyer, true},
-	{"credit-ledger", "/credit", http.MethodPost, document.Clerk, false},
-	{"bale-intake", "/bale", http.MethodPost, document.Driver, false},
-}
-
-// upstreamOf spreads services and versions over hosts: for each service the
-// hosts alternate between the old and the new version.
-func upstreamOf(i int) upstream.Options {
-	version := "v1"
-	if i/len(services)%2 == 1 {
-		version = "v2"
-	}
-	return upstream.Options{
-		Service:     services[i%len(services)].name,
-		Version:     version,
-		Slots:       10,
-		Connections: 100,
-		Work:        2 * time.Millisecond,
-	}
-}
-
-// documentOf builds the demo's document with the given rollouts.
-func documentOf(rollouts ...document.Rollout) ([]byte, error) {
-	doc := document.Document{Rollouts: rollouts}
-	for _, s := range services {
-		doc.Services = append(doc.Services, document.Service{
-			Name: s.name, Versions: []string{"v1", "v2"}, Current: "v1",
-		})
-		doc.Routes = append(doc.Routes, document.Route{
-			Name:       s.name,
-			Match:      document.Match{Prefix: s.path, Method: s.method},
-			Service:    s.name,
-			Idempotent: s.idempotent,
-			TimeLimit:  document.Duration(2 * time.Second),
-			Caller:     s.caller,
-		})
-	}
-	return json.Marshal(doc)
+// run is one demo under way.
+type run struct {
+	o        Options
+	cluster  *cluster.Cluster
+	operator client.Client
+	swaps    *swapTimes
+	load     *load
+	report   Report
 }
 
 // Run runs the demo and returns its report. An error means that the demo
 // itself could not run; broken invariants stand in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
-	report := Report{Hosts: o.Hosts, Seconds: float64(o.Seconds), Seed: o.Seed}
-	c, err := cluster.Start(ctx, cluster.Config{Nodes: o.Hosts, DataCentres: min(3, o.Hosts), Seed: o.Seed, Upstream: upstreamOf})
+	if o.Hosts < minHosts || o.Seconds < 1 {
+		return Report{}, fmt.Errorf("the demo needs at least %d hosts and 1 second", minHosts)
+	}
+	d := &run{o: o, report: newReport(o)}
+	c, err := cluster.Start(ctx, cluster.Config{
+		Nodes: o.Hosts, DataCentres: dataCentres, Seed: o.Seed, Upstream: upstreamOf,
+	})
 	if err != nil {
-		return report, fmt.Errorf("start the hosts: %w", err)
+		return d.report, fmt.Errorf("start the hosts: %w", err)
 	}
 	defer c.Stop()
-	if err := c.AwaitMembers(ctx); err != nil {
-		return report, err
+	d.cluster = c
+	d.swaps = watchSwaps(c)
+	d.operator = client.Client{Base: c.Hosts[0].OperatorBase(), Token: cluster.Token, Operator: "demo", HTTP: http.DefaultClient}
+	err = d.steps(ctx)
+	return d.report, err
+}
+
+// steps runs the demo's acts in order.
+func (d *run) steps(ctx context.Context) error {
+	if err := d.gather(ctx); err != nil {
+		return err
+	}
+	if err := d.timeChanges(ctx); err != nil {
+		return err
+	}
+	d.load = newLoad(d.cluster, d.o.Seed)
+	if err := d.moves(ctx); err != nil {
+		return err
+	}
+	d.close()
+	return nil
+}
+
+// gather waits until the nodes know each other.
+func (d *run) gather(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := d.cluster.AwaitMembers(ctx); err != nil {
+		return err
 	}
-	text, err := documentOf()
+	d.say("%d nodes in %d data centres know each other", d.o.Hosts, dataCentres)
+	return nil
+}
+
+// timeChanges applies documents one after another and times their spread.
+func (d *run) timeChanges(ctx context.Context) error {
+	for i := range convergeChanges {
+		if err := d.apply(ctx, documentOf(i)); err != nil {
+			return err
+		}
+		time.Sleep(changePause)
+	}
+	d.report.ConvergeP50, d.report.ConvergeP99 = d.swaps.quantiles()
+	d.say("%d documents: in force on the last node after %.1f ms (median), %.1f ms (99 in 100)",
+		convergeChanges, d.report.ConvergeP50, d.report.ConvergeP99)
+	return nil
+}
+
+// apply takes a document to the first node and waits until it is in force on all.
+func (d *run) apply(ctx context.Context, doc document.Document) error {
+	text, err := encode(doc)
 	if err != nil {
-		return report, fmt.Errorf("build the document: %w", err)
+		return err
 	}
-	operator := client.Client{Base: c.Hosts[0].OperatorBase(), Token: cluster.Token, Operator: "demo", HTTP: http.DefaultClient}
 	start := time.Now()
-	out, err := operator.Apply(ctx, text, 0)
-	if err != nil || out.Outcome != api.ApplyAccepted {
-		return report, fmt.Errorf("apply: %v %+v", err, out)
-	}
-	if err := c.AwaitNumber(ctx, out.Number); err != nil {
-		return report, err
-	}
-	report.ConvergeP99 = float64(time.Since(start).Microseconds()) / 1000
-	fmt.Fprintf(o.Out, "configuration %d is in force on %d hosts after %.1f ms\n", out.Number, o.Hosts, report.ConvergeP99)
-	for i := range 100 {
-		h := c.Hosts[i%len(c.Hosts)]
-		resp, err := http.Get(h.CallerBase() + "/status/" + fmt.Sprint(i))
-		if err != nil {
-			return report, fmt.Errorf("call: %w", err)
+	out, err := d.operator.Apply(ctx, text, 0)
+	if err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	if out.Outcome != api.ApplyAccepted {
+		return fmt.Errorf("apply: %s: %w", out.Outcome, out.Error)
+	}
+	d.swaps.applied(out.Number, start)
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return d.cluster.AwaitNumber(ctx, out.Number)
+}
+
+// moves applies the two rollouts under load and follows them to their end.
+func (d *run) moves(ctx context.Context) error {
+	length := time.Duration(d.o.Seconds) * time.Second
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	begin := time.Now()
+	calls, bytes := d.cluster.Store.Counts().Total(), d.controlBytes()
+	loadDone := make(chan struct{})
+	go func() {
+		defer close(loadDone)
+		d.load.run(ctx)
+	}()
+	start := begin.Add(part(length, rolloutStart))
+	deadline := begin.Add(part(length, rolloutDeadline))
+	doc := documentOf(convergeChanges, rolloutOf(goodService, start, deadline), rolloutOf(badService, start, deadline))
+	if err := d.apply(ctx, doc); err != nil {
+		return err
+	}
+	d.say("rollouts of %s (good) and %s (bad) start in %s, deadline in %s",
+		goodService, badService, part(length, rolloutStart), part(length, rolloutDeadline))
+	timer := time.AfterFunc(time.Until(begin.Add(part(length, faultStart))), d.breakBadVersion)
+	defer timer.Stop()
+	d.follow(ctx)
+	<-loadDone
+	seconds := time.Since(begin).Seconds()
+	d.report.StoreCallsPerSecond = float64(d.cluster.Store.Counts().Total()-calls) / seconds
+	d.report.ControlBytesPerHost = float64(d.controlBytes()-bytes) / seconds / float64(d.o.Hosts)
+	return nil
+}
+
+// breakBadVersion makes the new version of badService fail every request.
+func (d *run) breakBadVersion() {
+	for _, h := range d.hostsOf(badService, newVersion) {
+		h.Upstream.SetFaults(upstream.Fault{Fail: true})
+	}
+	d.say("version %s of %s begins to fail", newVersion, badService)
+}
+
+func (d *run) hostsOf(service, version string) []*cluster.Host {
+	var out []*cluster.Host
+	for i, h := range d.cluster.Hosts {
+		o := upstreamOf(i)
+		if o.Service == service && o.Version == version {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// followEvery is how often the moves are looked at.
+const followEvery = 100 * time.Millisecond
+
+// follow prints each change of a move's state until ctx ends.
+func (d *run) follow(ctx context.Context) {
+	last := map[string]string{}
+	for ctx.Err() == nil {
+		for _, r := range d.cluster.Hosts[0].Node.Rollouts().Rollouts {
+			line := fmt.Sprintf("%s at %.0f%%: %s", r.State, r.Share, r.Why)
+			if last[r.Service] != line {
+				last[r.Service] = line
+				d.say("rollout of %s: %s", r.Service, line)
+			}
 		}
-		_ = resp.Body.Close()
-		report.Calls++
-		if resp.StatusCode != http.StatusOK {
-			report.CallsFailed++
+		select {
+		case <-ctx.Done():
+		case <-time.After(followEvery):
 		}
 	}
-	return report, nil
+}
+
+// close fills the report and checks the invariants.
+func (d *run) close() {
+	d.load.fill(&d.report)
+	for _, r := range d.cluster.Hosts[0].Node.Rollouts().Rollouts {
+		switch r.State {
+		case "done":
+			d.report.MovesDone++
+		case "taken-back":
+			d.report.MovesTakenBack++
+		}
+	}
+	for _, h := range d.hostsOf(badService, newVersion) {
+		d.report.BadVersionCalls += h.Upstream.Failed()
+	}
+	d.report.RunTwice = d.runTwice()
+	d.report.check(d.swaps)
+}
+
+// runTwice counts the keys that ran more than once in all upstreams together.
+func (d *run) runTwice() uint64 {
+	runs := map[string]int{}
+	for _, h := range d.cluster.Hosts {
+		for key, n := range h.Upstream.Runs() {
+			runs[key] += n
+		}
+	}
+	var twice uint64
+	for _, n := range runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	return twice
+}
+
+func (d *run) controlBytes() uint64 {
+	var sum uint64
+	for _, h := range d.cluster.Hosts {
+		sum += h.Node.ControlBytes()
+	}
+	return sum
+}
+
+func (d *run) say(format string, args ...any) {
+	fmt.Fprintf(d.o.Out, format+"\n", args...)
+}
+
+func part(d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * share).Round(time.Millisecond)
 }
--- /dev/null
+++ b/internal/standin/demo/load.go
@@ -0,0 +1,161 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/standin/cluster"
+)
+
+// callsPerSecond is the rate of calls to each service.
+const callsPerSecond = 150
+
+// Attempts of a caller and its wait between them.
+const (
+	maxAttempts  = 3
+	attemptPause = 50 * time.Millisecond
+)
+
+// maxUploadBytes is the size of the largest upload.
+const maxUploadBytes = 64 << 10
+
+// load sends calls at a steady rate through random entries, as callers would.
+type load struct {
+	cluster *cluster.Cluster
+	client  *http.Client
+	seed    uint64
+
+	calls   atomic.Uint64
+	failed  atomic.Uint64
+	wrong   atomic.Uint64
+	unknown atomic.Uint64
+
+	mu      sync.Mutex
+	example string
+}
+
+func newLoad(c *cluster.Cluster, seed uint64) *load {
+	transport := &http.Transport{MaxIdleConnsPerHost: connections}
+	return &load{cluster: c, client: &http.Client{Transport: transport}, seed: seed}
+}
+
+// run sends calls until ctx ends and waits for those in progress.
+func (l *load) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i, s := range services {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			l.runService(ctx, s, rand.New(rand.NewPCG(l.seed, uint64(i))))
+		}()
+	}
+	wg.Wait()
+	l.client.CloseIdleConnections()
+}
+
+func (l *load) runService(ctx context.Context, s service, rng *rand.Rand) {
+	ticker := time.NewTicker(time.Second / callsPerSecond)
+	defer ticker.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for id := 0; ; id++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		size := 0
+		if s.method == http.MethodPost {
+			size = rng.IntN(maxUploadBytes)
+		}
+		first := rng.IntN(len(l.cluster.Hosts))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			l.call(s, id, size, first)
+		}()
+	}
+}
+
+// call makes one call, repeating it through other entries as a caller may.
+func (l *load) call(s service, id, size, first int) {
+	l.calls.Add(1)
+	key := ""
+	if !s.idempotent {
+		key = fmt.Sprintf("%s-%d", s.name, id)
+	}
+	var last string
+	for attempt := 1; attempt <= maxAttempts; attempt++ {
+		host := l.cluster.Hosts[(first+attempt)%len(l.cluster.Hosts)]
+		code, done := l.attempt(s, host, id, size, key, attempt)
+		if done {
+			return
+		}
+		last = code
+		time.Sleep(attemptPause)
+	}
+	if last == strconv.Itoa(int(api.CallOutcomeUnknown)) {
+		l.unknown.Add(1)
+	}
+	l.failed.Add(1)
+	l.note(fmt.Sprintf("%s%s: %s", s.name, s.path, last))
+}
+
+// attempt sends one attempt; done tells that the caller has its answer.
+func (l *load) attempt(s service, host *cluster.Host, id, size int, key string, attempt int) (code string, done bool) {
+	path := fmt.Sprintf("%s/%d", s.path, id)
+	req, err := http.NewRequest(s.method, host.CallerBase()+path, bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		return err.Error(), false
+	}
+	if key != "" {
+		req.Header.Set(call.HeaderKey, key)
+		req.Header.Set(call.HeaderAttempt, strconv.Itoa(attempt))
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return err.Error(), false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error(), false
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Sprintf("%d code %s", resp.StatusCode, resp.Header.Get(call.HeaderCode)), false
+	}
+	if !strings.HasSuffix(string(body), fmt.Sprintf(" %s key=%s body=%d\n", path, key, size)) {
+		l.wrong.Add(1)
+		l.note(fmt.Sprintf("%s answered %q", path, body))
+	}
+	return "", true
+}
+
+// note keeps one example of a failed call for the report.
+func (l *load) note(example string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.example = example
+}
+
+// fill enters the load's counts.
+func (l *load) fill(r *Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Calls = l.calls.Load()
+	r.CallsFailed = l.failed.Load()
+	r.CallsWrong = l.wrong.Load()
+	r.CallsUnknown = l.unknown.Load()
+	r.FailedExample = l.example
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -61,6 +61,7 @@
 	// ran counts the runs of each idempotency key.
 	ran    map[string]int
 	total  uint64
+	failed uint64
 	lie    bool
 	server *http.Server
 	addr   string
@@ -141,6 +142,13 @@
 	return u.total
 }
 
+// Failed returns the number of requests that met an injected fault.
+func (u *Upstream) Failed() uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.failed
+}
+
 // Announce tells the node at base (its operator listener) of the upstream.
 func (u *Upstream) Announce(ctx context.Context, base, token string) error {
 	u.mu.Lock()
@@ -259,6 +267,7 @@
 		if !strings.HasPrefix(r.URL.Path, f.Prefix) {
 			continue
 		}
+		u.failed++
 		if f.Slow > 0 {
 			took = time.Duration(float64(took) * f.Slow)
 		}
