Measure a node's cost at several fleet sizes and fit slopes

Change: scripts/capacity starts 10 to 100 daisytided processes on loopback, measures rest, churn, documents and calls, fits lines and sets them against the target's bounds. Settings left unset in the file now take their defaults (the store's time limit was 0), with a test.

--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -113,6 +113,10 @@
 func parse(r io.Reader) (*Settings, error) {
 	var s Settings
 	p := flags.NewParser(&s, flags.None)
+	// The INI parser alone leaves defaults unset.
+	if _, err := p.ParseArgs(nil); err != nil {
+		return nil, err
+	}
 	if err := flags.NewIniParser(p).Parse(r); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/standin/capacity/bench.go
@@ -0,0 +1,91 @@
+package capacity
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"os/exec"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// Names of the benchmarks that the page is worked out from.
+const (
+	distributionBench = "BenchmarkDistribution"
+	addedBench        = "BenchmarkAddedTime"
+)
+
+// Metrics of the benchmarks.
+const (
+	convergeMetric = "converge_ms_p99"
+	addedMetric    = "added_ms_p99"
+)
+
+// Result is one line of `go test -bench`.
+type Result struct {
+	Name    string
+	Metrics map[string]float64
+}
+
+// Benched is what benchmarks in one process gave.
+type Benched struct {
+	// Converge is the time, in milliseconds, from a document's acceptance to
+	// its being in force on the last node, over the number of nodes.
+	Converge Line
+	// AddedP99 is the time in milliseconds added to a call for 99 in 100.
+	AddedP99 float64
+	Results  []Result
+}
+
+// parseBench reads the lines of `go test -bench`.
+func parseBench(text []byte) []Result {
+	var out []Result
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) < 4 || !strings.HasPrefix(fields[0], "Benchmark") {
+			continue
+		}
+		r := Result{Name: fields[0], Metrics: map[string]float64{}}
+		for i := 2; i+1 < len(fields); i += 2 {
+			v, err := strconv.ParseFloat(fields[i], 64)
+			if err == nil {
+				r.Metrics[fields[i+1]] = v
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// runBench runs the benchmarks that match pattern in packages.
+func runBench(ctx context.Context, pattern string, benchTime string, packages ...string) ([]Result, error) {
+	args := append([]string{"test", "-run", "^$", "-bench", pattern, "-benchmem", "-benchtime", benchTime}, packages...)
+	cmd := exec.CommandContext(ctx, "go", args...)
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return nil, fmt.Errorf("go %s: %w\n%s", strings.Join(args, " "), err, out)
+	}
+	return parseBench(out), nil
+}
+
+var nodesInName = regexp.MustCompile(`(?:nodes|N|n)=(\d+)`)
+
+// convergeLine fits the convergence times of the distribution benchmark.
+func convergeLine(results []Result) Line {
+	var points []Point
+	for _, r := range results {
+		m := nodesInName.FindStringSubmatch(r.Name)
+		y, ok := r.Metrics[convergeMetric]
+		if m == nil || !ok || strings.Contains(r.Name, "baseline") {
+			continue
+		}
+		n, err := strconv.ParseFloat(m[1], 64)
+		if err == nil {
+			points = append(points, Point{X: n, Y: y})
+		}
+	}
+	return Fit(points)
+}
--- /dev/null
+++ b/internal/standin/capacity/document.go
@@ -0,0 +1,54 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// serviceCount is the number of services of the target, used at every size.
+const serviceCount = 36
+
+// onlyVersion is the version of every upstream of the fleet.
+const onlyVersion = "v1"
+
+// Limits of the fleet's routes.
+const (
+	routeTime = 2 * time.Second
+	// queueBase is the queue limit of the first document.
+	queueBase = 16
+)
+
+func serviceName(i int) string { return fmt.Sprintf("service-%02d", i%serviceCount) }
+
+func servicePath(i int) string { return "/" + serviceName(i) }
+
+// documentText is a document with all services and a route each; change
+// differs from one document to the next.
+func documentText(change int) ([]byte, error) {
+	var doc document.Document
+	for i := range serviceCount {
+		doc.Services = append(doc.Services, document.Service{
+			Name:     serviceName(i),
+			Versions: []string{onlyVersion},
+			Current:  onlyVersion,
+			Limits:   document.Limits{Queue: queueBase},
+		})
+		doc.Routes = append(doc.Routes, document.Route{
+			Name:       serviceName(i),
+			Match:      document.Match{Prefix: servicePath(i)},
+			Service:    serviceName(i),
+			Idempotent: true,
+			TimeLimit:  document.Duration(routeTime),
+			Caller:     document.Buyer,
+		})
+	}
+	doc.Services[change%serviceCount].Limits.Queue = queueBase + 1 + change
+	text, err := json.MarshalIndent(doc, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode the document: %w", err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/standin/capacity/fleet.go
@@ -0,0 +1,248 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/operator/client"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/standin/upstream"
+)
+
+// Ports of each host; hosts differ by their loopback address.
+const (
+	portCallers   = 7101
+	portPeers     = 7102
+	portOperators = 7103
+	portUpstream  = 7104
+	portStore     = 7105
+)
+
+// hostsPerBlock is how many hosts share the first three numbers of an address.
+const hostsPerBlock = 200
+
+// Shape of the fleet: that of the target, at every size.
+const (
+	dataCentres      = 9
+	regions          = 3
+	seedCount        = 3
+	upstreamSlots    = 10
+	upstreamWork     = time.Millisecond
+	upstreamConnects = 100
+)
+
+// Credentials of the measured fleet.
+const (
+	token  = "operator-token-of-the-measurement"
+	secret = "peer-key-of-the-measurement"
+)
+
+// Limits of waiting.
+const (
+	gatherLimit = 60 * time.Second
+	stopLimit   = 20 * time.Second
+	pollEvery   = 20 * time.Millisecond
+)
+
+// host is one daisytided process and the stand-in upstream beside it.
+type host struct {
+	index    int
+	cmd      *exec.Cmd
+	upstream *upstream.Upstream
+	operator *client.Client
+}
+
+func (h *host) address(port int) string {
+	return fmt.Sprintf("127.9.%d.%d:%d", h.index/hostsPerBlock, h.index%hostsPerBlock+1, port)
+}
+
+// fleet is a set of daisytided processes around one stand-in store.
+type fleet struct {
+	binary string
+	dir    string
+	hosts  []*host
+	store  *store.Store
+	server *http.Server
+}
+
+// startFleet starts n processes of binary and waits until all know each other.
+func startFleet(ctx context.Context, binary, dir string, n int) (*fleet, error) {
+	f := &fleet{binary: binary, dir: dir, store: store.New(1)}
+	f.server = &http.Server{Addr: f.storeAddress(), Handler: f.store.Handler()}
+	go func() { _ = f.server.ListenAndServe() }()
+	for i := range n {
+		if err := f.startHost(ctx, i, n); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	if err := f.gather(ctx); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) storeAddress() string { return fmt.Sprintf("127.0.0.1:%d", portStore) }
+
+func (f *fleet) startHost(ctx context.Context, i, n int) error {
+	h := &host{index: i}
+	path := filepath.Join(f.dir, fmt.Sprintf("host-%d.ini", i))
+	if err := os.WriteFile(path, []byte(f.settings(h, n)), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	log, err := os.Create(filepath.Join(f.dir, fmt.Sprintf("host-%d.log", i)))
+	if err != nil {
+		return fmt.Errorf("open the log: %w", err)
+	}
+	defer log.Close()
+	h.cmd = exec.CommandContext(ctx, f.binary, "--settings", path)
+	h.cmd.Stderr = log
+	if err := h.cmd.Start(); err != nil {
+		return fmt.Errorf("start a node: %w", err)
+	}
+	h.operator = &client.Client{
+		Base:     "http://" + h.address(portOperators),
+		Token:    token,
+		Operator: "capacity",
+		HTTP:     &http.Client{Timeout: 5 * time.Second},
+	}
+	f.hosts = append(f.hosts, h)
+	h.upstream = upstream.New(upstream.Options{
+		Service:     serviceName(i),
+		Version:     onlyVersion,
+		Slots:       upstreamSlots,
+		Connections: upstreamConnects,
+		Work:        upstreamWork,
+	})
+	return h.upstream.Start(h.address(portUpstream))
+}
+
+func (f *fleet) settings(h *host, n int) string {
+	dc := h.index % dataCentres
+	var seeds []string
+	for i := range min(seedCount, n) {
+		seeds = append(seeds, (&host{index: i}).address(portPeers))
+	}
+	return fmt.Sprintf(`[node]
+region = region-%d
+data-centre = dc-%d
+rack = rack-%d
+[callers]
+listen = %s
+[peers]
+listen = %s
+secret = %s
+seeds = %s
+[operators]
+listen = %s
+token = %s
+[store]
+address = http://%s
+`, dc%regions, dc, h.index/dataCentres%4, h.address(portCallers), h.address(portPeers), secret,
+		strings.Join(seeds, ","), h.address(portOperators), token, f.storeAddress())
+}
+
+// gather announces the upstreams and waits until each node knows all.
+func (f *fleet) gather(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, gatherLimit)
+	defer cancel()
+	for _, h := range f.hosts {
+		if err := until(ctx, func() bool { return h.upstream.Announce(ctx, h.operator.Base, token) == nil }); err != nil {
+			return fmt.Errorf("announce to host %d: %w", h.index, err)
+		}
+	}
+	for _, h := range f.hosts {
+		known := func() bool { return f.status(ctx, h).Members >= len(f.hosts) }
+		if err := until(ctx, known); err != nil {
+			return fmt.Errorf("host %d knows %d of %d: %w", h.index, f.status(ctx, h).Members, len(f.hosts), err)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) status(ctx context.Context, h *host) api.StatusResponse {
+	var s api.StatusResponse
+	_ = h.operator.Get(ctx, api.PathStatus, &s)
+	return s
+}
+
+// awaitNumber waits until every node has the configuration in force.
+func (f *fleet) awaitNumber(ctx context.Context, number uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, gatherLimit)
+	defer cancel()
+	for _, h := range f.hosts {
+		if err := until(ctx, func() bool { return f.status(ctx, h).Number >= number }); err != nil {
+			return fmt.Errorf("host %d: %w", h.index, err)
+		}
+	}
+	return nil
+}
+
+// stop ends the processes that were started, by their ids.
+func (f *fleet) stop() {
+	for _, h := range f.hosts {
+		_ = h.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, h := range f.hosts {
+		kill := time.AfterFunc(stopLimit, func() { _ = h.cmd.Process.Kill() })
+		_ = h.cmd.Wait()
+		kill.Stop()
+		if h.upstream != nil && h.upstream.Address() != "" {
+			h.upstream.Crash()
+		}
+	}
+	_ = f.server.Close()
+}
+
+// until polls reached until it holds or ctx ends.
+func until(ctx context.Context, reached func() bool) error {
+	for !reached() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollEvery):
+		}
+	}
+	return nil
+}
+
+// vars are the counters of one node that the measurement reads.
+type vars struct {
+	Daisytide struct {
+		LinkSent     uint64 `json:"link_bytes_sent"`
+		LinkReceived uint64 `json:"link_bytes_received"`
+		Messages     uint64 `json:"link_messages_sent"`
+		Questions    uint64 `json:"question_bytes"`
+		Links        int    `json:"links"`
+	} `json:"daisytide"`
+	Memory struct {
+		HeapAlloc uint64
+		Sys       uint64
+	} `json:"memstats"`
+}
+
+func (f *fleet) vars(ctx context.Context, h *host) (vars, error) {
+	var v vars
+	var raw json.RawMessage
+	if err := h.operator.Get(ctx, "/debug/vars", &raw); err != nil {
+		return v, err
+	}
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return v, fmt.Errorf("decode the counters: %w", err)
+	}
+	if v.Memory.Sys == 0 {
+		return v, errors.New("the node publishes no counters")
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/standin/capacity/tables.go
@@ -0,0 +1,77 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+)
+
+// printMeasured writes what each fleet size cost.
+func printMeasured(w io.Writer, all []Measured) {
+	fmt.Fprintln(w, "\n| nodes | phase | % of a core per node | control B/s per node | resident MB | heap MB | store calls/s of the fleet | links |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
+	for _, m := range all {
+		for _, p := range []struct {
+			name string
+			r    Rates
+		}{{"rest", m.Rest}, {"churn", m.Churn}, {"changes", m.Changes}, {"calls", m.Calls}} {
+			fmt.Fprintf(w, "| %d | %s | %.2f | %.0f | %.1f | %.1f | %.2f | %.1f |\n", m.Nodes, p.name,
+				p.r.ProcessorShare, p.r.BytesPerSecond, p.r.ResidentMB, p.r.HeapMB, p.r.StoreCalls, p.r.Links)
+		}
+	}
+}
+
+// printSlopes writes the fitted lines.
+func printSlopes(w io.Writer, s Slopes, b Benched) {
+	fmt.Fprintln(w, "\n| cost of one node | unit | intercept | slope per node | spread | measured at nodes | at 1,000 | with spread |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
+	for _, r := range []struct {
+		name, unit string
+		l          Line
+	}{
+		{"at rest, processor", "% of a core", s.RestProcessor},
+		{"at rest, control bytes", "B/s", s.RestBytes},
+		{"at rest, store (fleet)", "calls/s", s.RestStore},
+		{"a record changed each second, processor", "% of a core", s.ChurnProcessor},
+		{"a record changed, control bytes", "B", s.ChurnBytes},
+		{"a document, processor", "core s", s.ChangeProcessor},
+		{"a document, control bytes", "B", s.ChangeBytes},
+		{"a document, store (fleet)", "calls", s.ChangeStore},
+		{"memory after calls between all nodes", "MB resident", s.Memory},
+		{"a call, entry and gate together", "core µs", s.CallProcessor},
+		{"in force on the last node, 99 in 100", "ms", b.Converge},
+	} {
+		l := r.l
+		fmt.Fprintf(w, "| %s | %s | %.4g | %.4g | %.3g | %.0f to %.0f | %.4g | %.4g |\n",
+			r.name, r.unit, l.Intercept, l.Slope, l.Spread, l.Low, l.High, l.At(targetNodes), l.Bound(targetNodes))
+	}
+}
+
+// printRows writes the closing table.
+func printRows(w io.Writer, rows []Row) {
+	fmt.Fprintln(w, "\n| target | bound | worked out | with spread | room | measured by |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|")
+	for _, r := range rows {
+		room := fmt.Sprintf("%.0f%%", r.Room())
+		if r.Room() < 0 {
+			room = "RED " + room
+		}
+		fmt.Fprintf(w, "| %s | %.4g %s | %.4g | %.4g | %s | %s |\n",
+			r.Target, r.Bound, r.Unit, r.WorkedOut, r.WithSpread, room, r.From)
+	}
+}
+
+// printBench writes the metrics of benchmarks.
+func printBench(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "\n| benchmark | metrics |")
+	fmt.Fprintln(w, "|---|---|")
+	for _, r := range results {
+		var parts []string
+		for k, v := range r.Metrics {
+			parts = append(parts, fmt.Sprintf("%s %.4g", k, v))
+		}
+		sort.Strings(parts)
+		fmt.Fprintf(w, "| %s | %s |\n", r.Name, strings.Join(parts, ", "))
+	}
+}
--- /dev/null
+++ b/internal/standin/capacity/target.go
@@ -0,0 +1,126 @@
+package capacity
+
+// The target's sizes and rates.
+const (
+	targetNodes       = 1000
+	targetServices    = 36
+	targetCalls       = 150_000.0
+	targetDataCentres = 9
+	targetChanges     = 1000.0 // a day
+	targetFailed      = 2.0    // hosts a day
+	targetReplaced    = 61.0   // hosts a day
+)
+
+// The target's bounds.
+const (
+	boundProcessorShare = 4.7    // percent of a core, for control
+	boundMemoryMB       = 64.0   // per node
+	boundBytes          = 11_000 // control bytes per node and second
+	boundAddedMS        = 0.85   // milliseconds added to a call for 99 in 100
+	boundConvergeMS     = 4000.0 // from accepted to in force everywhere
+	boundStoreReads     = 2000.0 // reads per second that the store takes
+	boundStoreWrites    = 300.0  // writes per second that the store takes
+)
+
+const secondsPerDay = 86_400.0
+
+// churnAtTarget is the rate of changes of member records that is allowed for,
+// per second in the whole fleet.
+const churnAtTarget = 5.0
+
+// Row is one line of the closing table.
+type Row struct {
+	Target string
+	Bound  float64
+	Unit   string
+	// WorkedOut is the line's value at the target; WithSpread allows for the
+	// spread of the measured points.
+	WorkedOut  float64
+	WithSpread float64
+	From       string
+}
+
+// Room is the part of the bound that is left, in percent; negative is red.
+func (r Row) Room() float64 { return 100 * (1 - r.WithSpread/r.Bound) }
+
+// Slopes are the fitted lines of a node's costs over the number of nodes.
+type Slopes struct {
+	RestProcessor Line // percent of a core
+	RestBytes     Line // bytes per second
+	RestStore     Line // calls per second of the fleet
+	// ChurnProcessor and ChurnBytes are what one change of a member record
+	// per second in the fleet adds.
+	ChurnProcessor Line
+	ChurnBytes     Line
+	// ChangeProcessor (core seconds) and ChangeBytes are of one document.
+	ChangeProcessor Line
+	ChangeBytes     Line
+	ChangeStore     Line // calls of the whole fleet
+	Memory          Line // resident megabytes after calls between all nodes
+	CallProcessor   Line // core microseconds of one call, entry and gate together
+}
+
+// fitAll fits each cost over the fleet sizes.
+func fitAll(all []Measured) Slopes {
+	over := func(y func(Measured) float64) Line {
+		var points []Point
+		for _, m := range all {
+			points = append(points, Point{X: float64(m.Nodes), Y: y(m)})
+		}
+		return Fit(points)
+	}
+	return Slopes{
+		RestProcessor:  over(func(m Measured) float64 { return m.Rest.ProcessorShare }),
+		RestBytes:      over(func(m Measured) float64 { return m.Rest.BytesPerSecond }),
+		RestStore:      over(func(m Measured) float64 { return m.Rest.StoreCalls }),
+		ChurnProcessor: over(func(m Measured) float64 { return (m.Churn.ProcessorShare - m.Rest.ProcessorShare) / churnEvents }),
+		ChurnBytes:     over(func(m Measured) float64 { return (m.Churn.BytesPerSecond - m.Rest.BytesPerSecond) / churnEvents }),
+		ChangeProcessor: over(func(m Measured) float64 {
+			return (m.Changes.ProcessorShare - m.Rest.ProcessorShare) / 100 * m.Changes.Seconds / changeCount
+		}),
+		ChangeBytes: over(func(m Measured) float64 {
+			return (m.Changes.BytesPerSecond - m.Rest.BytesPerSecond) * m.Changes.Seconds / changeCount
+		}),
+		ChangeStore: over(func(m Measured) float64 {
+			return (m.Changes.StoreCalls - m.Rest.StoreCalls) * m.Changes.Seconds / changeCount
+		}),
+		Memory: over(func(m Measured) float64 { return m.Calls.ResidentMB }),
+		CallProcessor: over(func(m Measured) float64 {
+			cores := (m.Calls.ProcessorShare - m.Rest.ProcessorShare) / 100 * float64(m.Nodes)
+			return 1e6 * cores * m.Calls.Seconds / float64(max(m.CallCount, 1))
+		}),
+	}
+}
+
+// rows works the slopes out at the target.
+func (s Slopes) rows(b Benched) []Row {
+	changeRate := targetChanges / secondsPerDay
+	sum := func(at func(Line) float64, rest, churn, change Line) float64 {
+		return at(rest) + churnAtTarget*at(churn) + changeRate*at(change)
+	}
+	line := func(l Line) float64 { return l.At(targetNodes) }
+	wide := func(l Line) float64 { return l.Bound(targetNodes) }
+	percent := scale(s.ChangeProcessor, 100)
+	return []Row{
+		{"processor time for control", boundProcessorShare, "% of a core",
+			sum(line, s.RestProcessor, s.ChurnProcessor, percent),
+			sum(wide, s.RestProcessor, s.ChurnProcessor, percent), "processes"},
+		{"memory of a node", boundMemoryMB, "MB", line(s.Memory), wide(s.Memory), "processes"},
+		{"control bytes of a node", boundBytes, "B/s",
+			sum(line, s.RestBytes, s.ChurnBytes, s.ChangeBytes),
+			sum(wide, s.RestBytes, s.ChurnBytes, s.ChangeBytes), "processes"},
+		{"store calls of the fleet", boundStoreReads, "calls/s",
+			sum(line, s.RestStore, Line{}, s.ChangeStore),
+			sum(wide, s.RestStore, Line{}, s.ChangeStore), "processes"},
+		{"time until in force everywhere", boundConvergeMS, "ms",
+			b.Converge.At(targetNodes), b.Converge.Bound(targetNodes), "one process"},
+		{"time added to a call, 99 in 100", boundAddedMS, "ms", b.AddedP99, b.AddedP99, "one process"},
+	}
+}
+
+func scale(l Line, by float64) Line {
+	l.Intercept *= by
+	l.Slope *= by
+	l.Spread *= by
+	return l
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -118,10 +118,13 @@
 }
 
 // Drain makes the upstream refuse new requests.
-func (u *Upstream) Drain() {
+func (u *Upstream) Drain() { u.SetDraining(true) }
+
+// SetDraining makes the upstream refuse new requests, or take them again.
+func (u *Upstream) SetDraining(on bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.draining = true
+	u.draining = on
 }
 
 // Runs returns how often each idempotency key ran.
