Speak TLS on each listener, mutual between peers

Cause: settings name certificates, but no listener used them.

Conclusion: cleartext stays the default, as settings without certificates say.

--- /dev/null
+++ b/internal/process/node/certificates.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"crypto/tls"
+	"fmt"
+
+	"github.com/daisytide/daisytide/internal/conn/dial"
+	"github.com/daisytide/daisytide/internal/process/settings"
+)
+
+// certificates are the TLS configurations of a node; nil means cleartext.
+type certificates struct {
+	callers   *tls.Config
+	peers     *tls.Config
+	operators *tls.Config
+	// toPeers is for connections to other nodes.
+	toPeers *tls.Config
+}
+
+// peerScheme is the URL scheme of the peer listeners.
+func (c certificates) peerScheme() string {
+	if c.toPeers == nil {
+		return "http"
+	}
+	return "https"
+}
+
+func (n *Node) loadCertificates() error {
+	var err error
+	for _, l := range []struct {
+		name string
+		into **tls.Config
+		from settings.TLS
+	}{
+		{"callers", &n.tls.callers, n.cfg.Callers.TLS},
+		{"peers", &n.tls.peers, n.cfg.Peers.TLS},
+		{"operators", &n.tls.operators, n.cfg.Operators.TLS},
+	} {
+		if *l.into, err = dial.ServerTLS(dial.Certificates(l.from)); err != nil {
+			return fmt.Errorf("%s: %w", l.name, err)
+		}
+	}
+	if n.tls.toPeers, err = dial.ClientTLS(dial.Certificates(n.cfg.Peers.TLS)); err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	return nil
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"expvar"
 	"fmt"
@@ -62,6 +63,7 @@
 	// gateMiddlewares see each call at the gate before it is admitted.
 	gateMiddlewares []call.Middleware
 
+	tls       certificates
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
@@ -81,6 +83,10 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
+	if err := n.loadCertificates(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
 	if store == nil {
 		store = &platform.Client{Base: cfg.Store.Address, HTTP: &http.Client{}, Timeout: cfg.Store.Timeout}
 	}
@@ -118,9 +124,9 @@
 // wire builds the parts. Each function adds its own runners and peer routes;
 // their order is that of what they need of each other.
 func (n *Node) wire(store platform.Store) {
-	transport := dial.Peers(nil)
+	transport := dial.Peers(n.tls.toPeers)
 	n.store = store
-	n.rpc = &rpc.Client{HTTP: &http.Client{Transport: transport}, Key: n.cfg.Peers.Secret, Scheme: "http"}
+	n.rpc = &rpc.Client{HTTP: &http.Client{Transport: transport}, Key: n.cfg.Peers.Secret, Scheme: n.tls.peerScheme()}
 	n.audit = audit.Log{}
 	n.wireSpread()
 	n.wireRollouts()
@@ -146,9 +152,9 @@
 // Run serves until ctx ends, then stops without cutting a request.
 func (n *Node) Run(ctx context.Context) error {
 	servers := []*http.Server{
-		n.server(n.entry),
-		n.server(n.peerHandler()),
-		n.server(n.operator.Handler()),
+		n.server(n.entry, n.tls.callers),
+		n.server(n.peerHandler(), n.tls.peers),
+		n.server(n.operator.Handler(), n.tls.operators),
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	for i, l := range []net.Listener{n.callers, n.peers, n.operators} {
@@ -167,7 +173,11 @@
 }
 
 func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	run := s.Serve
+	if s.TLSConfig != nil {
+		run = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
+	}
+	if err := run(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve %s: %w", l.Addr(), err)
 	}
 	return nil
@@ -193,13 +203,15 @@
 	klog.Info(logPrefix + "stopped")
 }
 
-func (n *Node) server(h http.Handler) *http.Server {
+func (n *Node) server(h http.Handler, config *tls.Config) *http.Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(true)
+	p.SetHTTP2(config != nil)
+	p.SetUnencryptedHTTP2(config == nil)
 	return &http.Server{
 		Handler:           h,
 		Protocols:         &p,
+		TLSConfig:         config,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
--- a/internal/process/node/wire_calls.go
+++ b/internal/process/node/wire_calls.go
@@ -26,7 +26,7 @@
 		Versions:  n.versions,
 		Picker:    &pick.Picker{DataCentre: n.cfg.Node.DataCentre},
 		Transport: peers,
-		Scheme:    "http",
+		Scheme:    n.tls.peerScheme(),
 		PeerKey:   n.cfg.Peers.Secret,
 		GatePath:  callPrefix,
 	}
--- a/internal/process/node/wire_spread.go
+++ b/internal/process/node/wire_spread.go
@@ -21,7 +21,7 @@
 		Self:    n.self.Record,
 		Members: n.members,
 		Holder:  n.holder,
-		Dialer:  &link.Dialer{Key: n.cfg.Peers.Secret, Traffic: n.traffic},
+		Dialer:  &link.Dialer{Key: n.cfg.Peers.Secret, TLS: n.tls.toPeers, Traffic: n.traffic},
 		Traffic: n.traffic,
 		Seeds:   n.cfg.Peers.SeedList,
 	})
