Give every fault of a document at once, with its place

A wrong document gave its first fault alone, as the text of the standard decoder, and what it said was hardly checked.

Seams: validate.Text and validate.Refusal are new, the provider uses them; codes 1018 and 1019 are new.

--- a/api/codes.go
+++ b/api/codes.go
@@ -44,6 +44,8 @@
 	DocumentRolloutClash  Code = 1015
 	DocumentBadCaller     Code = 1016
 	DocumentTooManyFaults Code = 1017
+	DocumentWrongType     Code = 1018
+	DocumentJump          Code = 1019
 
 	SettingsSyntax     Code = 2001
 	SettingsUnknownKey Code = 2002
@@ -128,9 +130,11 @@
 	{DocumentBadDeadline, "document-bad-deadline", http.StatusBadRequest, RanNone, true, "a rollout's deadline is not after its start, or leaves too little time for its steps"},
 	{DocumentSameMatch, "document-same-match", http.StatusBadRequest, RanNone, true, "two routes match the same requests"},
 	{DocumentServiceInUse, "document-service-in-use", http.StatusConflict, RanNone, true, "the document removes a service or version that a running rollout needs"},
-	{DocumentRolloutClash, "document-rollout-clash", http.StatusBadRequest, RanNone, true, "a service has more than one rollout"},
+	{DocumentRolloutClash, "document-rollout-clash", http.StatusBadRequest, RanNone, true, "a service has more than one rollout, or one that does not start from its current version"},
 	{DocumentBadCaller, "document-bad-caller", http.StatusBadRequest, RanNone, true, "a route names an unknown caller class"},
 	{DocumentTooManyFaults, "document-too-many-faults", http.StatusBadRequest, RanNone, true, "the list of faults was cut at its limit"},
+	{DocumentWrongType, "document-wrong-type", http.StatusBadRequest, RanNone, true, "a field has another JSON type than it must have"},
+	{DocumentJump, "document-jump", http.StatusConflict, RanNone, true, "the document sends all calls of a service to another version without a completed rollout"},
 
 	{SettingsSyntax, "settings-syntax", 0, RanNone, true, "a line of the settings file is not INI"},
 	{SettingsUnknownKey, "settings-unknown-key", 0, RanNone, true, "the settings file has an unknown section or key"},
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -67,19 +67,13 @@
 
 // Validate checks a document's text, alone and against the one in force.
 func (p *Provider) Validate(text []byte) (*document.Document, *api.Error) {
-	doc, faults := document.Decode(text)
-	if len(faults) == 0 {
-		faults = validate.Document(doc)
-	}
-	if len(faults) == 0 {
-		if cur := p.Holder.Current(); cur != nil {
-			faults = validate.Change(cur.Document, doc, p.Ended)
-		}
+	var inForce *document.Document
+	if cur := p.Holder.Current(); cur != nil {
+		inForce = cur.Document
 	}
+	doc, faults := validate.Text(text, inForce, p.Ended)
 	if len(faults) > 0 {
-		err := api.Errorf(faults[0].Code, "the document has %d faults", len(faults))
-		err.Faults = faults
-		return nil, err
+		return nil, validate.Refusal(faults)
 	}
 	return doc, nil
 }
--- /dev/null
+++ b/internal/version/document/decode.go
@@ -0,0 +1,278 @@
+package document
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+// MaxFaults bounds the list of faults that one check returns; the last entry
+// then says that the list was cut.
+const MaxFaults = 100
+
+// Decode reads a document strictly. Every fault that keeps it from being read
+// is returned with its path and line: bad syntax, unknown and doubled fields,
+// wrong types and units. What the document says is checked by package
+// validate.
+func Decode(text []byte) (*Document, []api.Fault) {
+	doc, faults, _ := Partial(text)
+	if len(faults) > 0 {
+		return nil, Cut(faults)
+	}
+	return doc, nil
+}
+
+// Partial reads what it can of a document and returns it with every fault.
+// whole tells that the text was read to its end, so that only the values at
+// the faults' paths are lacking.
+func Partial(text []byte) (doc *Document, faults []api.Fault, whole bool) {
+	doc = &Document{}
+	if len(text) > MaxBytes {
+		message := fmt.Sprintf("the document has %d bytes, over the limit of %d", len(text), MaxBytes)
+		return doc, []api.Fault{{Code: api.DocumentTooLarge, Message: message}}, false
+	}
+	root, broken := readTree(text)
+	var f filler
+	if broken == nil || root.token != nil {
+		f.fill(reflect.ValueOf(doc).Elem(), &root, "")
+	}
+	if broken != nil {
+		f.faults = append(f.faults, *broken)
+	}
+	return doc, f.faults, broken == nil
+}
+
+// Cut bounds a list of faults at MaxFaults.
+func Cut(faults []api.Fault) []api.Fault {
+	if len(faults) <= MaxFaults {
+		return faults
+	}
+	cut := api.Fault{
+		Code:    api.DocumentTooManyFaults,
+		Message: fmt.Sprintf("%d more faults are not listed", len(faults)-MaxFaults),
+	}
+	return append(faults[:MaxFaults:MaxFaults], cut)
+}
+
+// Locate fills in the lines of faults whose paths stand in text. A path that
+// the text lacks gets the line of the nearest value around it.
+func Locate(text []byte, faults []api.Fault) {
+	root, _ := readTree(text)
+	lines := map[string]int{}
+	index(&root, "", lines)
+	for i := range faults {
+		if faults[i].Line == 0 && faults[i].Path != "" {
+			faults[i].Line = nearest(lines, faults[i].Path)
+		}
+	}
+}
+
+func index(v *value, path string, lines map[string]int) {
+	lines[path] = v.line
+	for i := range v.members {
+		m := &v.members[i]
+		index(&m.value, join(path, m.name), lines)
+	}
+	for i := range v.items {
+		index(&v.items[i], at(path, i), lines)
+	}
+}
+
+func nearest(lines map[string]int, path string) int {
+	for {
+		if line, ok := lines[path]; ok {
+			return line
+		}
+		end := strings.LastIndexAny(path, ".[")
+		if end < 0 {
+			return lines[""]
+		}
+		path = path[:end]
+	}
+}
+
+// filler sets a Go value from a tree, noting each fault and going on.
+type filler struct {
+	faults []api.Fault
+}
+
+func (f *filler) note(c api.Code, path string, line int, format string, args ...any) {
+	f.faults = append(f.faults, api.Fault{Code: c, Path: path, Line: line, Message: fmt.Sprintf(format, args...)})
+}
+
+func (f *filler) wrongType(v *value, path, want string) {
+	f.note(api.DocumentWrongType, path, v.line, "must be %s, not %s", want, kindOf(v))
+}
+
+// kindOf names the JSON type of a value.
+func kindOf(v *value) string {
+	switch v.token.(type) {
+	case json.Delim:
+		if v.isObject() {
+			return "an object"
+		}
+		return "a list"
+	case string:
+		return "a string"
+	case json.Number:
+		return "a number"
+	case bool:
+		return "true or false"
+	default:
+		return "null"
+	}
+}
+
+func (f *filler) fill(dst reflect.Value, v *value, path string) {
+	switch p := dst.Addr().Interface().(type) {
+	case *time.Time:
+		f.instant(p, v, path)
+		return
+	case json.Unmarshaler:
+		f.unit(p, v, path)
+		return
+	}
+	switch dst.Kind() {
+	case reflect.Struct:
+		f.object(dst, v, path)
+	case reflect.Slice:
+		f.list(dst, v, path)
+	case reflect.String:
+		f.text(dst, v, path)
+	case reflect.Bool:
+		f.boolean(dst, v, path)
+	case reflect.Int:
+		f.whole(dst, v, path)
+	case reflect.Float64:
+		f.number(dst, v, path)
+	}
+}
+
+func (f *filler) instant(dst *time.Time, v *value, path string) {
+	s, ok := v.token.(string)
+	if !ok {
+		f.note(api.DocumentBadUnit, path, v.line, `must be a time with its zone, as in "2030-01-31T08:00:00Z", not %s`, kindOf(v))
+		return
+	}
+	t, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		f.note(api.DocumentBadUnit, path, v.line, `%q is not a time with its zone, as in "2030-01-31T08:00:00Z"`, s)
+		return
+	}
+	*dst = t
+}
+
+// unit sets a duration or size, which check their own form.
+func (f *filler) unit(dst json.Unmarshaler, v *value, path string) {
+	if _, ok := v.token.(json.Delim); ok {
+		f.wrongType(v, path, "a string with a unit")
+		return
+	}
+	raw, err := json.Marshal(v.token)
+	if err == nil {
+		err = dst.UnmarshalJSON(raw)
+	}
+	if err != nil {
+		f.note(api.DocumentBadUnit, path, v.line, "%s", err)
+	}
+}
+
+func (f *filler) object(dst reflect.Value, v *value, path string) {
+	if !v.isObject() {
+		f.wrongType(v, path, "an object")
+		return
+	}
+	fields := fieldsOf(dst.Type())
+	seen := map[string]int{}
+	for i := range v.members {
+		m := &v.members[i]
+		place := join(path, m.name)
+		if first, ok := seen[m.name]; ok {
+			f.note(api.DocumentDuplicate, place, m.line, "the field stands twice, first on line %d", first)
+			continue
+		}
+		seen[m.name] = m.line
+		field, ok := fields[m.name]
+		if !ok {
+			f.note(api.DocumentUnknownField, place, m.line, "no such field")
+			continue
+		}
+		f.fill(dst.Field(field), &m.value, place)
+	}
+}
+
+// fieldsOf maps the JSON names of a struct's fields to their indices.
+func fieldsOf(t reflect.Type) map[string]int {
+	fields := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		fields[name] = i
+	}
+	return fields
+}
+
+func (f *filler) list(dst reflect.Value, v *value, path string) {
+	if !v.isArray() {
+		f.wrongType(v, path, "a list")
+		return
+	}
+	dst.Set(reflect.MakeSlice(dst.Type(), len(v.items), len(v.items)))
+	for i := range v.items {
+		f.fill(dst.Index(i), &v.items[i], at(path, i))
+	}
+}
+
+func (f *filler) text(dst reflect.Value, v *value, path string) {
+	s, ok := v.token.(string)
+	if !ok {
+		f.wrongType(v, path, "a string")
+		return
+	}
+	dst.SetString(s)
+}
+
+func (f *filler) boolean(dst reflect.Value, v *value, path string) {
+	b, ok := v.token.(bool)
+	if !ok {
+		f.wrongType(v, path, "true or false")
+		return
+	}
+	dst.SetBool(b)
+}
+
+func (f *filler) whole(dst reflect.Value, v *value, path string) {
+	n, ok := v.token.(json.Number)
+	if !ok {
+		f.wrongType(v, path, "a whole number")
+		return
+	}
+	i, err := strconv.ParseInt(n.String(), 10, 0)
+	switch {
+	case errors.Is(err, strconv.ErrRange):
+		f.note(api.DocumentOutOfRange, path, v.line, "%s is too large", n)
+	case err != nil:
+		f.note(api.DocumentWrongType, path, v.line, "must be a whole number, not %s", n)
+	default:
+		dst.SetInt(i)
+	}
+}
+
+func (f *filler) number(dst reflect.Value, v *value, path string) {
+	n, ok := v.token.(json.Number)
+	if !ok {
+		f.wrongType(v, path, "a number")
+		return
+	}
+	x, err := n.Float64()
+	if err != nil {
+		f.note(api.DocumentOutOfRange, path, v.line, "%s is too large", n)
+		return
+	}
+	dst.SetFloat(x)
+}
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -4,15 +4,10 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"io"
 	"time"
-
-	"crypto/sha256"
-
-	"github.com/daisytide/daisytide/api"
 )
 
 // MaxBytes bounds a document's text; the platform's store holds values up to
@@ -111,25 +106,6 @@
 	return errA == nil && errB == nil && bytes.Equal(a, b)
 }
 
-// Decode reads a document strictly. Faults that keep it from being read are
-// returned with their places; what the document says is checked by package
-// validate.
-func Decode(text []byte) (*Document, []api.Fault) {
-	if len(text) > MaxBytes {
-		return nil, []api.Fault{{Code: api.DocumentTooLarge, Message: "the document is over the size limit"}}
-	}
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	var doc Document
-	if err := d.Decode(&doc); err != nil {
-		return nil, []api.Fault{{Code: api.DocumentSyntax, Message: err.Error()}}
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, []api.Fault{{Code: api.DocumentSyntax, Message: "text after the document"}}
-	}
-	return &doc, nil
-}
-
 // Hash is the SHA-256 of a stored envelope's bytes.
 type Hash [sha256.Size]byte
 
--- /dev/null
+++ b/internal/version/validate/change_test.go
@@ -0,0 +1,45 @@
+package validate
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+func documentOf(current, rollout string, versions ...string) *document.Document {
+	doc := &document.Document{Services: []document.Service{{Name: "a", Versions: versions, Current: current}}}
+	if from, to, ok := strings.Cut(rollout, ">"); ok {
+		doc.Rollouts = []document.Rollout{{Service: "a", From: from, To: to}}
+	}
+	return doc
+}
+
+func TestChangeAgainstTheOneInForce(t *testing.T) {
+	moving := documentOf("v1", "v1>v2", "v1", "v2")
+	for name, c := range map[string]struct {
+		inForce, doc *document.Document
+		ended        bool
+		want         string
+	}{
+		"first document":                      {nil, moving, false, ""},
+		"unrelated change under a move":       {moving, documentOf("v1", "v1>v2", "v1", "v2", "v3"), false, ""},
+		"rollout withdrawn by its operator":   {moving, documentOf("v1", "", "v1", "v2"), false, ""},
+		"service of a running move removed":   {moving, &document.Document{}, false, "services 1014"},
+		"service of an ended move removed":    {moving, &document.Document{}, true, ""},
+		"old version of a running move gone":  {moving, documentOf("v2", "", "v2"), false, "services[0].versions 1014, services[0].current 1019"},
+		"new version of a running move gone":  {moving, documentOf("v1", "", "v1"), false, "services[0].versions 1014"},
+		"move ended and the new one current":  {moving, documentOf("v2", "", "v2"), true, ""},
+		"jump to a version without a rollout": {documentOf("v1", "", "v1", "v2"), documentOf("v2", "", "v1", "v2"), true, "services[0].current 1019"},
+		"jump past the ended rollout":         {moving, documentOf("v3", "", "v2", "v3"), true, "services[0].current 1019"},
+	} {
+		var got []string
+		for _, f := range Change(c.inForce, c.doc, func(string) bool { return c.ended }) {
+			got = append(got, fmt.Sprintf("%s %d", f.Path, f.Code))
+		}
+		if strings.Join(got, ", ") != c.want {
+			t.Errorf("%s: got %q, want %q", name, got, c.want)
+		}
+	}
+}
--- a/internal/version/validate/validate.go
+++ b/internal/version/validate/validate.go
@@ -1,35 +1,151 @@
 // Package validate checks what a decoded document says, alone and against the
-// configuration in force.
+// configuration in force. Its faults carry paths and codes; package document
+// adds the lines.
 package validate
 
 import (
 	"fmt"
+	"slices"
+	"sort"
+	"strings"
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/version/document"
 )
 
-// Document returns every fault of doc taken alone.
-func Document(doc *document.Document) []api.Fault {
-	var faults []api.Fault
-	services := map[string]document.Service{}
-	for _, s := range doc.Services {
-		services[s.Name] = s
-	}
-	for i, r := range doc.Routes {
-		if _, ok := services[r.Service]; !ok {
-			faults = append(faults, api.Fault{
-				Code:    api.DocumentNoService,
-				Path:    fmt.Sprintf("routes[%d].service", i),
-				Message: fmt.Sprintf("no service is named %q", r.Service),
-			})
+// Text decodes a document and checks it alone and against inForce, which may
+// be nil. Faults carry their lines. ended is as for Change.
+func Text(text []byte, inForce *document.Document, ended func(service string) bool) (*document.Document, []api.Fault) {
+	doc, faults, whole := document.Partial(text)
+	switch {
+	case len(faults) > 0 && whole:
+		faults = append(faults, beside(faults, Document(doc))...)
+	case len(faults) == 0:
+		faults = Document(doc)
+	}
+	if len(faults) == 0 && inForce != nil {
+		faults = Change(inForce, doc, ended)
+	}
+	if len(faults) > 0 {
+		document.Locate(text, faults)
+		sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+		return nil, document.Cut(faults)
+	}
+	return doc, nil
+}
+
+// beside keeps those faults of a document's rules that do not follow from the
+// faults of reading it: a value that could not be read counts neither as
+// absent nor as lacking where others refer to it.
+func beside(reading, rules []api.Fault) []api.Fault {
+	var unread []string
+	servicesRead := true
+	for _, r := range reading {
+		if r.Code == api.DocumentUnknownField || r.Code == api.DocumentDuplicate {
+			continue
+		}
+		unread = append(unread, r.Path)
+		servicesRead = servicesRead && !within(r.Path, "services")
+	}
+	var out []api.Fault
+	for _, f := range rules {
+		refers := f.Code == api.DocumentNoService || f.Code == api.DocumentNoVersion || f.Code == api.DocumentRolloutClash
+		if refers && !servicesRead {
+			continue
+		}
+		follows := func(path string) bool { return within(f.Path, path) || within(path, f.Path) }
+		if !slices.ContainsFunc(unread, follows) {
+			out = append(out, f)
 		}
 	}
-	return faults
+	return out
 }
 
-// Change returns every fault of replacing inForce, which may be nil, by doc.
-// ended tells whether the move of a service that runs under inForce has ended.
-func Change(inForce, doc *document.Document, ended func(service string) bool) []api.Fault {
-	return nil
+// within tells whether path is outer or a place inside it.
+func within(path, outer string) bool {
+	rest, ok := strings.CutPrefix(path, outer)
+	return ok && (outer == "" || rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
+// Refusal makes the numbered error of a document's faults. A single fault
+// gives its own number, several give that of the first.
+func Refusal(faults []api.Fault) *api.Error {
+	what := "1 fault"
+	if len(faults) > 1 {
+		what = fmt.Sprintf("%d faults", len(faults))
+	}
+	err := api.Errorf(faults[0].Code, "the document has %s", what)
+	err.Faults = faults
+	return err
+}
+
+// Document returns every fault of doc taken alone, cut at document.MaxFaults.
+func Document(doc *document.Document) []api.Fault {
+	c := newChecker(doc)
+	for i := range doc.Services {
+		c.service(i)
+	}
+	for i := range doc.Routes {
+		c.route(i)
+	}
+	for i := range doc.Rollouts {
+		c.rollout(i)
+	}
+	return document.Cut(c.faults)
+}
+
+// checker collects the faults of one document.
+type checker struct {
+	doc      *document.Document
+	services map[string]*document.Service
+	// first gives the index of the first user of a name, per kind of name.
+	serviceNames map[string]int
+	routeNames   map[string]int
+	matches      map[document.Match]int
+	moved        map[string]int
+	faults       []api.Fault
+}
+
+func newChecker(doc *document.Document) *checker {
+	c := &checker{
+		doc:          doc,
+		services:     map[string]*document.Service{},
+		serviceNames: map[string]int{},
+		routeNames:   map[string]int{},
+		matches:      map[document.Match]int{},
+		moved:        map[string]int{},
+	}
+	for i := range doc.Services {
+		c.services[doc.Services[i].Name] = &doc.Services[i]
+	}
+	return c
+}
+
+func (c *checker) note(code api.Code, path, format string, args ...any) {
+	c.faults = append(c.faults, api.Fault{Code: code, Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+// missing notes an empty required value and tells whether it did.
+func (c *checker) missing(path, value string) bool {
+	if value != "" {
+		return false
+	}
+	c.note(api.DocumentMissingField, path, "the field is required")
+	return true
+}
+
+// unique notes a second user of a name.
+func (c *checker) unique(names map[string]int, path, list, name string, i int) {
+	if first, ok := names[name]; ok {
+		c.note(api.DocumentDuplicate, path, "%q is also the name of %s[%d]", name, list, first)
+		return
+	}
+	names[name] = i
+}
+
+// inRange notes a number outside low to high.
+func inRange[N int | float64](c *checker, path string, n, low, high N) {
+	if n < low || n > high {
+		c.note(api.DocumentOutOfRange, path, "%v is not from %v to %v", n, low, high)
+	}
 }
