Check settings whole, with the line of each fault

A wrong settings file gave its faults in the order of a map, lost the line of an unknown section and read the keys below it into the section before; the defaults were never set from a file, so the store's time limit was 0. Each line is now given to go-flags alone, and ranges, files, addresses and secrets are checked with the lines of their keys. The same options can be given to daisytided as flags, which win over the file.

--- a/cmd/daisytided/main.go
+++ b/cmd/daisytided/main.go
@@ -17,13 +17,15 @@
 	"github.com/daisytide/daisytide/internal/process/settings"
 )
 
-// options of the command line.
+// options of the command line. Settings of the file can be given as flags
+// too, named by section and key, and win over the file.
 type options struct {
-	Settings string `long:"settings" required:"true" description:"settings file (INI)"`
+	File     string `long:"settings" required:"true" description:"settings file (INI)"`
 	Verbose  int    `long:"verbosity" default:"0" description:"log verbosity, 0 to 4"`
+	Settings settings.Settings
 }
 
-// exitUsage and exitFailed are the exit codes beside 0.
+// Exit codes beside 0.
 const (
 	exitFailed = 1
 	exitUsage  = 2
@@ -38,7 +40,20 @@
 		os.Exit(exitUsage)
 	}
 	startLog(o.Verbose)
-	os.Exit(run(o))
+	os.Exit(run(o, overrides(os.Args[1:])))
+}
+
+// overrides returns the arguments that belong to the settings.
+func overrides(args []string) []string {
+	var own struct {
+		File    string `long:"settings"`
+		Verbose int    `long:"verbosity"`
+	}
+	rest, err := flags.NewParser(&own, flags.IgnoreUnknown).ParseArgs(args)
+	if err != nil {
+		return args
+	}
+	return rest
 }
 
 func startLog(verbosity int) {
@@ -47,11 +62,11 @@
 	_ = set.Set("v", fmt.Sprint(verbosity))
 }
 
-func run(o options) int {
-	cfg, faults := settings.Load(o.Settings)
+func run(o options, overrides []string) int {
+	cfg, faults := settings.Load(o.File, overrides...)
 	if len(faults) > 0 {
 		for _, f := range faults {
-			fmt.Fprintf(os.Stderr, "%s: %s\n", o.Settings, f)
+			fmt.Fprintf(os.Stderr, "%s: %s\n", o.File, f)
 		}
 		return exitFailed
 	}
--- /dev/null
+++ b/internal/process/settings/check.go
@@ -0,0 +1,158 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+// Ranges of what settings may say.
+const (
+	minSecretBytes = 16
+	minTimeout     = 10 * time.Millisecond
+	maxTimeout     = time.Minute
+	maxStopGrace   = time.Hour
+	minRate        = 0.1
+	maxRate        = 1000.0
+)
+
+// Check returns everything that is missing, out of range or contradictory,
+// and every named file that cannot be used. lines may be nil.
+func (s *Settings) Check(lines places) []api.Fault {
+	c := &checker{lines: lines, listeners: map[string]netip.AddrPort{}}
+	c.required("node.region", s.Node.Region)
+	c.required("node.data-centre", s.Node.DataCentre)
+	c.listen("callers.listen", s.Callers.Listen)
+	if peers := c.listen("peers.listen", s.Peers.Listen); peers.IsValid() && peers.Addr().IsUnspecified() {
+		c.note(api.SettingsBadValue, "peers.listen", "%s names no host; other nodes connect to this address", s.Peers.Listen)
+	}
+	c.listen("operators.listen", s.Operators.Listen)
+	c.secret("peers.secret", s.Peers.Secret)
+	c.secret("operators.token", s.Operators.Token)
+	c.seeds(s.Peers)
+	c.store(s.Store)
+	between(c, "upstream.stop-grace", s.Upstream.StopGrace, 0, maxStopGrace)
+	c.tls("callers", s.Callers.TLS)
+	c.tls("peers", s.Peers.TLS)
+	c.tls("operators", s.Operators.TLS)
+	return c.faults
+}
+
+// checker collects the faults of one set of settings.
+type checker struct {
+	lines     places
+	listeners map[string]netip.AddrPort
+	faults    []api.Fault
+}
+
+func (c *checker) note(code api.Code, path, format string, args ...any) {
+	f := api.Fault{Code: code, Path: path, Line: c.lines.lineOf(path), Message: fmt.Sprintf(format, args...)}
+	c.faults = append(c.faults, f)
+}
+
+func (c *checker) required(path, value string) bool {
+	if value == "" {
+		c.note(api.SettingsMissing, path, "the setting is required")
+	}
+	return value != ""
+}
+
+func between[N time.Duration | float64](c *checker, path string, n, low, high N) {
+	if n < low || n > high {
+		c.note(api.SettingsBadValue, path, "%v is not from %v to %v", n, low, high)
+	}
+}
+
+// address reads an IP number and port.
+func (c *checker) address(path, value string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.Port() == 0 {
+		c.note(api.SettingsBadValue, path, "%q is not an IP number and a port", value)
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+// listen checks a listener's address against those before it.
+func (c *checker) listen(path, value string) netip.AddrPort {
+	if !c.required(path, value) {
+		return netip.AddrPort{}
+	}
+	a := c.address(path, value)
+	if !a.IsValid() {
+		return a
+	}
+	for _, other := range []string{"callers.listen", "peers.listen", "operators.listen"} {
+		b, ok := c.listeners[other]
+		if ok && a.Port() == b.Port() && (a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()) {
+			c.note(api.SettingsClash, path, "%s clashes with %s, which is %s", a, other, b)
+		}
+	}
+	c.listeners[path] = a
+	return a
+}
+
+func (c *checker) secret(path, value string) {
+	if c.required(path, value) && len(value) < minSecretBytes {
+		c.note(api.SettingsBadValue, path, "the value has under %d bytes", minSecretBytes)
+	}
+}
+
+func (c *checker) seeds(p Peers) {
+	for _, seed := range p.SeedList() {
+		c.address("peers.seeds", seed)
+	}
+}
+
+func (c *checker) store(s Store) {
+	if c.required("store.address", s.Address) {
+		u, err := url.Parse(s.Address)
+		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+			c.note(api.SettingsBadValue, "store.address", "%q is not an http or https URL", s.Address)
+		}
+	}
+	between(c, "store.timeout", s.Timeout, minTimeout, maxTimeout)
+	between(c, "store.rate", s.Rate, minRate, maxRate)
+}
+
+// tls checks that a listener's files go together and can be read.
+func (c *checker) tls(section string, t TLS) {
+	certificate := c.file(section+".certificate", t.Certificate)
+	key := c.file(section+".key", t.Key)
+	authorities := c.file(section+".authorities", t.Authorities)
+	switch {
+	case t.Certificate != "" && t.Key == "":
+		c.note(api.SettingsClash, section+".certificate", "a certificate needs a key")
+	case t.Certificate == "" && t.Key != "":
+		c.note(api.SettingsClash, section+".key", "a key needs a certificate")
+	case t.Certificate == "" && t.Authorities != "":
+		c.note(api.SettingsClash, section+".authorities", "authorities need a certificate and a key")
+	}
+	if certificate != nil && key != nil {
+		if _, err := tls.X509KeyPair(certificate, key); err != nil {
+			c.note(api.SettingsBadValue, section+".certificate", "%v", err)
+		}
+	}
+	if authorities != nil && !x509.NewCertPool().AppendCertsFromPEM(authorities) {
+		c.note(api.SettingsBadValue, section+".authorities", "the file holds no certificate")
+	}
+}
+
+// file reads a named file; no name gives nil.
+func (c *checker) file(path, name string) []byte {
+	if name == "" {
+		return nil
+	}
+	b, err := os.ReadFile(name)
+	if err != nil {
+		c.note(api.SettingsNoFile, path, "%v", err)
+		return nil
+	}
+	return b
+}
--- /dev/null
+++ b/internal/process/settings/load.go
@@ -0,0 +1,171 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 64 << 10
+
+// Load reads a settings file and lays flags over it, which are named like
+// "--store.timeout=2s" and win. Every fault is returned, with its line.
+func Load(path string, overrides ...string) (*Settings, []api.Fault) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []api.Fault{{Code: api.SettingsNoFile, Message: err.Error()}}
+	}
+	return Parse(string(text), overrides...)
+}
+
+// Parse reads settings in INI form, as Load does. Each line is given to
+// go-flags alone, so that one fault hides no other. Settings are returned only
+// when there is no fault.
+func Parse(text string, overrides ...string) (*Settings, []api.Fault) {
+	var s Settings
+	r := &reader{parser: flags.NewParser(&s, flags.PassDoubleDash), places: places{}}
+	if len(text) > maxFileBytes {
+		r.note(api.SettingsSyntax, 0, "", fmt.Sprintf("the file is over %d bytes", maxFileBytes))
+		return nil, r.faults
+	}
+	number := 0
+	for line := range strings.Lines(text) {
+		number++
+		r.line(number, strings.TrimSpace(line))
+	}
+	r.flags(overrides)
+	r.faults = append(r.faults, r.unless(s.Check(r.places))...)
+	sort.SliceStable(r.faults, func(i, j int) bool { return r.faults[i].Line < r.faults[j].Line })
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	return &s, nil
+}
+
+// places gives the line of each key, as section.key, and of each section.
+type places map[string]int
+
+// lineOf finds a key's line, else that of its section, else 0.
+func (p places) lineOf(path string) int {
+	if line, ok := p[path]; ok {
+		return line
+	}
+	section, _, _ := strings.Cut(path, ".")
+	return p[section]
+}
+
+// reader collects what the lines of one file set.
+type reader struct {
+	parser *flags.Parser
+	// section is empty before the first header and after a wrong one.
+	section string
+	// skipping passes over the keys of a section that is not known.
+	skipping bool
+	places   places
+	faults   []api.Fault
+}
+
+func (r *reader) note(c api.Code, line int, path, message string) {
+	r.faults = append(r.faults, api.Fault{Code: c, Line: line, Path: path, Message: message})
+}
+
+func (r *reader) line(number int, text string) {
+	switch {
+	case text == "", text[0] == ';', text[0] == '#':
+	case text[0] == '[':
+		r.header(number, text)
+	case r.skipping:
+	case r.section == "":
+		r.note(api.SettingsSyntax, number, "", "the line stands before the first section")
+	default:
+		r.key(number, text)
+	}
+}
+
+func (r *reader) header(number int, text string) {
+	name, closed := strings.CutSuffix(text[1:], "]")
+	name = strings.ToLower(strings.TrimSpace(name))
+	r.section, r.skipping = name, true
+	switch {
+	case !closed:
+		r.note(api.SettingsSyntax, number, "", "the section header has no closing bracket")
+	case r.parser.Group.Find(name) == nil:
+		r.note(api.SettingsUnknownKey, number, name, "no such section")
+	case r.places[name] != 0:
+		r.note(api.SettingsClash, number, name, fmt.Sprintf("the section stands twice, first on line %d", r.places[name]))
+		r.skipping = false
+	default:
+		r.places[name] = number
+		r.skipping = false
+	}
+}
+
+func (r *reader) key(number int, text string) {
+	name, _, _ := strings.Cut(text, "=")
+	path := r.section + "." + strings.ToLower(strings.TrimSpace(name))
+	if first, ok := r.places[path]; ok {
+		r.note(api.SettingsClash, number, path, fmt.Sprintf("the key stands twice, first on line %d", first))
+		return
+	}
+	err := flags.NewIniParser(r.parser).Parse(strings.NewReader("[" + r.section + "]\n" + text))
+	if err == nil {
+		r.places[path] = number
+		return
+	}
+	code, message := reason(err)
+	if code == api.SettingsSyntax {
+		path = r.section
+	}
+	r.places[path] = number
+	r.note(code, number, path, message)
+}
+
+// reason gives the number and the text of an error of go-flags.
+func reason(err error) (api.Code, string) {
+	var ini *flags.IniError
+	if !errors.As(err, &ini) {
+		return api.SettingsBadValue, err.Error()
+	}
+	switch {
+	case strings.HasPrefix(ini.Message, "unknown option"):
+		return api.SettingsUnknownKey, "no such key"
+	case strings.HasPrefix(ini.Message, "malformed"), ini.Message == "invalid syntax":
+		return api.SettingsSyntax, ini.Message
+	}
+	return api.SettingsBadValue, ini.Message
+}
+
+// flags lays the command line's flags over the file, which also sets the
+// defaults of what neither names.
+func (r *reader) flags(overrides []string) {
+	rest, err := r.parser.ParseArgs(overrides)
+	switch {
+	case err != nil:
+		r.note(api.SettingsBadValue, 0, "flags", err.Error())
+		_, _ = r.parser.ParseArgs(nil)
+	case len(rest) > 0:
+		r.note(api.SettingsUnknownKey, 0, "flags", "unexpected "+strings.Join(rest, " "))
+	}
+}
+
+// unless leaves out the faults of keys that are already found faulty.
+func (r *reader) unless(faults []api.Fault) []api.Fault {
+	known := map[string]bool{}
+	for _, f := range r.faults {
+		known[f.Path] = true
+	}
+	var out []api.Fault
+	for _, f := range faults {
+		if !known[f.Path] {
+			out = append(out, f)
+		}
+	}
+	return out
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -2,16 +2,8 @@
 package settings
 
 import (
-	"errors"
-	"io"
-	"net/netip"
-	"os"
 	"strings"
 	"time"
-
-	"github.com/jessevdk/go-flags"
-
-	"github.com/daisytide/daisytide/api"
 )
 
 // Settings is all that a node is told when it starts.
@@ -81,98 +73,3 @@
 	}
 	return out
 }
-
-// Load reads a settings file. Every fault is returned, with its line.
-func Load(path string) (*Settings, []api.Fault) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, []api.Fault{{Code: api.SettingsNoFile, Path: path, Message: err.Error()}}
-	}
-	return Parse(string(text))
-}
-
-// Parse reads settings in INI form. After a line that cannot be read the
-// rest is read without it, so that all faults are found at once.
-func Parse(text string) (*Settings, []api.Fault) {
-	lines := strings.Split(text, "\n")
-	var faults []api.Fault
-	for {
-		s, err := parse(strings.NewReader(strings.Join(lines, "\n")))
-		if err == nil {
-			return s, append(faults, s.Check()...)
-		}
-		f := faultOf(err)
-		faults = append(faults, f)
-		if f.Line < 1 || f.Line > len(lines) || lines[f.Line-1] == "" {
-			return nil, faults
-		}
-		lines[f.Line-1] = ""
-	}
-}
-
-func parse(r io.Reader) (*Settings, error) {
-	var s Settings
-	p := flags.NewParser(&s, flags.None)
-	// The INI parser alone leaves defaults unset.
-	if _, err := p.ParseArgs(nil); err != nil {
-		return nil, err
-	}
-	if err := flags.NewIniParser(p).Parse(r); err != nil {
-		return nil, err
-	}
-	return &s, nil
-}
-
-func faultOf(err error) api.Fault {
-	var ini *flags.IniError
-	if !errors.As(err, &ini) {
-		return api.Fault{Code: api.SettingsBadValue, Message: err.Error()}
-	}
-	code := api.SettingsBadValue
-	switch {
-	case strings.HasPrefix(ini.Message, "unknown"), strings.HasPrefix(ini.Message, "could not find"):
-		code = api.SettingsUnknownKey
-	case strings.HasPrefix(ini.Message, "malformed"):
-		code = api.SettingsSyntax
-	}
-	return api.Fault{Code: code, Line: int(ini.LineNumber), Message: ini.Message}
-}
-
-// Check returns what is missing or contradictory.
-func (s *Settings) Check() []api.Fault {
-	var faults []api.Fault
-	seen := map[string]string{}
-	for _, l := range []struct{ path, listen string }{
-		{"callers.listen", s.Callers.Listen},
-		{"peers.listen", s.Peers.Listen},
-		{"operators.listen", s.Operators.Listen},
-	} {
-		faults = append(faults, checkListen(l.path, l.listen, seen)...)
-	}
-	for _, m := range []struct{ path, value string }{
-		{"node.region", s.Node.Region},
-		{"node.data-centre", s.Node.DataCentre},
-		{"peers.secret", s.Peers.Secret},
-		{"operators.token", s.Operators.Token},
-		{"store.address", s.Store.Address},
-	} {
-		if m.value == "" {
-			faults = append(faults, api.Fault{Code: api.SettingsMissing, Path: m.path, Message: "the setting is required"})
-		}
-	}
-	return faults
-}
-
-func checkListen(path, listen string, seen map[string]string) []api.Fault {
-	if listen == "" {
-		return []api.Fault{{Code: api.SettingsMissing, Path: path, Message: "the setting is required"}}
-	}
-	if _, err := netip.ParseAddrPort(listen); err != nil {
-		return []api.Fault{{Code: api.SettingsBadValue, Path: path, Message: "not an IP number and a port: " + listen}}
-	}
-	if other, ok := seen[listen]; ok {
-		return []api.Fault{{Code: api.SettingsClash, Path: path, Message: "the address is also that of " + other}}
-	}
-	seen[listen] = path
-	return nil
-}
