Keep member records with running sums, tombstones and a lazy index

The table sorted and rebuilt its whole index at each merged record and summed every record anew for each digest. Now each record keeps its encoding and hash, sums run per bucket (64), the index is rebuilt by its first reader after a change and only where something changed. Gone records stay for ten minutes as tombstones outside the sums; Leaving and Suspect records that nobody settles end by age. A node that meets a record of its own address above its own goes above it, so an incarnation rises even where the clock went back.

--- a/internal/process/member/self.go
+++ b/internal/process/member/self.go
@@ -25,12 +25,19 @@
 	record Record
 }
 
-// NewSelf enters a node's own record; incarnation must rise with each start.
+// NewSelf enters a node's own record. The incarnation should rise with each
+// start; where a clock went back and it does not, the node learns of the
+// higher one from its peers and goes above it.
 func NewSelf(r Record, t *Table, incarnation uint64) *Self {
 	r.Incarnation = incarnation
 	r.State = Alive
-	t.Merge(r)
-	return &Self{table: t, record: r}
+	s := &Self{table: t, record: r}
+	t.mu.Lock()
+	t.self = r.Address
+	t.contradict = s.refute
+	t.mu.Unlock()
+	t.mergeOwn(r)
+	return s
 }
 
 // Record returns the node's own record.
@@ -52,6 +59,16 @@
 	s.change(func(r *Record) { r.State = state })
 }
 
+// refute answers a record of this address that others hold above our own:
+// suspicion, or an earlier start under a clock that was ahead.
+func (s *Self) refute(other Record) {
+	s.change(func(r *Record) {
+		if other.Supersedes(*r) {
+			r.Incarnation = other.Incarnation + 1
+		}
+	})
+}
+
 // change spreads the record if fn changed it.
 func (s *Self) change(fn func(*Record)) {
 	s.mu.Lock()
@@ -63,12 +80,14 @@
 	}
 	s.record.Sequence++
 	r := s.record
+	s.table.mergeOwn(r)
 	s.mu.Unlock()
-	s.table.Merge(r)
 	item, err := wire.Marshal(r)
 	if err != nil {
 		klog.Errorf(logPrefix+"%v", err)
 		return
 	}
-	s.Publisher.Publish(TopicName, item)
+	if s.Publisher != nil {
+		s.Publisher.Publish(TopicName, item)
+	}
 }
--- a/internal/process/member/table.go
+++ b/internal/process/member/table.go
@@ -1,11 +1,34 @@
 package member
 
 import (
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/conn/wire"
+)
+
+// Lives of records that nobody speaks for any more.
+const (
+	// TombstoneLife is how long a Gone record is kept, so that old news of
+	// the node does not bring it back.
+	TombstoneLife = 10 * time.Minute
+	// LeavingLife is how long a node may stay Leaving; it is above the
+	// longest grace of a planned stop.
+	LeavingLife = 2 * time.Minute
+	// SuspectLife bounds a suspicion whose author has failed too.
+	SuspectLife = 30 * time.Second
 )
 
+// Buckets is the number of parts that the records' sums are kept in.
+const Buckets = 64
+
 // UpstreamKey names the upstreams of one version of a service.
 type UpstreamKey struct {
 	Service string
@@ -21,73 +44,220 @@
 	Members []Record
 }
 
-// Table merges records. Readers of the index take no lock.
+// entry is one record with what is derived from it.
+type entry struct {
+	record Record
+	// item is the record's canonical encoding and hash its sum.
+	item []byte
+	hash uint64
+	// since is when this node learned of the record's state.
+	since time.Time
+}
+
+// Table merges records. Readers of the index take no lock unless records
+// changed since the last read; the first reader after that builds it anew, so
+// that a burst of changes costs one build.
 type Table struct {
 	index atomic.Pointer[Index]
+	stale atomic.Bool
+	// generation rises with each change of who is a member, where and in
+	// which state; an upstream's change leaves it.
+	generation atomic.Uint64
 
 	mu      sync.Mutex
-	records map[string]Record
+	records map[string]entry
+	// sums holds, per bucket, the exclusive or of the hashes of its records
+	// but the Gone ones: those expire at each node's own time.
+	sums [Buckets]uint64
+	// changed names the keys of the index to rebuild.
+	changed map[UpstreamKey]bool
+	// moved names the addresses whose place in Members is to be rebuilt.
+	moved map[string]bool
+	// self is this node's address; contradict is told of records of that
+	// address which this node did not write.
+	self       string
+	contradict func(Record)
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{records: map[string]Record{}}
+	t := &Table{records: map[string]entry{}, changed: map[UpstreamKey]bool{}, moved: map[string]bool{}}
 	t.index.Store(&Index{Serving: map[UpstreamKey][]Record{}})
 	return t
 }
 
 // Index returns the current view.
-func (t *Table) Index() *Index { return t.index.Load() }
+func (t *Table) Index() *Index {
+	if t.stale.Load() {
+		t.rebuild()
+	}
+	return t.index.Load()
+}
+
+// Generation rises when the set of members, their places or states change.
+func (t *Table) Generation() uint64 { return t.generation.Load() }
 
 // Merge folds one record in and tells whether it changed the table.
 func (t *Table) Merge(r Record) bool {
 	t.mu.Lock()
+	if r.Address == t.self && t.contradict != nil {
+		old := t.records[r.Address].record
+		t.mu.Unlock()
+		if r.Supersedes(old) {
+			t.contradict(r)
+		}
+		return false
+	}
 	defer t.mu.Unlock()
+	return t.merge(r)
+}
+
+// mergeOwn folds in this node's own record.
+func (t *Table) mergeOwn(r Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.merge(r)
+}
+
+// merge does Merge's work; the caller holds mu.
+func (t *Table) merge(r Record) bool {
 	old, ok := t.records[r.Address]
-	if ok && !r.Supersedes(old) {
+	if ok && !r.Supersedes(old.record) {
+		return false
+	}
+	item, err := wire.Marshal(r)
+	if err != nil {
+		klog.Errorf(logPrefix+"encode a record: %v", err)
 		return false
 	}
-	t.records[r.Address] = r
-	t.rebuild()
+	e := entry{record: r, item: item, hash: xxhash.Sum64(item), since: time.Now()}
+	if ok && old.record.State == r.State && r.State != Alive && old.record.Incarnation == r.Incarnation {
+		e.since = old.since
+	}
+	t.put(old, e)
 	return true
 }
 
+// put replaces old, which may be empty, by e; the caller holds mu.
+func (t *Table) put(old, e entry) {
+	b := BucketOf(e.record.Address)
+	t.sums[b] ^= old.counted() ^ e.counted()
+	t.records[e.record.Address] = e
+	t.mark(old.record)
+	t.mark(e.record)
+	if old.record.State != e.record.State || !old.record.samePlace(e.record) {
+		t.generation.Add(1)
+	}
+	t.stale.Store(true)
+}
+
+// counted returns what the entry adds to its bucket's sum.
+func (e entry) counted() uint64 {
+	if e.record.State == Gone {
+		return 0
+	}
+	return e.hash
+}
+
+// mark notes what a record's change makes stale; the caller holds mu.
+func (t *Table) mark(r Record) {
+	if r.Address == "" {
+		return
+	}
+	t.moved[r.Address] = true
+	if r.Serving() {
+		t.changed[UpstreamKey{Service: r.Service, Version: r.Version}] = true
+	}
+}
+
+// BucketOf returns the bucket of an address.
+func BucketOf(address string) int { return int(xxhash.Sum64String(address) % Buckets) }
+
 // All returns every record, Gone ones too, in address order.
 func (t *Table) All() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return sorted(t.records)
+	out := make([]Record, 0, len(t.records))
+	for _, e := range t.records {
+		out = append(out, e.record)
+	}
+	slices.SortFunc(out, byAddress)
+	return out
 }
 
 // Get returns the record of one node.
 func (t *Table) Get(address string) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.records[address]
-	return r, ok
+	e, ok := t.records[address]
+	return e.record, ok
 }
 
-// rebuild publishes a new index; the caller holds mu.
-func (t *Table) rebuild() {
-	x := &Index{Serving: map[UpstreamKey][]Record{}}
-	for _, r := range sorted(t.records) {
-		if r.State == Gone {
-			continue
+// Expire ends records that outlived their state: tombstones are dropped, and
+// a Suspect or Leaving that nobody settled becomes Gone here.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, e := range t.records {
+		age := now.Sub(e.since)
+		r := e.record
+		switch {
+		case address == t.self:
+		case r.State == Gone && age > TombstoneLife:
+			delete(t.records, address)
+		case r.State == Leaving && age > LeavingLife, r.State == Suspect && age > SuspectLife:
+			r.State = Gone
+			t.merge(r)
 		}
-		x.Members = append(x.Members, r)
-		if r.Serving() {
-			k := UpstreamKey{Service: r.Service, Version: r.Version}
+	}
+}
+
+// rebuild publishes a new index in which only what changed is built anew.
+func (t *Table) rebuild() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stale.Load() {
+		return
+	}
+	old := t.index.Load()
+	x := &Index{Serving: maps.Clone(old.Serving), Members: t.members(old.Members)}
+	for k := range t.changed {
+		delete(x.Serving, k)
+	}
+	for _, r := range x.Members {
+		k := UpstreamKey{Service: r.Service, Version: r.Version}
+		if r.Serving() && t.changed[k] {
 			x.Serving[k] = append(x.Serving[k], r)
 		}
 	}
+	clear(t.changed)
+	clear(t.moved)
 	t.index.Store(x)
+	t.stale.Store(false)
 }
 
-func sorted(m map[string]Record) []Record {
-	out := make([]Record, 0, len(m))
-	for _, r := range m {
+// members merges the moved addresses into the sorted old list; the caller
+// holds mu.
+func (t *Table) members(old []Record) []Record {
+	fresh := make([]Record, 0, len(t.moved))
+	for address := range t.moved {
+		if e, ok := t.records[address]; ok && e.record.State != Gone {
+			fresh = append(fresh, e.record)
+		}
+	}
+	slices.SortFunc(fresh, byAddress)
+	out := make([]Record, 0, len(old)+len(fresh))
+	for _, r := range old {
+		if t.moved[r.Address] {
+			continue
+		}
+		for len(fresh) > 0 && fresh[0].Address < r.Address {
+			out = append(out, fresh[0])
+			fresh = fresh[1:]
+		}
 		out = append(out, r)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Address < out[j].Address })
-	return out
+	return append(out, fresh...)
 }
+
+func byAddress(a, b Record) int { return strings.Compare(a.Address, b.Address) }
--- a/internal/process/spread/topic.go
+++ b/internal/process/spread/topic.go
@@ -17,6 +17,19 @@
 	Items() [][]byte
 }
 
+// Bucketed is a Topic with many facts, kept in a fixed number of buckets, so
+// that a difference costs the facts of the buckets that differ only.
+type Bucketed interface {
+	Topic
+	// Buckets returns one sum per bucket.
+	Buckets() []uint64
+	// BucketItems returns the facts of some buckets.
+	BucketItems(buckets []int) [][]byte
+	// Newer returns the fact held that supersedes item, or nil; a peer that
+	// sent the older one is told.
+	Newer(item []byte) []byte
+}
+
 // Publisher spreads facts of this node. Manager implements it.
 type Publisher interface {
 	// Publish sends a fact, merged already, over all links.
