Describe a configuration by its predecessor and share what did not change

An envelope names the sessions of the 16 documents before it, so that a writer whose reply was lost and whose document was replaced since can still be told the truth.

--- /dev/null
+++ b/internal/version/delta/delta.go
@@ -0,0 +1,117 @@
+// Package delta describes a text by what it shares with an earlier one.
+package delta
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+// blockBytes is the length of the pieces of the base that are looked for.
+const blockBytes = 32
+
+// MaxBytes bounds a text that Apply makes.
+const MaxBytes = 1_100_000
+
+// A delta is a list of steps. Each is three numbers, varint coded, and some
+// bytes: how far to copy from the base and from where, then how many bytes
+// of its own follow.
+
+// Make describes text by base.
+func Make(base, text []byte) []byte {
+	index := blocks(base)
+	var out []byte
+	pending := 0
+	for i := 0; i < len(text); {
+		from, ok := find(index, base, text[i:])
+		if !ok {
+			i++
+			continue
+		}
+		start := i
+		for start > pending && from > 0 && text[start-1] == base[from-1] {
+			start--
+			from--
+		}
+		n := common(base[from:], text[start:])
+		out = step(out, text[pending:start], from, n)
+		i = start + n
+		pending = i
+	}
+	return step(out, text[pending:], 0, 0)
+}
+
+// blocks maps the hash of each aligned block of the base to its place.
+func blocks(base []byte) map[uint64]int {
+	index := make(map[uint64]int, len(base)/blockBytes)
+	for at := 0; at+blockBytes <= len(base); at += blockBytes {
+		h := xxhash.Sum64(base[at : at+blockBytes])
+		if _, ok := index[h]; !ok {
+			index[h] = at
+		}
+	}
+	return index
+}
+
+func find(index map[uint64]int, base, text []byte) (int, bool) {
+	if len(text) < blockBytes {
+		return 0, false
+	}
+	at, ok := index[xxhash.Sum64(text[:blockBytes])]
+	return at, ok && common(base[at:], text) >= blockBytes
+}
+
+func common(a, b []byte) int {
+	n := min(len(a), len(b))
+	for i := range n {
+		if a[i] != b[i] {
+			return i
+		}
+	}
+	return n
+}
+
+// step appends own bytes and then a copy of n bytes of the base.
+func step(out, own []byte, from, n int) []byte {
+	out = binary.AppendUvarint(out, uint64(len(own)))
+	out = append(out, own...)
+	out = binary.AppendUvarint(out, uint64(from))
+	return binary.AppendUvarint(out, uint64(n))
+}
+
+// Apply makes the text from the base. A delta that is damaged or belongs to
+// another base gives an error or another text, so the caller checks the hash.
+func Apply(base, delta []byte) ([]byte, error) {
+	var out []byte
+	for len(delta) > 0 {
+		own, rest, ok := number(delta)
+		if !ok || own > len(rest) || len(out)+own > MaxBytes {
+			return nil, damaged()
+		}
+		out = append(out, rest[:own]...)
+		from, rest, ok := number(rest[own:])
+		if !ok {
+			return nil, damaged()
+		}
+		n, rest, ok := number(rest)
+		if !ok || from > len(base) || n > len(base)-from || len(out)+n > MaxBytes {
+			return nil, damaged()
+		}
+		out = append(out, base[from:from+n]...)
+		delta = rest
+	}
+	return out, nil
+}
+
+// number reads one varint that fits a text's length.
+func number(b []byte) (int, []byte, bool) {
+	v, n := binary.Uvarint(b)
+	if n <= 0 || v > MaxBytes {
+		return 0, nil, false
+	}
+	return int(v), b[n:], true
+}
+
+func damaged() error { return api.Errorf(api.PeerFrame, "a delta is damaged") }
--- a/internal/version/document/accepted.go
+++ b/internal/version/document/accepted.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
@@ -22,10 +23,36 @@
 	// configuration that first held it. A later document that keeps the
 	// rollout unchanged keeps the number, and with it the move's state, so an
 	// unrelated change never revives a withdrawn version.
-	Moves    []MoveRef       `json:"moves,omitempty"`
+	Moves []MoveRef `json:"moves,omitempty"`
+	// Past names the accepted documents before this one, the latest last and
+	// at most PastLimit, so that a writer whose reply was lost learns that
+	// its document was accepted even when a later one has replaced it.
+	Past     []Past          `json:"past,omitempty"`
 	Document json.RawMessage `json:"document"`
 }
 
+// PastLimit bounds Accepted.Past.
+const PastLimit = 16
+
+// Past is an accepted document that a later one replaced.
+type Past struct {
+	Number  uint64 `json:"number"`
+	Session string `json:"session"`
+}
+
+// NumberOf returns the number under which a session's document was accepted.
+func (a *Accepted) NumberOf(session string) (uint64, bool) {
+	if a.Session == session {
+		return a.Number, true
+	}
+	for _, p := range a.Past {
+		if p.Session == session {
+			return p.Number, true
+		}
+	}
+	return 0, false
+}
+
 // MoveRef names a move: its service and the configuration it began under.
 type MoveRef struct {
 	Service string `json:"service" cbor:"1,keyasint"`
@@ -57,6 +84,8 @@
 	a := &Accepted{Number: 1, Session: session, Operator: operator, At: at, Document: text}
 	if prev != nil {
 		a.Number = prev.Number + 1
+		a.Past = append(slices.Clone(prev.Past), Past{Number: prev.Number, Session: prev.Session})
+		a.Past = a.Past[max(0, len(a.Past)-PastLimit):]
 	}
 	for _, r := range doc.Rollouts {
 		a.Moves = append(a.Moves, MoveRef{Service: r.Service, Since: since(prev, prevDoc, r, a.Number)})
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -4,6 +4,8 @@
 
 import (
 	"errors"
+	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -36,11 +38,18 @@
 
 // Build decodes, checks and indexes an envelope. The whole is refused when any
 // part of it is wrong.
-func Build(envelope []byte) (*Snapshot, error) {
+func Build(envelope []byte) (*Snapshot, error) { return BuildFrom(nil, envelope) }
+
+// BuildFrom is Build with an earlier snapshot, which may be nil: what did not
+// change is shared with it.
+func BuildFrom(prev *Snapshot, envelope []byte) (*Snapshot, error) {
 	a, doc, err := document.DecodeAccepted(envelope)
 	if err != nil {
 		return nil, err
 	}
+	if len(a.Moves) != len(doc.Rollouts) {
+		return nil, errors.Join(ErrInvalid, errors.New("the envelope's moves do not match the document's rollouts"))
+	}
 	if faults := validate.Document(doc); len(faults) > 0 {
 		return nil, errors.Join(ErrInvalid, errors.New(faults[0].String()))
 	}
@@ -49,19 +58,45 @@
 		Document: doc,
 		Envelope: envelope,
 		Hash:     document.HashOf(envelope),
-		Routes:   route.NewTable(doc.Routes),
-		services: make(map[string]*document.Service, len(doc.Services)),
 		moves:    make(map[string]Move, len(doc.Rollouts)),
 	}
-	for i := range doc.Services {
-		s.services[doc.Services[i].Name] = &doc.Services[i]
-	}
+	s.indexServices(prev)
+	s.indexRoutes(prev)
 	for i, r := range doc.Rollouts {
 		s.moves[r.Service] = Move{Rollout: r, Since: a.Moves[i].Since}
 	}
 	return s, nil
 }
 
+// indexServices takes each unchanged service, and the whole index where none
+// changed, from prev. Each service stands in its own memory, so that one of
+// them does not keep all those of an old document.
+func (s *Snapshot) indexServices(prev *Snapshot) {
+	if prev != nil && reflect.DeepEqual(prev.Document.Services, s.Document.Services) {
+		s.Document.Services = prev.Document.Services
+		s.services = prev.services
+		return
+	}
+	s.services = make(map[string]*document.Service, len(s.Document.Services))
+	for _, service := range s.Document.Services {
+		if prev != nil && prev.services[service.Name] != nil && reflect.DeepEqual(*prev.services[service.Name], service) {
+			s.services[service.Name] = prev.services[service.Name]
+			continue
+		}
+		s.services[service.Name] = &service
+	}
+}
+
+// indexRoutes takes the routes from prev where none changed.
+func (s *Snapshot) indexRoutes(prev *Snapshot) {
+	if prev != nil && slices.Equal(prev.Document.Routes, s.Document.Routes) {
+		s.Document.Routes = prev.Document.Routes
+		s.Routes = prev.Routes
+		return
+	}
+	s.Routes = route.NewTable(s.Document.Routes)
+}
+
 // Number is the configuration number.
 func (s *Snapshot) Number() uint64 {
 	if s == nil {
