Guard every call to the store with a bucket, single flight and backoff

A node that lost the store would have called it once a second from each part. The guard stands in front of all of them: tokens at the rate of the settings, one read per key at a time, a wait with full jitter up to 30 s after failures. A read that begins after a write returned does not join an older one.

--- /dev/null
+++ b/internal/conn/platform/guard.go
@@ -0,0 +1,201 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
+)
+
+// Limits of a guard.
+const (
+	// guardBurst is the number of calls that may follow each other at once:
+	// an operator's document takes a read, a write and a few repeats.
+	guardBurst = 10
+	// backoffFirst and backoffMost bound the wait after failures in a row.
+	backoffFirst = 100 * time.Millisecond
+	backoffMost  = 30 * time.Second
+)
+
+var errBackingOff = errors.New("the store failed lately; the node waits before the next call")
+
+// Guard stands in front of every call that a node makes to the store: a token
+// bucket, one read per key at a time, and after a failure a wait with full
+// jitter. A call whose context ends before the wait does is refused at once.
+type Guard struct {
+	store   Store
+	limiter *rate.Limiter
+	flights singleflight.Group
+
+	mu      sync.Mutex
+	fails   int
+	until   time.Time
+	reached bool
+	calls   uint64
+}
+
+// NewGuard guards store with a rate in calls per second.
+func NewGuard(store Store, perSecond float64) *Guard {
+	return &Guard{store: store, limiter: rate.NewLimiter(rate.Limit(perSecond), guardBurst)}
+}
+
+// Reached tells whether the last call that ended was answered by the store.
+func (g *Guard) Reached() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reached
+}
+
+// Calls returns the number of calls made.
+func (g *Guard) Calls() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.calls
+}
+
+// enter waits for the end of the backoff and for a token.
+func (g *Guard) enter(ctx context.Context, op, key string) error {
+	if err := g.await(ctx); err != nil {
+		return &Error{Op: op, Key: key, Outcome: OutcomeNotReached, Err: err}
+	}
+	if err := g.limiter.Wait(ctx); err != nil {
+		return &Error{Op: op, Key: key, Outcome: OutcomeLimited, Err: err}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.calls++
+	return nil
+}
+
+func (g *Guard) await(ctx context.Context) error {
+	for {
+		g.mu.Lock()
+		until := g.until
+		g.mu.Unlock()
+		wait := time.Until(until)
+		if wait <= 0 {
+			return nil
+		}
+		if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
+			return errBackingOff
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+// leave takes a call's end into account. A call that its own caller gave up
+// says nothing of the store.
+func (g *Guard) leave(ctx context.Context, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil || answered(OutcomeOf(err)) {
+		g.fails, g.reached = 0, true
+		return
+	}
+	g.reached = false
+	wait := min(backoffMost, backoffFirst<<min(g.fails, 16))
+	g.fails++
+	g.until = time.Now().Add(rand.N(wait))
+}
+
+// answered tells whether an outcome shows a store at work.
+func answered(o Outcome) bool { return o == OutcomeRefused || o == OutcomeConflict }
+
+// guarded makes one call behind the guard.
+func guarded[T any](ctx context.Context, g *Guard, op, key string, call func() (T, error)) (T, error) {
+	var none T
+	if err := g.enter(ctx, op, key); err != nil {
+		return none, err
+	}
+	out, err := call()
+	g.leave(ctx, err)
+	return out, err
+}
+
+// Get implements Store.
+func (g *Guard) Get(ctx context.Context, key string) (Entry, error) {
+	return shared(ctx, g, "get", key, g.store.Get)
+}
+
+// List implements Store.
+func (g *Guard) List(ctx context.Context, prefix string) ([]Entry, error) {
+	return shared(ctx, g, "list", prefix, g.store.List)
+}
+
+// shared makes a read that others who ask for the same key meanwhile wait
+// for. It goes on when the one who began it gives up, within his deadline.
+func shared[T any](ctx context.Context, g *Guard, op, key string, read func(context.Context, string) (T, error)) (T, error) {
+	flight := g.flights.DoChan(op+" "+key, func() (any, error) {
+		inner := context.WithoutCancel(ctx)
+		if deadline, ok := ctx.Deadline(); ok {
+			var cancel context.CancelFunc
+			inner, cancel = context.WithDeadline(inner, deadline)
+			defer cancel()
+		}
+		return guarded(inner, g, op, key, func() (T, error) { return read(inner, key) })
+	})
+	var none T
+	select {
+	case <-ctx.Done():
+		return none, &Error{Op: op, Key: key, Outcome: OutcomeUnknown, Err: ctx.Err()}
+	case r := <-flight:
+		if r.Err != nil {
+			return none, r.Err
+		}
+		return r.Val.(T), nil
+	}
+}
+
+// CompareAndSwap implements Store. A read that begins after it returned does
+// not join one that began before.
+func (g *Guard) CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte, lease string) (Entry, error) {
+	defer g.flights.Forget("get " + key)
+	return guarded(ctx, g, "cas", key, func() (Entry, error) {
+		return g.store.CompareAndSwap(ctx, key, revision, value, lease)
+	})
+}
+
+// changes is what a watch returned.
+type changes struct {
+	entries  []Entry
+	revision uint64
+}
+
+// Watch implements Store.
+func (g *Guard) Watch(ctx context.Context, prefix string, after uint64) ([]Entry, uint64, error) {
+	out, err := guarded(ctx, g, "watch", prefix, func() (changes, error) {
+		entries, revision, err := g.store.Watch(ctx, prefix, after)
+		return changes{entries, revision}, err
+	})
+	return out.entries, out.revision, err
+}
+
+// Grant implements Store.
+func (g *Guard) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	return guarded(ctx, g, "grant", "", func() (Lease, error) { return g.store.Grant(ctx, ttl) })
+}
+
+// KeepAlive implements Store.
+func (g *Guard) KeepAlive(ctx context.Context, id string) error {
+	_, err := guarded(ctx, g, "keep-alive", id, func() (struct{}, error) { return struct{}{}, g.store.KeepAlive(ctx, id) })
+	return err
+}
+
+// Revoke implements Store.
+func (g *Guard) Revoke(ctx context.Context, id string) error {
+	_, err := guarded(ctx, g, "revoke", id, func() (struct{}, error) { return struct{}{}, g.store.Revoke(ctx, id) })
+	return err
+}
