--- a/internal/conn/link/conn.go
+++ b/internal/conn/link/conn.go
@@ -28,7 +28,34 @@
 	Close() error
 }
 
-// Traffic counts the bytes of control messages, payloads only.
+// Sizes of a WebSocket frame's header.
+const (
+	frameHeader       = 2
+	frameHeaderMedium = 4
+	frameHeaderLong   = 10
+	frameMask         = 4
+	mediumFrom        = 126
+	longFrom          = 1 << 16
+)
+
+// FrameBytes returns the length on the wire, below TLS and TCP, of a message
+// of n bytes; a client masks what it sends.
+func FrameBytes(n int, client bool) int {
+	header := frameHeader
+	switch {
+	case n >= longFrom:
+		header = frameHeaderLong
+	case n >= mediumFrom:
+		header = frameHeaderMedium
+	}
+	if client {
+		header += frameMask
+	}
+	return header + n
+}
+
+// Traffic counts the bytes of control messages with their WebSocket frames;
+// what TCP and IP add per packet is not in it.
 type Traffic struct {
 	Sent     atomic.Uint64
 	Received atomic.Uint64
@@ -39,6 +66,8 @@
 type wsConn struct {
 	ws      *websocket.Conn
 	traffic *Traffic
+	// client tells whether this end dialled.
+	client bool
 }
 
 // Send implements Conn.
@@ -50,7 +79,7 @@
 	if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
 		return fmt.Errorf("send a peer message: %w", err)
 	}
-	c.traffic.Sent.Add(uint64(len(b)))
+	c.traffic.Sent.Add(uint64(FrameBytes(len(b), c.client)))
 	c.traffic.Messages.Add(1)
 	return nil
 }
@@ -61,7 +90,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("receive a peer message: %w", err)
 	}
-	c.traffic.Received.Add(uint64(len(b)))
+	c.traffic.Received.Add(uint64(FrameBytes(len(b), !c.client)))
 	if kind != websocket.MessageBinary {
 		return nil, api.Errorf(api.PeerFrame, "a text frame")
 	}
@@ -93,7 +122,7 @@
 		return nil, fmt.Errorf("dial the peer %s: %w", address, err)
 	}
 	ws.SetReadLimit(MaxMessageBytes)
-	return &wsConn{ws: ws, traffic: d.Traffic}, nil
+	return &wsConn{ws: ws, traffic: d.Traffic, client: true}, nil
 }
 
 // Accept turns a request to Path into a link. The caller has checked the key.
--- a/internal/conn/link/message.go
+++ b/internal/conn/link/message.go
@@ -26,19 +26,33 @@
 	Body     *Body     `cbor:"6,keyasint,omitempty"`
 	Want     *Want     `cbor:"7,keyasint,omitempty"`
 	Refused  *Refused  `cbor:"8,keyasint,omitempty"`
+	Buckets  *Buckets  `cbor:"9,keyasint,omitempty"`
+
+	// encoded is the message's encoding once Freeze was called.
+	encoded []byte
+}
+
+// Freeze encodes the message once for sending it over several links; it must
+// not change any more.
+func (m *Message) Freeze() error {
+	b, err := Encode(m)
+	m.encoded = b
+	return err
 }
 
 // Hello opens a link in both directions.
 type Hello struct {
 	Protocol int           `cbor:"1,keyasint"`
 	Self     member.Record `cbor:"2,keyasint"`
+	// Probe asks for a Hello only, to see whether the peer answers; no link
+	// comes of it.
+	Probe bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Digest summarises what the sender knows, for repair; it is the heartbeat too.
 type Digest struct {
-	// Number and Hash are of the configuration in force; 0 before the first.
-	Number uint64        `cbor:"1,keyasint"`
-	Hash   document.Hash `cbor:"2,keyasint"`
+	// Number is of the configuration in force; 0 before the first.
+	Number uint64 `cbor:"1,keyasint"`
 	// Topics gives one sum per topic of facts.
 	Topics map[string]uint64 `cbor:"3,keyasint,omitempty"`
 }
@@ -47,11 +61,22 @@
 type Facts struct {
 	Topic string   `cbor:"1,keyasint"`
 	Items [][]byte `cbor:"2,keyasint"`
+	// Repair marks facts that answer a Want; the receiver looks at each even
+	// if it saw it before.
+	Repair bool `cbor:"3,keyasint,omitempty"`
 }
 
-// Want asks for all facts of a topic whose sums differ.
+// Want asks for the facts of a topic whose sums differ; Buckets narrows it to
+// some buckets where the topic has them.
 type Want struct {
-	Topic string `cbor:"1,keyasint"`
+	Topic   string `cbor:"1,keyasint"`
+	Buckets []int  `cbor:"2,keyasint,omitempty"`
+}
+
+// Buckets gives the sums of a topic's buckets after two digests differed.
+type Buckets struct {
+	Topic string   `cbor:"1,keyasint"`
+	Sums  []uint64 `cbor:"2,keyasint"`
 }
 
 // Announce tells of a configuration that the sender holds.
@@ -84,6 +109,9 @@
 
 // Encode encodes a message.
 func Encode(m *Message) ([]byte, error) {
+	if m.encoded != nil {
+		return m.encoded, nil
+	}
 	b, err := wire.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode a peer message: %w", err)
@@ -113,7 +141,7 @@
 	n := 0
 	for _, set := range []bool{
 		m.Hello != nil, m.Digest != nil, m.Facts != nil, m.Announce != nil,
-		m.Pull != nil, m.Body != nil, m.Want != nil, m.Refused != nil,
+		m.Pull != nil, m.Body != nil, m.Want != nil, m.Refused != nil, m.Buckets != nil,
 	} {
 		if set {
 			n++
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -24,6 +24,10 @@
 		Ready:      n.holder.Current() != nil,
 		Links:      n.spread.Links(),
 		Members:    len(n.members.Index().Members),
+
+		Source:       string(n.provider.Source()),
+		Watcher:      n.watcher(),
+		StoreReached: n.storeReached(),
 	}
 }
 
--- a/internal/process/node/wire_spread.go
+++ b/internal/process/node/wire_spread.go
@@ -1,39 +1,77 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/daisytide/daisytide/internal/conn/link"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/provider"
 	"github.com/daisytide/daisytide/internal/process/spread"
 )
 
+// reachMethod asks a node whether it reaches another.
+const reachMethod = "reach"
+
 // wireSpread builds membership, links and the provider of configurations.
 func (n *Node) wireSpread() {
+	guard := platform.NewGuard(n.store, n.cfg.Store.Rate)
+	n.store = guard
+	n.storeReached = guard.Reached
 	n.self = member.NewSelf(member.Record{
 		Address:    n.peers.Addr().String(),
 		Region:     n.cfg.Node.Region,
 		DataCentre: n.cfg.Node.DataCentre,
 		Rack:       n.cfg.Node.Rack,
 	}, n.members, uint64(time.Now().UnixMilli()))
+	n.provider = &provider.Provider{
+		Store:   n.store,
+		Holder:  n.holder,
+		Ended:   func(string) bool { return false },
+		Watcher: n.watcher,
+	}
+	seeds := &provider.Seeds{
+		Store:    n.store,
+		Members:  n.members,
+		Self:     n.self.Record,
+		Settings: n.cfg.Peers.SeedList(),
+	}
 	n.spread = spread.NewManager(spread.Config{
 		Self:    n.self.Record,
 		Members: n.members,
 		Holder:  n.holder,
+		Configs: n.provider,
 		Dialer:  &link.Dialer{Key: n.cfg.Peers.Secret, TLS: n.tls.toPeers, Traffic: n.traffic},
 		Traffic: n.traffic,
-		Seeds:   n.cfg.Peers.SeedList,
+		Seeds:   seeds.List,
+		Reach:   n.askReach,
 	})
+	seeds.Links = n.spread.Links
+	n.provider.Settled = n.spread.Settled
 	n.spread.Register(member.Topic{Table: n.members})
 	n.self.Publisher = n.spread
-	n.provider = &provider.Provider{
-		Store:  n.store,
-		Holder: n.holder,
-		Ended:  func(string) bool { return false },
-	}
 	n.holder.OnSwap(n.spread.ConfigChanged)
 	n.peerMux.Handle(link.Path, n.spread)
+	n.peerMux.Handle(rpc.Prefix+reachMethod, rpc.Handle(n.reach))
 	n.addRunner(n.spread.Run)
 	n.addRunner(n.provider.Run)
+	n.addRunner(seeds.Run)
+}
+
+// watcher tells whether this node is among those of its data centre that
+// watch the store.
+func (n *Node) watcher() bool {
+	return provider.Rank(n.members.Index().Members, n.self.Record()) < provider.Watchers
+}
+
+func (n *Node) reach(_ context.Context, address string) (bool, error) {
+	return n.spread.Reach(address), nil
+}
+
+func (n *Node) askReach(ctx context.Context, helper, address string) (bool, error) {
+	var reached bool
+	err := n.rpc.Call(ctx, helper, reachMethod, address, &reached)
+	return reached, err
 }
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -1,26 +1,44 @@
-// Package provider brings configurations from the platform's store into force
-// and takes new documents to it.
+// Package provider brings configurations from the platform's store and the
+// peers into force and takes new documents to the store.
 package provider
 
 import (
 	"context"
-	"crypto/rand"
-	"errors"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
-	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
-	"github.com/daisytide/daisytide/internal/version/validate"
 )
 
 const logPrefix = "provider: "
 
-// retryEvery is the wait after a failed call to the store.
-const retryEvery = time.Second
+// Times of the provider.
+const (
+	// startSpread spreads the first reads of nodes that start together: a
+	// fleet of 1,000 stays within the 2,000 reads a second of the store.
+	startSpread = 500 * time.Millisecond
+	// startTimeout bounds one read of the store at the start.
+	startTimeout = 2 * time.Second
+	// lookEvery is how often rank and peers are looked at.
+	lookEvery = 250 * time.Millisecond
+	// failuresBeforePeers is the number of failed reads after which a node
+	// that starts goes by its peers.
+	failuresBeforePeers = 2
+)
+
+// Source says where a node's first configuration came from.
+type Source string
+
+// The sources of a first configuration.
+const (
+	SourceNone  Source = "none"
+	SourceStore Source = "store"
+	SourcePeers Source = "peers"
+)
 
 // Provider is the store's side of configurations.
 type Provider struct {
@@ -28,150 +46,193 @@
 	Holder *snapshot.Holder
 	// Ended tells whether the move of a service has ended.
 	Ended func(service string) bool
+	// Watcher tells whether this node watches the store for its data centre;
+	// nil means always.
+	Watcher func() bool
+	// Settled tells whether every peer in reach was heard of its
+	// configuration; nil means never.
+	Settled func() bool
+
+	// mu guards how the node began. Until the store was read, or every peer
+	// in reach was heard, configurations wait in pending: the node must not
+	// serve an older one than it can know of.
+	mu      sync.Mutex
+	source  Source
+	pending *snapshot.Snapshot
+	// revision is the store's revision of the configuration that was read.
+	revision uint64
 }
 
-// Run loads the configuration and then watches for new ones until ctx ends.
-func (p *Provider) Run(ctx context.Context) error {
-	var after uint64
-	for ctx.Err() == nil {
-		entries, revision, err := p.Store.Watch(ctx, platform.KeyConfig, after)
-		if err != nil {
-			klog.V(1).Infof(logPrefix+"%v", err)
-			sleep(ctx, retryEvery)
-			continue
-		}
-		for _, e := range entries {
-			p.take(e)
-		}
-		after = max(after, revision)
+// Source says where the first configuration came from.
+func (p *Provider) Source() Source {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.source == "" {
+		return SourceNone
 	}
-	return nil
+	return p.source
 }
 
-func (p *Provider) take(e platform.Entry) {
-	s, err := snapshot.Build(e.Value)
-	if err != nil {
-		klog.Errorf(logPrefix+"the store's configuration is not usable: %v", err)
+// Held implements spread.Configs.
+func (p *Provider) Held() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.pending.Number(), p.Holder.Current().Number())
+}
+
+// Take implements spread.Configs.
+func (p *Provider) Take(s *snapshot.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.offer(s)
+}
+
+// offer puts a snapshot in force when it is newer, or keeps it until the
+// start has ended; the caller holds mu.
+func (p *Provider) offer(s *snapshot.Snapshot) {
+	if p.source == "" {
+		if s.Number() > p.pending.Number() {
+			p.pending = s
+		}
 		return
 	}
-	p.Offer(s)
+	if p.Holder.Offer(s) {
+		klog.Infof(logPrefix+"%s is in force", s.Accepted.Describe())
+	}
 }
 
-// Offer puts a snapshot in force when it is newer.
-func (p *Provider) Offer(s *snapshot.Snapshot) {
-	if !p.Holder.Offer(s) {
+// begin ends the start: what waited comes into force. It does nothing later.
+func (p *Provider) begin(source Source) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.source != "" {
 		return
 	}
-	klog.Infof(logPrefix+"%s is in force", s.Accepted.Describe())
+	p.source = source
+	klog.Infof(logPrefix+"starts from the %s", source)
+	if p.pending != nil {
+		p.offer(p.pending)
+		p.pending = nil
+	}
 }
 
-// Validate checks a document's text, alone and against the one in force.
-func (p *Provider) Validate(text []byte) (*document.Document, *api.Error) {
-	var inForce *document.Document
-	if cur := p.Holder.Current(); cur != nil {
-		inForce = cur.Document
-	}
-	doc, faults := validate.Text(text, inForce, p.Ended)
-	if len(faults) > 0 {
-		return nil, validate.Refusal(faults)
+// Run starts the node's configuration and then watches the store, while this
+// node is to, until ctx ends.
+func (p *Provider) Run(ctx context.Context) error {
+	sleep(ctx, rand.N(startSpread))
+	p.start(ctx)
+	for ctx.Err() == nil {
+		if p.watches() {
+			p.watch(ctx)
+		}
+		sleep(ctx, lookEvery)
 	}
-	return doc, nil
+	return nil
 }
 
-// Apply takes a document to the store. base is the configuration number that
-// the operator started from; 0 means whichever is in force.
-func (p *Provider) Apply(ctx context.Context, text []byte, operator string, base uint64) api.ApplyResponse {
-	doc, bad := p.Validate(text)
-	if bad != nil {
-		return api.ApplyResponse{Outcome: api.ApplyRefused, Number: p.Holder.Current().Number(), Error: bad}
+// start reads the store. While it fails, the highest number among the peers
+// in reach ends the start too.
+func (p *Provider) start(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan struct{})
+	go func() {
+		defer cancel()
+		p.readFirst(ctx, failed)
+	}()
+	select {
+	case <-ctx.Done():
+		return
+	case <-failed:
 	}
-	entry, err := p.Store.Get(ctx, platform.KeyConfig)
-	if err != nil {
-		return p.failed(err)
+	for ctx.Err() == nil {
+		if p.Settled != nil && p.Settled() && p.Held() > 0 {
+			p.begin(SourcePeers)
+			return
+		}
+		sleep(ctx, lookEvery)
 	}
-	var prev *document.Accepted
-	var prevDoc *document.Document
-	if entry.Revision != 0 {
-		prev, prevDoc, err = document.DecodeAccepted(entry.Value)
-		if err != nil {
-			return p.failed(err)
+}
+
+// readFirst reads the store until it answers; it closes failed after a few
+// failures.
+func (p *Provider) readFirst(ctx context.Context, failed chan struct{}) {
+	for failures := 0; ctx.Err() == nil; {
+		if err := p.read(ctx); err == nil {
+			p.begin(SourceStore)
+			return
 		}
-		if base != 0 && prev.Number != base {
-			return conflict(prev)
+		failures++
+		if failures == failuresBeforePeers {
+			close(failed)
 		}
+		sleep(ctx, lookEvery)
 	}
-	next := document.Next(prev, prevDoc, text, doc, rand.Text(), operator, time.Now().UTC())
-	envelope, err := next.Envelope()
-	if err != nil {
-		return p.failed(err)
-	}
-	_, err = p.Store.CompareAndSwap(ctx, platform.KeyConfig, entry.Revision, envelope, "")
-	if err != nil {
-		return p.settle(ctx, err, next, envelope)
-	}
-	return p.accepted(next, envelope)
 }
 
-func (p *Provider) accepted(next *document.Accepted, envelope []byte) api.ApplyResponse {
-	s, err := snapshot.Build(envelope)
+// read takes the store's configuration; an absent one is an answer too.
+func (p *Provider) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	e, err := p.Store.Get(ctx, platform.KeyConfig)
 	if err != nil {
-		return p.failed(err)
+		klog.V(1).Infof(logPrefix+"%v", err)
+		return err
 	}
-	p.Offer(s)
-	return api.ApplyResponse{Outcome: api.ApplyAccepted, Number: next.Number}
+	p.takeEntry(e)
+	return nil
 }
 
-// settle finds the truth after a failed write.
-func (p *Provider) settle(ctx context.Context, err error, next *document.Accepted, envelope []byte) api.ApplyResponse {
-	if platform.OutcomeOf(err) != platform.OutcomeUnknown && platform.OutcomeOf(err) != platform.OutcomeConflict {
-		return p.failed(err)
-	}
-	entry, readErr := p.Store.Get(ctx, platform.KeyConfig)
-	if readErr != nil {
-		return p.failed(err)
-	}
-	now, _, decodeErr := document.DecodeAccepted(entry.Value)
-	if decodeErr != nil {
-		return p.failed(err)
+// takeEntry takes the store's value of the configuration key.
+func (p *Provider) takeEntry(e platform.Entry) {
+	if e.Revision == 0 || len(e.Value) == 0 {
+		return
 	}
-	if now.Session == next.Session {
-		return p.accepted(next, envelope)
+	s, err := snapshot.BuildFrom(p.Holder.Current(), e.Value)
+	if err != nil {
+		klog.Errorf(logPrefix+"the store's configuration is not usable: %v", err)
+		return
 	}
-	return conflict(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision = max(p.revision, e.Revision)
+	p.offer(s)
 }
 
-func conflict(winner *document.Accepted) api.ApplyResponse {
-	return api.ApplyResponse{
-		Outcome: api.ApplyConflict,
-		Number:  winner.Number,
-		Winner:  winner.Operator,
-		Error:   api.Errorf(api.OperatorConflict, "%s was accepted first", winner.Describe()),
-	}
-}
+func (p *Provider) watches() bool { return p.Watcher == nil || p.Watcher() }
 
-func (p *Provider) failed(err error) api.ApplyResponse {
-	r := api.ApplyResponse{Outcome: api.ApplyRefused, Number: p.Holder.Current().Number()}
-	code := api.StoreRefused
-	switch platform.OutcomeOf(err) {
-	case platform.OutcomeNotReached:
-		code = api.StoreNotReached
-	case platform.OutcomeLimited:
-		code = api.StoreLimit
-	case platform.OutcomeUnknown:
-		code = api.StoreUnknown
-		r.Outcome = api.ApplyUnknown
-	}
-	var numbered *api.Error
-	if !errors.As(err, &numbered) {
-		numbered = api.Errorf(code, "%w", err)
+// watch follows the configuration key until this node is not to any more.
+func (p *Provider) watch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil && p.watches() {
+			sleep(ctx, lookEvery)
+		}
+	}()
+	p.mu.Lock()
+	after := p.revision
+	p.mu.Unlock()
+	for ctx.Err() == nil {
+		entries, revision, err := p.Store.Watch(ctx, platform.KeyConfig, after)
+		if err != nil {
+			klog.V(1).Infof(logPrefix+"%v", err)
+			sleep(ctx, rand.N(lookEvery))
+			continue
+		}
+		for _, e := range entries {
+			p.takeEntry(e)
+		}
+		after = max(after, revision)
 	}
-	r.Error = numbered
-	return r
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(d):
+	case <-t.C:
 	}
 }
--- /dev/null
+++ b/internal/process/provider/seeds.go
@@ -0,0 +1,119 @@
+package provider
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/process/member"
+)
+
+// Times and sizes of the seeds key.
+const (
+	// seedsEvery is the mean time between two looks of a keeper at the key.
+	seedsEvery = time.Minute
+	// seedsPerCentre is the number of addresses kept of each data centre.
+	seedsPerCentre = 3
+	// seedsWait is how long a node that starts looks for peers by its
+	// settings before it reads the key.
+	seedsWait = 2 * time.Second
+	// seedsTimeout bounds one exchange with the store.
+	seedsTimeout = 5 * time.Second
+)
+
+// Seeds keeps the store's list of live peers for nodes that start, and reads
+// it when this one finds no peer.
+type Seeds struct {
+	Store   platform.Store
+	Members *member.Table
+	Self    func() member.Record
+	// Links returns the number of links that stand.
+	Links func() int
+	// Settings are the addresses that the node was told.
+	Settings []string
+
+	mu   sync.Mutex
+	read []string
+}
+
+// List returns the addresses to start from.
+func (s *Seeds) List() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(slices.Clone(s.Settings), s.read...)
+}
+
+// Run reads the key while the node has no link, and keeps it while the node
+// is the first of its data centre, until ctx ends.
+func (s *Seeds) Run(ctx context.Context) error {
+	sleep(ctx, seedsWait)
+	for ctx.Err() == nil {
+		switch {
+		case s.Links() == 0:
+			s.load(ctx)
+			sleep(ctx, seedsWait+rand.N(seedsWait))
+			continue
+		case Rank(s.Members.Index().Members, s.Self()) == 0:
+			s.keep(ctx)
+		}
+		sleep(ctx, seedsEvery/2+rand.N(seedsEvery))
+	}
+	return nil
+}
+
+func (s *Seeds) load(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, seedsTimeout)
+	defer cancel()
+	e, err := s.Store.Get(ctx, platform.KeySeeds)
+	if err != nil {
+		klog.V(1).Infof(logPrefix+"read the seeds: %v", err)
+		return
+	}
+	var list []string
+	if e.Revision == 0 || json.Unmarshal(e.Value, &list) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read = list
+}
+
+// keep writes the key when it does not name the peers that it should. One
+// that races with another keeper loses, which is as good: both hold the same
+// members, and the next look repairs the rest.
+func (s *Seeds) keep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, seedsTimeout)
+	defer cancel()
+	e, err := s.Store.Get(ctx, platform.KeySeeds)
+	if err != nil {
+		klog.V(1).Infof(logPrefix+"read the seeds: %v", err)
+		return
+	}
+	value, err := json.Marshal(SeedsOf(s.Members.Index().Members))
+	if err != nil || bytes.Equal(value, e.Value) {
+		return
+	}
+	if _, err := s.Store.CompareAndSwap(ctx, platform.KeySeeds, e.Revision, value, ""); err != nil {
+		klog.V(1).Infof(logPrefix+"write the seeds: %v", err)
+	}
+}
+
+// SeedsOf picks the first live members of each data centre, in address order.
+func SeedsOf(members []member.Record) []string {
+	var out []string
+	taken := map[string]int{}
+	for _, r := range members {
+		if r.State == member.Alive && taken[r.DataCentre] < seedsPerCentre {
+			taken[r.DataCentre]++
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
--- a/internal/process/spread/manager.go
+++ b/internal/process/spread/manager.go
@@ -2,59 +2,120 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"math/big"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
-	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/link"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
 
-// Periods and sizes of the thin spread.
+const logPrefix = "spread: "
+
+// Periods of the manager.
 const (
+	tickEvery   = 250 * time.Millisecond
 	digestEvery = time.Second
-	redialEvery = time.Second
-	dialTimeout = time.Second
-	wantLinks   = 4
-	sendQueue   = 256
+	// silenceLimit ends a link on which three digests are missing.
+	silenceLimit = 3500 * time.Millisecond
 )
 
-const logPrefix = "spread: "
+// Dialer opens links. link.Dialer implements it.
+type Dialer interface {
+	Dial(ctx context.Context, address string) (link.Conn, error)
+}
+
+// Configs takes the configurations that arrive and tells of those held.
+type Configs interface {
+	// Held is the highest number held, in force or not yet.
+	Held() uint64
+	// Take offers a configuration that a peer sent.
+	Take(s *snapshot.Snapshot)
+}
 
 // Config is what a Manager works with.
 type Config struct {
 	Self    func() member.Record
 	Members *member.Table
+	// Holder gives the configuration that peers are told of.
 	Holder  *snapshot.Holder
-	Dialer  *link.Dialer
+	Configs Configs
+	Dialer  Dialer
 	Traffic *link.Traffic
-	Seeds   func() []string
+	// Seeds lists addresses to start from.
+	Seeds func() []string
+	// Reach asks the node helper whether it reaches address.
+	Reach func(ctx context.Context, helper, address string) (bool, error)
+	// Seed makes the random choices repeatable; 0 draws one.
+	Seed uint64
 }
 
-// Manager keeps this node's links and carries facts over them.
+// Manager keeps this node's links and carries facts over them. Publish,
+// ConfigChanged, Accept and ServeHTTP may be called from any goroutine.
 type Manager struct {
-	cfg Config
+	cfg    Config
+	topics map[string]Topic
+	// ctx is the life of the links. It outlasts the context of Run, so that
+	// a node that stops still spreads that it leaves.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+	accepts *rate.Limiter
 
 	mu     sync.Mutex
-	topics map[string]Topic
+	rng    *rand.Rand
 	links  map[string]*peer
+	choice choice
+	// suspects are the members that this node found unreachable.
+	suspects map[string]suspicion
+	closing  bool
+	// bootstrapNext and lostNext are the next dials beyond the graph.
+	bootstrapNext time.Time
+	lostNext      time.Time
+	counters      Counters
+
+	bodies bodies
+	seen   seen
 }
 
-type peer struct {
-	address string
-	conn    link.Conn
-	out     chan *link.Message
+// Counters tells what a manager did since its start.
+type Counters struct {
+	// Accepted and Refused count the links that peers asked for.
+	Accepted uint64
+	Refused  uint64
+	// Overflows counts messages dropped because a link's queue was full.
+	Overflows uint64
+	// Bodies and Deltas count configurations sent whole and as deltas.
+	Bodies uint64
+	Deltas uint64
+	// Repairs counts facts sent because digests differed.
+	Repairs uint64
 }
 
 // NewManager returns a manager without links.
 func NewManager(cfg Config) *Manager {
-	return &Manager{cfg: cfg, topics: map[string]Topic{}, links: map[string]*peer{}}
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Manager{
+		cfg:      cfg,
+		topics:   map[string]Topic{},
+		ctx:      ctx,
+		cancel:   cancel,
+		accepts:  rate.NewLimiter(acceptRate, acceptBurst),
+		rng:      rand.New(rand.NewPCG(seed, seed)),
+		links:    map[string]*peer{},
+		choice:   newChoice(),
+		suspects: map[string]suspicion{},
+		bodies:   newBodies(),
+	}
 }
 
 // Register adds a topic; it must be called before Run.
@@ -67,260 +128,138 @@
 	return len(m.links)
 }
 
-// Publish implements Publisher.
-func (m *Manager) Publish(topic string, item []byte) {
-	m.broadcast(&link.Message{Facts: &link.Facts{Topic: topic, Items: [][]byte{item}}}, "")
-}
-
-// ConfigChanged announces the configuration in force over all links.
-func (m *Manager) ConfigChanged(s *snapshot.Snapshot) {
-	m.broadcast(&link.Message{Announce: &link.Announce{Number: s.Number(), Hash: s.Hash, Size: len(s.Envelope)}}, "")
-}
-
-func (m *Manager) broadcast(msg *link.Message, except string) {
+// Counters returns what the manager did so far.
+func (m *Manager) Counters() Counters {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for address, p := range m.links {
-		if address != except {
-			p.enqueue(msg)
-		}
-	}
+	return m.counters
 }
 
-// enqueue drops the message when the queue is full; the digest repairs it.
-func (p *peer) enqueue(msg *link.Message) {
-	select {
-	case p.out <- msg:
-	default:
-	}
-}
-
-// Run keeps links until ctx ends.
-func (m *Manager) Run(ctx context.Context) error {
-	for {
-		m.dialMissing(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(redialEvery):
-		}
-	}
-}
-
-func (m *Manager) dialMissing(ctx context.Context) {
-	candidates := m.candidates()
-	if len(candidates) == 0 || m.Links() >= wantLinks {
-		return
-	}
-	address := candidates[randomIndex(len(candidates))]
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := m.cfg.Dialer.Dial(dialCtx, address)
-	if err != nil {
-		klog.V(1).Infof(logPrefix+"no link to %s: %v", address, err)
-		return
-	}
-	go m.serve(ctx, conn)
-}
-
-func (m *Manager) candidates() []string {
+func (m *Manager) count(fn func(*Counters)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	set := map[string]bool{}
-	for _, a := range m.cfg.Seeds() {
-		set[a] = true
-	}
-	for _, r := range m.cfg.Members.Index().Members {
-		set[r.Address] = true
-	}
-	var out []string
-	for a := range set {
-		if a != m.cfg.Self().Address && m.links[a] == nil {
-			out = append(out, a)
-		}
-	}
-	return out
+	fn(&m.counters)
 }
 
-// ServeHTTP takes a link from a peer; the key was checked.
-func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn, err := link.Accept(w, r, m.cfg.Traffic)
-	if err != nil {
-		klog.Warningf(logPrefix+"%v", err)
-		return
-	}
-	m.serve(r.Context(), conn)
+// Publish implements Publisher.
+func (m *Manager) Publish(topic string, item []byte) {
+	m.broadcast(&link.Message{Facts: &link.Facts{Topic: topic, Items: [][]byte{item}}}, nil)
 }
 
-// serve runs one link until it breaks.
-func (m *Manager) serve(ctx context.Context, conn link.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer conn.Close()
-	if err := conn.Send(ctx, &link.Message{Hello: &link.Hello{Protocol: link.ProtocolVersion, Self: m.cfg.Self()}}); err != nil {
-		return
-	}
-	first, err := conn.Receive(ctx)
-	if err != nil || first.Hello == nil || first.Hello.Protocol != link.ProtocolVersion {
+// broadcast sends a message over all links that wanted picks; nil picks all.
+func (m *Manager) broadcast(msg *link.Message, wanted func(*peer) bool) {
+	if err := msg.Freeze(); err != nil {
+		klog.Errorf(logPrefix+"%v", err)
 		return
 	}
-	p := &peer{address: first.Hello.Self.Address, conn: conn, out: make(chan *link.Message, sendQueue)}
-	if !m.add(p) {
-		return
-	}
-	defer m.remove(p)
-	go m.write(ctx, cancel, p)
-	for {
-		msg, err := conn.Receive(ctx)
-		if err != nil {
-			return
-		}
-		if err := m.handle(p, msg); err != nil {
-			klog.Warningf(logPrefix+"message of %s: %v", p.address, err)
-			return
-		}
-	}
-}
-
-// CloseLinks ends every link after what is queued was sent.
-func (m *Manager) CloseLinks() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.links {
-		_ = p.conn.Close()
+		if wanted == nil || wanted(p) {
+			m.enqueue(p, msg)
+		}
 	}
 }
 
-func (m *Manager) add(p *peer) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.links[p.address] != nil {
-		return false
+// enqueue drops the message when the queue is full; the digest repairs it.
+// The caller holds mu.
+func (m *Manager) enqueue(p *peer, msg *link.Message) {
+	select {
+	case p.out <- outgoing{msg: msg}:
+	default:
+		m.counters.Overflows++
 	}
-	m.links[p.address] = p
-	return true
 }
 
-func (m *Manager) remove(p *peer) {
+// send queues a message for one peer.
+func (m *Manager) send(p *peer, msg *link.Message) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.links[p.address] == p {
-		delete(m.links, p.address)
-	}
+	m.enqueue(p, msg)
 }
 
-func (m *Manager) write(ctx context.Context, cancel context.CancelFunc, p *peer) {
-	defer cancel()
-	ticker := time.NewTicker(digestEvery)
+// Run keeps the links. It ends when CloseLinks is called, not with ctx: a
+// node that stops goes on with its heartbeats while its requests end.
+func (m *Manager) Run(context.Context) error {
+	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	next := &link.Message{Digest: m.digest()}
+	nextDigest := time.Now().Add(m.jitter(digestEvery))
 	for {
-		if err := p.conn.Send(ctx, next); err != nil {
-			return
-		}
 		select {
-		case <-ctx.Done():
-			return
-		case next = <-p.out:
+		case <-m.ctx.Done():
+			m.workers.Wait()
+			return nil
 		case <-ticker.C:
-			next = &link.Message{Digest: m.digest()}
+		}
+		now := time.Now()
+		m.step(now)
+		if !now.Before(nextDigest) {
+			nextDigest = now.Add(digestEvery)
+			m.cfg.Members.Expire(now)
+			m.broadcast(m.digest(), nil)
 		}
 	}
 }
 
-func (m *Manager) digest() *link.Digest {
-	d := &link.Digest{Topics: map[string]uint64{}}
-	if s := m.cfg.Holder.Current(); s != nil {
-		d.Number, d.Hash = s.Number(), s.Hash
-	}
-	for name, t := range m.topics {
-		d.Topics[name] = t.Sum()
-	}
-	return d
+// step does what is due: links to open and close, members to declare gone,
+// configurations to pull from another peer.
+func (m *Manager) step(now time.Time) {
+	m.closeSilent(now)
+	m.dialDue(now)
+	m.closeUnwanted(now)
+	m.settleSuspects(now)
+	m.pullNext(now)
 }
 
-func (m *Manager) handle(p *peer, msg *link.Message) error {
-	switch {
-	case msg.Digest != nil:
-		m.handleDigest(p, msg.Digest)
-	case msg.Facts != nil:
-		return m.handleFacts(p, msg.Facts)
-	case msg.Announce != nil:
-		m.pullIfNewer(p, msg.Announce.Number)
-	case msg.Pull != nil:
-		m.handlePull(p)
-	case msg.Body != nil:
-		return m.handleBody(msg.Body)
-	case msg.Want != nil:
-		m.handleWant(p, msg.Want)
+// CloseLinks sends what is queued, ends every link and then Run.
+func (m *Manager) CloseLinks() {
+	m.mu.Lock()
+	m.closing = true
+	links := make([]*peer, 0, len(m.links))
+	for _, p := range m.links {
+		links = append(links, p)
 	}
-	return nil
-}
-
-func (m *Manager) handleDigest(p *peer, d *link.Digest) {
-	m.pullIfNewer(p, d.Number)
-	for name, sum := range d.Topics {
-		if t := m.topics[name]; t != nil && t.Sum() != sum {
-			p.enqueue(&link.Message{Want: &link.Want{Topic: name}})
-		}
+	m.mu.Unlock()
+	flushLinks(links)
+	m.cancel()
+	for _, p := range links {
+		_ = p.conn.Close()
 	}
 }
 
-func (m *Manager) pullIfNewer(p *peer, number uint64) {
-	if number > m.cfg.Holder.Current().Number() {
-		p.enqueue(&link.Message{Pull: &link.Pull{Number: number}})
+// Abort ends every link at once and then Run, as a crash does.
+func (m *Manager) Abort() {
+	m.cancel()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closing = true
+	for _, p := range m.links {
+		_ = p.conn.Close()
 	}
 }
 
-func (m *Manager) handlePull(p *peer) {
-	if s := m.cfg.Holder.Current(); s != nil {
-		p.enqueue(&link.Message{Body: &link.Body{Number: s.Number(), Hash: s.Hash, Whole: s.Envelope}})
-	}
+// spawn runs fn as long as the links live; it must watch m.ctx.
+func (m *Manager) spawn(fn func()) {
+	m.workers.Go(fn)
 }
 
-func (m *Manager) handleBody(b *link.Body) error {
-	s, err := snapshot.Build(b.Whole)
+// ServeHTTP takes a link from a peer; the key was checked.
+func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := link.Accept(w, r, m.cfg.Traffic)
 	if err != nil {
-		return err
-	}
-	if s.Hash != b.Hash {
-		return api.Errorf(api.PeerHash, "configuration %d", b.Number)
-	}
-	m.cfg.Holder.Offer(s)
-	return nil
-}
-
-func (m *Manager) handleWant(p *peer, w *link.Want) {
-	if t := m.topics[w.Topic]; t != nil {
-		p.enqueue(&link.Message{Facts: &link.Facts{Topic: w.Topic, Items: t.Items()}})
+		klog.Warningf(logPrefix+"%v", err)
+		return
 	}
+	m.Accept(conn)
 }
 
-func (m *Manager) handleFacts(p *peer, f *link.Facts) error {
-	t := m.topics[f.Topic]
-	if t == nil {
-		return nil
-	}
-	var news [][]byte
-	for _, item := range f.Items {
-		changed, err := t.Merge(item)
-		if err != nil {
-			return err
-		}
-		if changed {
-			news = append(news, item)
-		}
-	}
-	if len(news) > 0 {
-		m.broadcast(&link.Message{Facts: &link.Facts{Topic: f.Topic, Items: news}}, p.address)
-	}
-	return nil
+// jitter draws a span below d.
+func (m *Manager) jitter(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.jitterLocked(d)
 }
 
-func randomIndex(n int) int {
-	v, err := rand.Int(rand.Reader, big.NewInt(int64(n)))
-	if err != nil {
-		return 0
-	}
-	return int(v.Int64())
+func (m *Manager) jitterLocked(d time.Duration) time.Duration {
+	return time.Duration(m.rng.Int64N(int64(d) + 1))
 }
--- /dev/null
+++ b/internal/process/spread/neighbours.go
@@ -0,0 +1,128 @@
+package spread
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisytide/daisytide/internal/process/member"
+)
+
+// The graph is three rings. Each node computes it from the members alone, so
+// that both ends of a link agree on it, and a ring gives each node at most two
+// links:
+//
+//   - the fleet ring runs through all nodes in the order of a hash. It alone
+//     connects every member, whichever they are, and mixes data centres and
+//     regions.
+//   - the data centre ring does the same within each data centre, in another
+//     order.
+//   - the rack ring joins each node with one of another rack of its data
+//     centre; without racks it is a second data centre ring.
+//
+// A node that comes or goes changes the links of its ring neighbours only.
+const (
+	fleetSalt = "fleet/"
+	dcSalt    = "data-centre/"
+	rackSalt  = "rack/"
+)
+
+// Bounds of a node's links.
+const (
+	// MaxWanted is the most links that the graph gives a node: four in its
+	// data centre and two in the fleet.
+	MaxWanted = 6
+	// rackWindow is how far along the rack ring another rack is looked for.
+	rackWindow = 16
+)
+
+// place is a member's position on one ring.
+type place struct {
+	hash uint64
+	node *member.Record
+}
+
+// Graph gives the neighbours of every member that is not Leaving or Gone. It
+// is a pure function of the set of members.
+type Graph map[string][]string
+
+// NewGraph computes the graph.
+func NewGraph(members []member.Record) Graph {
+	g := make(Graph, len(members))
+	centres := map[string][]*member.Record{}
+	var all []*member.Record
+	for i := range members {
+		r := &members[i]
+		if r.State > member.Suspect {
+			continue
+		}
+		g[r.Address] = nil
+		all = append(all, r)
+		centres[r.DataCentre] = append(centres[r.DataCentre], r)
+	}
+	g.addRing(ring(all, fleetSalt))
+	for _, c := range centres {
+		g.addRing(ring(c, dcSalt))
+		g.addRacks(ring(c, rackSalt))
+	}
+	return g
+}
+
+// ring orders nodes by a salted hash of their address.
+func ring(nodes []*member.Record, salt string) []place {
+	out := make([]place, len(nodes))
+	for i, n := range nodes {
+		out[i] = place{hash: xxhash.Sum64String(salt + n.Address), node: n}
+	}
+	slices.SortFunc(out, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.node.Address, b.node.Address))
+	})
+	return out
+}
+
+// addRing joins each node of a ring with the next.
+func (g Graph) addRing(r []place) {
+	for i := range r {
+		g.join(r[i].node, r[(i+1)%len(r)].node)
+	}
+}
+
+// addRacks joins each node with the next of another rack that no node before
+// it took, else with the next that is free.
+func (g Graph) addRacks(r []place) {
+	taken := make([]bool, len(r))
+	for i := range r {
+		j := nextOfOtherRack(r, i, taken)
+		if j < 0 {
+			continue
+		}
+		taken[j] = true
+		g.join(r[i].node, r[j].node)
+	}
+}
+
+func nextOfOtherRack(r []place, i int, taken []bool) int {
+	free := -1
+	for step := 1; step <= min(rackWindow, len(r)-1); step++ {
+		j := (i + step) % len(r)
+		if taken[j] {
+			continue
+		}
+		if r[j].node.Rack != r[i].node.Rack {
+			return j
+		}
+		if free < 0 {
+			free = j
+		}
+	}
+	return free
+}
+
+func (g Graph) join(a, b *member.Record) {
+	if a.Address == b.Address || slices.Contains(g[a.Address], b.Address) {
+		return
+	}
+	g[a.Address] = append(g[a.Address], b.Address)
+	g[b.Address] = append(g[b.Address], a.Address)
+}
--- /dev/null
+++ b/internal/process/spread/neighbours_test.go
@@ -0,0 +1,198 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/daisytide/daisytide/internal/process/member"
+)
+
+// Sizes of the fleet that the product is designed for.
+const (
+	fleetNodes   = 1000
+	fleetCentres = 9
+	fleetRegions = 3
+	fleetRacks   = 4
+	graphSeeds   = 40
+)
+
+func fleet(seed uint64, n int) []member.Record {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	out := make([]member.Record, n)
+	for i := range out {
+		dc := i % fleetCentres
+		out[i] = member.Record{
+			Address:    fmt.Sprintf("10.%d.%d.%d:7946", rng.IntN(250), i/250, i%250),
+			Region:     fmt.Sprint("region-", dc%fleetRegions),
+			DataCentre: fmt.Sprint("dc-", dc),
+			Rack:       fmt.Sprint("rack-", rng.IntN(fleetRacks)),
+			State:      member.Alive,
+		}
+	}
+	return out
+}
+
+// largest returns the size of the largest part of the graph among the nodes
+// that remain, over the edges that hold.
+func largest(g Graph, remain map[string]bool, holds func(a, b string) bool) int {
+	seen := map[string]bool{}
+	best := 0
+	for start := range remain {
+		if seen[start] {
+			continue
+		}
+		seen[start] = true
+		queue := []string{start}
+		for i := 0; i < len(queue); i++ {
+			for _, next := range g[queue[i]] {
+				if remain[next] && !seen[next] && holds(queue[i], next) {
+					seen[next] = true
+					queue = append(queue, next)
+				}
+			}
+		}
+		best = max(best, len(queue))
+	}
+	return best
+}
+
+func always(string, string) bool { return true }
+
+func keep(members []member.Record, stays func(i int, r member.Record) bool) (map[string]bool, []member.Record) {
+	set := map[string]bool{}
+	var out []member.Record
+	for i, r := range members {
+		if stays(i, r) {
+			set[r.Address] = true
+			out = append(out, r)
+		}
+	}
+	return set, out
+}
+
+func TestGraphBoundsTheLinksOfBothEnds(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 5, 27, 200, fleetNodes} {
+		for address, links := range NewGraph(fleet(1, n)) {
+			if len(links) > MaxWanted {
+				t.Errorf("%d nodes: %s has %d links", n, address, len(links))
+			}
+		}
+	}
+}
+
+func TestGraphConnectsAnyMembers(t *testing.T) {
+	for n := 1; n < 60; n++ {
+		members := fleet(uint64(n), n)
+		remain, _ := keep(members, func(int, member.Record) bool { return true })
+		if got := largest(NewGraph(members), remain, always); got != n {
+			t.Errorf("%d nodes: the largest part has %d", n, got)
+		}
+	}
+}
+
+// A node keeps no link with the probability 0.3^6, so of 700 survivors at
+// most a handful stand alone until they choose anew; 99% must hold together
+// at once, and all of them after the choice.
+func TestGraphHoldsWithAThirdOfTheNodesGone(t *testing.T) {
+	for seed := range uint64(graphSeeds) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		members := fleet(seed, fleetNodes)
+		remain, left := keep(members, func(int, member.Record) bool { return rng.Float64() >= 0.3 })
+		if got := largest(NewGraph(members), remain, always); got < len(remain)*99/100 {
+			t.Errorf("seed %d: %d of %d hold together at once", seed, got, len(remain))
+		}
+		if got := largest(NewGraph(left), remain, always); got != len(remain) {
+			t.Errorf("seed %d: %d of %d hold together after the choice", seed, got, len(remain))
+		}
+	}
+}
+
+// Each survivor knows only of the dead among those it tried to reach. It
+// chooses again without them until it finds no more; the links that both or
+// one of the ends want must connect all.
+func TestGraphHealsByLocalKnowledge(t *testing.T) {
+	for seed := range uint64(3) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		members := fleet(seed, 200)
+		remain, left := keep(members, func(int, member.Record) bool { return rng.Float64() >= 0.3 })
+		healed := Graph{}
+		for _, self := range left {
+			for _, a := range chooseAround(members, self.Address, remain) {
+				healed[self.Address] = append(healed[self.Address], a)
+				healed[a] = append(healed[a], self.Address)
+			}
+		}
+		if got := largest(healed, remain, always); got != len(remain) {
+			t.Errorf("seed %d: %d of %d hold together", seed, got, len(remain))
+		}
+	}
+}
+
+func chooseAround(members []member.Record, self string, remain map[string]bool) []string {
+	dead := map[string]bool{}
+	for {
+		_, view := keep(members, func(_ int, r member.Record) bool { return !dead[r.Address] })
+		links := NewGraph(view)[self]
+		found := false
+		for _, a := range links {
+			if !remain[a] {
+				dead[a] = true
+				found = true
+			}
+		}
+		if !found {
+			return links
+		}
+	}
+}
+
+func TestGraphHoldsWithADataCentreGone(t *testing.T) {
+	for seed := range uint64(graphSeeds) {
+		members := fleet(seed, fleetNodes)
+		gone := fmt.Sprint("dc-", seed%fleetCentres)
+		remain, _ := keep(members, func(_ int, r member.Record) bool { return r.DataCentre != gone })
+		if got := largest(NewGraph(members), remain, always); got != len(remain) {
+			t.Errorf("seed %d: %d of %d hold together", seed, got, len(remain))
+		}
+	}
+}
+
+func TestGraphHoldsWithARegionLinkCut(t *testing.T) {
+	for seed := range uint64(graphSeeds) {
+		members := fleet(seed, fleetNodes)
+		region := map[string]string{}
+		for _, r := range members {
+			region[r.Address] = r.Region
+		}
+		remain, _ := keep(members, func(int, member.Record) bool { return true })
+		holds := func(a, b string) bool {
+			return region[a] == region[b] || region[a] == "region-2" || region[b] == "region-2"
+		}
+		if got := largest(NewGraph(members), remain, holds); got != len(remain) {
+			t.Errorf("seed %d: %d of %d hold together", seed, got, len(remain))
+		}
+	}
+}
+
+func TestGraphChangesFewLinksWithOneMember(t *testing.T) {
+	members := fleet(1, fleetNodes)
+	before, after := NewGraph(members), NewGraph(members[1:])
+	changed := 0
+	for address, links := range after {
+		old := map[string]bool{}
+		for _, a := range before[address] {
+			old[a] = true
+		}
+		for _, a := range links {
+			if !old[a] {
+				changed++
+			}
+		}
+	}
+	// Closing three rings around one node makes three new links, seen from
+	// both ends; the rack ring may shift within its window.
+	if limit := 2 * (2 + 2*rackWindow); changed > limit {
+		t.Errorf("%d ends of links changed, want at most %d", changed, limit)
+	}
+}
--- /dev/null
+++ b/internal/process/spread/repair.go
@@ -0,0 +1,177 @@
+package spread
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/conn/link"
+)
+
+// differsLimit is the number of digests in a row that must differ before a
+// repair: one that differs once crossed a fact on its way.
+const differsLimit = 2
+
+// factsBytes bounds the items of one message of facts.
+const factsBytes = 64 << 10
+
+// seenLimit bounds each of the two generations of facts seen lately.
+const seenLimit = 4096
+
+// seen remembers the facts that came lately, so that the copies of a flood
+// are dropped without decoding. It keeps two generations; the older one goes
+// when the younger is full.
+type seen struct {
+	mu         sync.Mutex
+	young, old map[uint64]struct{}
+}
+
+// first tells whether item was not seen lately, and remembers it.
+func (s *seen) first(item []byte) bool {
+	h := xxhash.Sum64(item)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.young[h]; ok {
+		return false
+	}
+	_, ok := s.old[h]
+	if s.young == nil || len(s.young) >= seenLimit {
+		s.young, s.old = map[uint64]struct{}{}, s.young
+	}
+	s.young[h] = struct{}{}
+	return !ok
+}
+
+func (m *Manager) digest() *link.Message {
+	d := &link.Digest{Topics: make(map[string]uint64, len(m.topics))}
+	d.Number = m.cfg.Holder.Current().Number()
+	for name, t := range m.topics {
+		d.Topics[name] = t.Sum()
+	}
+	return &link.Message{Digest: d}
+}
+
+func (m *Manager) handleDigest(p *peer, d *link.Digest) {
+	first := !p.greeted.Load()
+	m.heardOf(p, d.Number)
+	for name, sum := range d.Topics {
+		t := m.topics[name]
+		if t == nil {
+			continue
+		}
+		if t.Sum() == sum {
+			p.differs[name] = 0
+			continue
+		}
+		p.differs[name]++
+		if first || p.differs[name] >= differsLimit {
+			p.differs[name] = 0
+			m.repair(p, t)
+		}
+	}
+	p.greeted.Store(true)
+}
+
+// repair begins the exchange of what differs. For a topic in buckets the
+// lower address begins, so that the two ends don't do it twice.
+func (m *Manager) repair(p *peer, t Topic) {
+	b, ok := t.(Bucketed)
+	if !ok {
+		m.send(p, &link.Message{Want: &link.Want{Topic: t.Name()}})
+		return
+	}
+	if m.cfg.Self().Address < p.address {
+		m.send(p, &link.Message{Buckets: &link.Buckets{Topic: t.Name(), Sums: b.Buckets()}})
+	}
+}
+
+// handleBuckets sends the facts of the buckets that differ and asks for the
+// peer's.
+func (m *Manager) handleBuckets(p *peer, in *link.Buckets) {
+	t, ok := m.topics[in.Topic].(Bucketed)
+	if !ok {
+		return
+	}
+	var differ []int
+	for i, sum := range t.Buckets() {
+		if i >= len(in.Sums) || in.Sums[i] != sum {
+			differ = append(differ, i)
+		}
+	}
+	if len(differ) == 0 {
+		return
+	}
+	m.send(p, &link.Message{Want: &link.Want{Topic: in.Topic, Buckets: differ}})
+	m.sendRepair(p, in.Topic, t.BucketItems(differ))
+}
+
+func (m *Manager) handleWant(p *peer, w *link.Want) {
+	t := m.topics[w.Topic]
+	if t == nil {
+		return
+	}
+	if b, ok := t.(Bucketed); ok {
+		m.sendRepair(p, w.Topic, b.BucketItems(w.Buckets))
+		return
+	}
+	m.sendRepair(p, w.Topic, t.Items())
+}
+
+// sendRepair sends facts in messages of bounded size.
+func (m *Manager) sendRepair(p *peer, topic string, items [][]byte) {
+	m.count(func(c *Counters) { c.Repairs += uint64(len(items)) })
+	for len(items) > 0 {
+		n, size := 0, 0
+		for n < len(items) && (n == 0 || size+len(items[n]) <= factsBytes) {
+			size += len(items[n])
+			n++
+		}
+		m.send(p, &link.Message{Facts: &link.Facts{Topic: topic, Items: items[:n], Repair: true}})
+		items = items[n:]
+	}
+}
+
+// handleFacts merges what came and passes on what is new.
+func (m *Manager) handleFacts(p *peer, f *link.Facts) error {
+	t := m.topics[f.Topic]
+	if t == nil {
+		return nil
+	}
+	bucketed, _ := t.(Bucketed)
+	var news, newer [][]byte
+	for _, item := range f.Items {
+		if !m.seen.first(item) && !f.Repair {
+			continue
+		}
+		changed, err := t.Merge(item)
+		if err != nil {
+			return err
+		}
+		if changed {
+			news = append(news, item)
+			continue
+		}
+		if bucketed == nil {
+			continue
+		}
+		if n := bucketed.Newer(item); n != nil {
+			newer = append(newer, n)
+		}
+	}
+	m.sendRepair(p, f.Topic, newer)
+	m.passOn(p, f.Topic, news)
+	return nil
+}
+
+// passOn floods what is new over all links but the one that it came by.
+func (m *Manager) passOn(from *peer, topic string, items [][]byte) {
+	if len(items) == 0 {
+		return
+	}
+	klog.V(3).Infof(logPrefix+"%d new facts of %s by %s", len(items), topic, from.address)
+	m.broadcast(
+		&link.Message{Facts: &link.Facts{Topic: topic, Items: items}},
+		func(p *peer) bool { return p != from },
+	)
+}
