--- a/internal/conn/dial/transport.go
+++ b/internal/conn/dial/transport.go
@@ -11,7 +11,11 @@
 
 // Timeouts and sizes of the transports.
 const (
-	connectTimeout   = 500 * time.Millisecond
+	connectTimeout = 500 * time.Millisecond
+	// continueTimeout bounds the wait of a streamed body for its admission.
+	// The request's own deadline ends it earlier; a body must never be sent
+	// unasked, since a refused one is offered to another gate.
+	continueTimeout  = 10 * time.Minute
 	idleTimeout      = 90 * time.Second
 	pingAfter        = 5 * time.Second
 	pingTimeout      = 2 * time.Second
@@ -36,7 +40,7 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		ExpectContinueTimeout:  time.Second,
+		ExpectContinueTimeout:  continueTimeout,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:               pingAfter,
 			PingTimeout:                   pingTimeout,
@@ -47,10 +51,10 @@
 }
 
 // Upstream returns the transport to the local upstream: HTTP/1.1 with at most
-// connections connections, all reused.
+// connections connections, all reused, each of them a CountedConn.
 func Upstream(connections int) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:            dialCounted((&net.Dialer{Timeout: connectTimeout}).DialContext),
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -4,11 +4,11 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"expvar"
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -62,6 +62,9 @@
 
 	runners []func(context.Context) error
 	peerMux *http.ServeMux
+	// atGate takes calls from entries. It stands outside peerMux, which would
+	// redirect paths that it finds unclean.
+	atGate http.Handler
 	// gateMiddlewares see each call at the gate before it is admitted.
 	gateMiddlewares []call.Middleware
 
@@ -162,49 +165,20 @@
 	for i, l := range []net.Listener{n.callers, n.peers, n.operators} {
 		g.Go(func() error { return serve(servers[i], l) })
 	}
+	// The runners outlive ctx: the stop is spread over their links.
+	running, stopRunners := context.WithCancel(context.WithoutCancel(ctx))
 	for _, run := range n.runners {
-		g.Go(func() error { return run(ctx) })
+		g.Go(func() error { return run(running) })
 	}
 	g.Go(func() error {
 		<-ctx.Done()
-		n.stop(servers)
+		n.stop(servers, stopRunners)
 		return nil
 	})
 	klog.Infof(logPrefix+"callers on %s, peers on %s, operators on %s", n.CallersAddress(), n.PeersAddress(), n.OperatorsAddress())
 	return g.Wait()
 }
 
-func serve(s *http.Server, l net.Listener) error {
-	run := s.Serve
-	if s.TLSConfig != nil {
-		run = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
-	}
-	if err := run(l); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", l.Addr(), err)
-	}
-	return nil
-}
-
-// stop spreads that the node leaves, lets requests end and closes listeners.
-func (n *Node) stop(servers []*http.Server) {
-	klog.Info(logPrefix + "stopping")
-	n.self.SetState(member.Leaving)
-	grace, cancel := context.WithTimeout(context.Background(), n.cfg.Upstream.StopGrace)
-	defer cancel()
-	select {
-	case <-n.gate.Leave():
-	case <-grace.Done():
-		klog.Warningf(logPrefix+"%d requests in progress at the end of the grace", n.gate.Running())
-	}
-	n.spread.CloseLinks()
-	for _, s := range servers {
-		if err := s.Shutdown(grace); err != nil {
-			_ = s.Close()
-		}
-	}
-	klog.Info(logPrefix + "stopped")
-}
-
 func (n *Node) server(h http.Handler, config *tls.Config) *http.Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
@@ -228,6 +202,10 @@
 			call.WriteRefusal(w, call.Result{Code: api.PeerKey, Ran: api.RanNo})
 			return
 		}
+		if strings.HasPrefix(r.URL.Path, callPrefix+"/") {
+			n.atGate.ServeHTTP(w, r)
+			return
+		}
 		n.peerMux.ServeHTTP(w, r)
 	})
 }
--- /dev/null
+++ b/internal/process/node/stop.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/process/member"
+)
+
+// Times of a stop.
+const (
+	// stopQuiet is how long no call may have arrived before connections are
+	// closed: a connection without a request in progress may have one on the way.
+	stopQuiet = 500 * time.Millisecond
+	// stopPoll is how often a stopping node looks whether it is idle.
+	stopPoll = 10 * time.Millisecond
+)
+
+// serve runs one listener until its server or the listener is closed.
+func serve(s *http.Server, l net.Listener) error {
+	run := s.Serve
+	if s.TLSConfig != nil {
+		run = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
+	}
+	err := run(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", l.Addr(), err)
+}
+
+// stop ends the node without cutting a request, in this order. New callers
+// are kept out and the ones connected are asked to reconnect elsewhere. The
+// other nodes are told to send no more, and what still comes is refused as
+// not run. Requests in progress end, those that this node's entry has sent to
+// other gates among them. When nothing has arrived for stopQuiet, the
+// connections are closed.
+func (n *Node) stop(servers []*http.Server, stopRunners func()) {
+	klog.Info(logPrefix + "stopping")
+	grace, cancel := context.WithTimeout(context.Background(), n.cfg.Upstream.StopGrace)
+	defer cancel()
+	defer stopRunners()
+	n.entry.Leave()
+	_ = n.callers.Close()
+	n.self.SetState(member.Leaving)
+	idle := n.gate.Leave()
+	if !n.awaitIdle(grace, idle) {
+		klog.Warningf(logPrefix+"%d requests at the gate and %d at the entry at the end of the grace",
+			n.gate.Running(), n.entry.Counts().Running.Load())
+	}
+	n.spread.CloseLinks()
+	for _, s := range servers {
+		if err := s.Shutdown(grace); err != nil {
+			_ = s.Close()
+		}
+	}
+	klog.Info(logPrefix + "stopped")
+}
+
+// awaitIdle waits until gate and entry have nothing in progress and have been
+// quiet; false when ctx ended first.
+func (n *Node) awaitIdle(ctx context.Context, gateIdle <-chan struct{}) bool {
+	select {
+	case <-gateIdle:
+	case <-ctx.Done():
+		return false
+	}
+	began := time.Now()
+	for !n.quiet(time.Now(), began) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(stopPoll):
+		}
+	}
+	return true
+}
+
+// quiet tells that no call is in progress and none has arrived for stopQuiet.
+func (n *Node) quiet(now, began time.Time) bool {
+	if n.entry.Counts().Running.Load() > 0 || now.Sub(began) < stopQuiet {
+		return false
+	}
+	return now.Sub(n.gate.LastCall()) >= stopQuiet && now.Sub(n.entry.LastCall()) >= stopQuiet
+}
--- a/internal/process/node/wire_calls.go
+++ b/internal/process/node/wire_calls.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"expvar"
 	"net/http"
 
 	"github.com/daisytide/daisytide/internal/conn/dial"
@@ -8,28 +9,59 @@
 	"github.com/daisytide/daisytide/internal/request/entry"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/pick"
+	"github.com/daisytide/daisytide/internal/request/retry"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
 
 // callPrefix is where the peer listener takes calls.
 const callPrefix = "/daisytide/call"
 
-// upstreamConnections bounds connections to the local upstream until it
-// announces its own limit.
-const upstreamConnections = 100
-
 // wireCalls builds the entry and the gate.
 func (n *Node) wireCalls(peers http.RoundTripper) {
-	n.gate = &gate.Gate{Transport: dial.Upstream(upstreamConnections)}
-	n.entry = &entry.Entry{
-		Holder:    n.holder,
-		Members:   n.members,
-		Versions:  n.versions,
-		Picker:    &pick.Picker{DataCentre: n.cfg.Node.DataCentre},
-		Transport: peers,
-		Scheme:    n.tls.peerScheme(),
-		PeerKey:   n.cfg.Peers.Secret,
-		GatePath:  callPrefix,
-	}
+	n.entry = &entry.Entry{}
+	n.gate = gate.New(gate.Config{
+		Dial:     func(connections int) http.RoundTripper { return dial.Upstream(connections) },
+		Limits:   n.limits,
+		Refusals: n.entry.Counts().Refusals.Load,
+	})
+	n.holder.OnSwap(func(*snapshot.Snapshot) { n.gate.ApplyConfig() })
 	atGate := call.Chain(n.gate.Handle, n.gateMiddlewares...)
-	n.peerMux.Handle(callPrefix+"/", http.StripPrefix(callPrefix, n.gate.ServeHTTP(atGate)))
+	n.entry.Holder = n.holder
+	n.entry.Members = n.members
+	n.entry.Versions = n.versions
+	n.entry.Picker = &pick.Picker{Self: n.PeersAddress(), DataCentre: n.cfg.Node.DataCentre, Region: n.cfg.Node.Region}
+	n.entry.Budget = retry.NewBudget()
+	n.entry.Local = entry.Local{Address: n.PeersAddress(), Handle: atGate, Load: n.gate.Load}
+	n.entry.Transport = peers
+	n.entry.Scheme = n.tls.peerScheme()
+	n.entry.PeerKey = n.cfg.Peers.Secret
+	n.entry.GatePath = callPrefix
+	n.atGate = http.StripPrefix(callPrefix, n.gate.ServeHTTP(atGate))
+	n.callMetrics()
+}
+
+// limits returns what the configuration in force says of a service.
+func (n *Node) limits(service string) document.Limits {
+	snap := n.holder.Current()
+	if snap == nil || snap.Service(service) == nil {
+		return document.Limits{}
+	}
+	return snap.Service(service).Limits
+}
+
+// callMetrics publishes the counters of entry and gate.
+func (n *Node) callMetrics() {
+	c := n.entry.Counts()
+	for name, read := range map[string]func() any{
+		"entry_running":  func() any { return c.Running.Load() },
+		"entry_calls":    func() any { return c.Calls.Load() },
+		"entry_failed":   func() any { return c.Failed.Load() },
+		"entry_retries":  func() any { return c.Retries.Load() },
+		"entry_budget":   func() any { return c.Budget.Load() },
+		"entry_refusals": func() any { return c.Refusals.Load() },
+		"gate_load":      func() any { return n.gate.Load().String() },
+	} {
+		n.metrics.Set(name, expvar.Func(read))
+	}
 }
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -50,8 +50,17 @@
 	HeaderRun = "Daisytide-Run"
 	// HeaderLoad carries the gate's load back to the entry.
 	HeaderLoad = "Daisytide-Load"
+	// HeaderDeeper is "1" on answers that a failure further down has shaped;
+	// the hop that sees it does not try again.
+	HeaderDeeper = "Daisytide-Deeper"
 )
 
+// internalHeaders are set by nodes only; what a caller sends in them is dropped.
+var internalHeaders = []string{
+	HeaderService, HeaderRoute, HeaderVersion, HeaderConfig, HeaderCaller,
+	HeaderIdempotent, HeaderFence, HeaderPeerKey,
+}
+
 // Limits of what callers may send.
 const (
 	MaxKeyBytes    = 128
@@ -80,6 +89,8 @@
 	Fence string
 	// BodyLimit caps the request body in bytes.
 	BodyLimit int64
+	// Remote tells that the call came from the entry of another node.
+	Remote bool
 }
 
 // TimeLeft returns what is left of the call's time at now.
@@ -96,6 +107,9 @@
 	// Sent tells that the answer's header has gone to the caller, so nothing
 	// else can be answered.
 	Sent bool
+	// Deeper tells that a failure further down shaped the result, so that this
+	// hop must not try again.
+	Deeper bool
 	// Err is the cause of a failure.
 	Err error
 }
@@ -124,6 +138,9 @@
 func WriteRefusal(w http.ResponseWriter, res Result) {
 	info := api.Info(res.Code)
 	h := w.Header()
+	if res.Deeper {
+		h.Set(HeaderDeeper, "1")
+	}
 	h.Set(HeaderCode, strconv.Itoa(int(res.Code)))
 	h.Set(HeaderRun, string(res.Ran))
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -176,6 +193,7 @@
 
 // ToGate writes the headers that carry c from entry to gate.
 func (c *Call) ToGate(h http.Header, now time.Time) {
+	StripInternal(h)
 	h.Set(HeaderService, c.Service)
 	h.Set(HeaderVersion, c.Version)
 	h.Set(HeaderRoute, c.Route)
@@ -192,12 +210,40 @@
 	}
 }
 
+// StripInternal drops the headers that only nodes may set.
+func StripInternal(h http.Header) {
+	for _, k := range internalHeaders {
+		delete(h, k)
+	}
+}
+
+// hopReserve is what each hop keeps of the time left for passing the answer
+// on; a short time left gives hopReservePart of itself at most.
+const (
+	hopReserve     = 2 * time.Millisecond
+	hopReservePart = 32
+)
+
+// ToUpstream writes the headers that an upstream copies to the calls that it
+// makes for this one: a hop deeper, with less time left.
+func (c *Call) ToUpstream(h http.Header, now time.Time) {
+	StripInternal(h)
+	left := c.TimeLeft(now)
+	left -= min(hopReserve, left/hopReservePart)
+	h.Set(HeaderDepth, strconv.Itoa(c.Depth+1))
+	h.Set(HeaderTimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set(HeaderAttempt, strconv.Itoa(c.Attempt))
+	h.Set(HeaderVersion, c.Version)
+	h.Set(HeaderCaller, string(c.Caller))
+}
+
 // AtGate reads what ToGate wrote.
 func AtGate(h http.Header, now time.Time) (*Call, error) {
 	c, err := FromCaller(h, time.Hour, now)
 	if err != nil {
 		return nil, err
 	}
+	c.Remote = true
 	c.Service = h.Get(HeaderService)
 	c.Version = h.Get(HeaderVersion)
 	c.Route = h.Get(HeaderRoute)
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -3,8 +3,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
@@ -13,26 +14,36 @@
 	"github.com/daisytide/daisytide/internal/request/forward"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/pick"
+	"github.com/daisytide/daisytide/internal/request/retry"
 	"github.com/daisytide/daisytide/internal/request/route"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
 
-// maxAttempts bounds the tries of one call at this hop.
-const maxAttempts = 3
-
 // Versions chooses the version of a service that gets a call.
 type Versions interface {
 	// Version returns a version's name; u is uniform in [0, 1).
 	Version(s *snapshot.Snapshot, service string, u float64) string
 }
 
+// Local is the gate of the entry's own node.
+type Local struct {
+	// Address is the node's own address.
+	Address string
+	// Handle runs a call at the gate, in this process.
+	Handle call.Handler
+	// Load returns the gate's load.
+	Load func() gate.Load
+}
+
 // Entry is the handler of the caller listener.
 type Entry struct {
 	Holder   *snapshot.Holder
 	Members  *member.Table
 	Versions Versions
 	Picker   *pick.Picker
+	Budget   *retry.Budget
+	Local    Local
 	// Transport reaches the gates of other nodes.
 	Transport http.RoundTripper
 	// Scheme of the peer listeners, http or https.
@@ -43,14 +54,58 @@
 	GatePath string
 	// Middlewares see each call before it is sent to a gate, in order.
 	Middlewares []call.Middleware
+
+	counts   Counts
+	leaving  atomic.Bool
+	lastCall atomic.Int64
+}
+
+// Counts are the entry's counters since its start.
+type Counts struct {
+	// Running counts the requests in progress.
+	Running atomic.Int64
+	// Calls counts the requests taken, Failed those that ended without the
+	// upstream's whole answer.
+	Calls, Failed atomic.Uint64
+	// Retries counts the attempts after the first, Budget those that the
+	// retry budget forbade.
+	Retries, Budget atomic.Uint64
+	// Refusals counts failures answered to calls that an upstream made for a
+	// call of its own.
+	Refusals atomic.Uint64
 }
 
+// Counts returns the entry's counters.
+func (e *Entry) Counts() *Counts { return &e.counts }
+
+// Leave makes each answer from now on ask its caller to close the
+// connection. Requests are still taken.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+// LastCall returns when the last request arrived.
+func (e *Entry) LastCall() time.Time { return time.Unix(0, e.lastCall.Load()) }
+
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	gate.Finish(w, e.serve(w, r))
+	now := time.Now()
+	e.lastCall.Store(now.UnixNano())
+	e.counts.Calls.Add(1)
+	e.counts.Running.Add(1)
+	defer e.counts.Running.Add(-1)
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	res := e.serve(w, r, now)
+	if res.Code != api.OK {
+		e.counts.Failed.Add(1)
+	}
+	if r.Header.Get(call.HeaderDepth) != "" && (res.Code != api.OK || res.Status >= http.StatusInternalServerError) {
+		e.counts.Refusals.Add(1)
+	}
+	gate.Finish(w, res)
 }
 
-func (e *Entry) serve(w http.ResponseWriter, r *http.Request) call.Result {
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, now time.Time) call.Result {
 	snap := e.Holder.Current()
 	if snap == nil {
 		return call.Refuse(api.CallNotReady, nil)
@@ -59,24 +114,30 @@
 	if rt == nil {
 		return call.Refuse(api.CallNoRoute, nil)
 	}
-	c, err := newCall(r, rt, snap)
+	c, err := newCall(r, rt, snap, now)
 	if err != nil {
 		return call.Refuse(api.CallHeader, err)
 	}
 	if r.ContentLength > c.BodyLimit {
 		return call.Refuse(api.CallBodyTooLarge, nil)
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, c.BodyLimit)
+	if c.TimeLeft(now) <= 0 {
+		return call.Refuse(api.CallNoTime, nil)
+	}
+	if r.ContentLength != 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, c.BodyLimit)
+		_ = http.NewResponseController(w).SetReadDeadline(c.Deadline)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	send := func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
-		return e.try(ctx, w, r, c, snap)
+		return e.send(ctx, w, r, c, snap)
 	}
 	return call.Chain(send, e.Middlewares...)(ctx, w, r, c)
 }
 
-func newCall(r *http.Request, rt *document.Route, snap *snapshot.Snapshot) (*call.Call, error) {
-	c, err := call.FromCaller(r.Header, time.Duration(rt.TimeLimit), time.Now())
+func newCall(r *http.Request, rt *document.Route, snap *snapshot.Snapshot, now time.Time) (*call.Call, error) {
+	c, err := call.FromCaller(r.Header, time.Duration(rt.TimeLimit), now)
 	if err != nil {
 		return nil, err
 	}
@@ -92,38 +153,51 @@
 	return c, nil
 }
 
-// try sends the call to one gate after another while that is safe.
-func (e *Entry) try(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call, snap *snapshot.Snapshot) call.Result {
-	var tried []string
-	res := call.Refuse(api.CallNoUpstream, nil)
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	for range maxAttempts {
-		c.Version = e.Versions.Version(snap, c.Service, rng.Float64())
-		nodes := e.Members.Index().Serving[member.UpstreamKey{Service: c.Service, Version: c.Version}]
-		node, ok := e.Picker.Pick(nodes, tried, rng)
-		if !ok {
-			return res
+// send brings a call to one gate after another while that is safe and within
+// the budget.
+func (e *Entry) send(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call, snap *snapshot.Snapshot) call.Result {
+	body, err := forward.NewBody(r)
+	if err != nil {
+		return bodyRefusal(err)
+	}
+	if s := snap.Service(c.Service); s != nil {
+		e.Budget.Earn(c.Service, s.Limits.RetryShare)
+	}
+	t := &trial{entry: e, w: w, r: r, call: c, snap: snap, body: body}
+	defer t.drop()
+	for {
+		res, more := t.once(ctx)
+		if !more {
+			return t.settle(ctx, res)
+		}
+		cost, again := retry.Again(res, t.state(ctx))
+		if !again {
+			return t.settle(ctx, res)
 		}
-		tried = append(tried, node.Address)
-		res = e.send(ctx, w, r, c, node)
-		if res.Code == api.OK || res.Sent || res.Ran != api.RanNo || r.ContentLength != 0 {
-			return res
+		if !e.Budget.Take(c.Service, cost) {
+			e.counts.Budget.Add(1)
+			return t.settle(ctx, overBudget(res))
 		}
+		e.counts.Retries.Add(1)
 	}
-	return res
 }
 
-func (e *Entry) send(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call, node member.Record) call.Result {
-	resp, res := forward.Request(ctx, e.Transport, e.Scheme+"://"+node.Address+e.GatePath, r, func(h http.Header) {
-		c.ToGate(h, time.Now())
-		h.Set(call.HeaderPeerKey, e.PeerKey)
-	})
-	if res.Code != api.OK {
+// overBudget names the budget in a refusal that another try might have
+// turned; anything else stays what it is.
+func overBudget(res call.Result) call.Result {
+	if res.Ran != api.RanNo {
 		return res
 	}
-	if refusal, ok := forward.Refused(resp); ok {
-		resp.Body.Close()
-		return refusal
+	out := call.Refuse(api.CallBudget, errors.New("after "+res.Code.String()))
+	out.Deeper = res.Deeper
+	return out
+}
+
+// bodyRefusal tells why a held body could not be read; nothing was sent.
+func bodyRefusal(err error) call.Result {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return call.Refuse(api.CallBodyTooLarge, err)
 	}
-	return forward.Answer(w, resp)
+	return call.Refuse(api.CallBody, err)
 }
--- /dev/null
+++ b/internal/request/entry/trial.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/request/forward"
+	"github.com/daisytide/daisytide/internal/request/gate"
+	"github.com/daisytide/daisytide/internal/request/pick"
+	"github.com/daisytide/daisytide/internal/request/retry"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+// answerGrace is the time past a call's deadline in which a caller that reads
+// slowly may still take an answer that began in time.
+const answerGrace = 2 * time.Second
+
+// trial is the attempts at one call.
+type trial struct {
+	entry *Entry
+	w     http.ResponseWriter
+	r     *http.Request
+	call  *call.Call
+	snap  *snapshot.Snapshot
+	body  *forward.Body
+
+	// tried are the nodes that saw an attempt; triedRoom is their room.
+	tried     []string
+	triedRoom [retry.MaxAttempts]string
+	// kept is an answer that is passed on only if no other attempt is made.
+	kept *http.Response
+}
+
+func (t *trial) state(ctx context.Context) retry.State {
+	return retry.State{
+		Attempts:   len(t.tried),
+		Idempotent: t.call.Idempotent,
+		Whole:      t.body.Whole(),
+		TimeLeft:   ctx.Err() == nil,
+	}
+}
+
+// drop closes an answer that was not passed on.
+func (t *trial) drop() {
+	if t.kept != nil {
+		t.kept.Body.Close()
+		t.kept = nil
+	}
+}
+
+// settle ends the call with res: the kept answer is passed on where res is its.
+func (t *trial) settle(ctx context.Context, res call.Result) call.Result {
+	if t.kept == nil || res.Code != api.OK {
+		return res
+	}
+	resp := t.kept
+	t.kept = nil
+	return t.answer(ctx, resp)
+}
+
+// once makes one attempt. More is false when no node is left to try; the
+// result then is that of the attempt before, if there was one.
+func (t *trial) once(ctx context.Context) (res call.Result, more bool) {
+	e := t.entry
+	t.call.Version = e.Versions.Version(t.snap, t.call.Service, rand.Float64())
+	key := member.UpstreamKey{Service: t.call.Service, Version: t.call.Version}
+	rng := rand.New(globalRandom{})
+	picked, ok := e.Picker.Pick(e.Members.Index(), key, t.tried, time.Now(), rng)
+	if !ok {
+		return t.none(), false
+	}
+	t.drop()
+	t.tried = append(t.triedRoom[:len(t.tried)], picked.Record.Address)
+	if picked.Record.Address == e.Local.Address {
+		return t.local(ctx, picked), true
+	}
+	return t.remote(ctx, picked), true
+}
+
+// globalRandom makes the goroutine-safe global generator a source.
+type globalRandom struct{}
+
+// Uint64 implements rand.Source.
+func (globalRandom) Uint64() uint64 { return rand.Uint64() }
+
+// none is the result when no node is left.
+func (t *trial) none() call.Result {
+	if t.kept != nil {
+		return call.Result{Code: api.OK, Ran: api.RanYes}
+	}
+	return call.Refuse(api.CallNoUpstream, nil)
+}
+
+// local runs the call at this node's own gate, in process.
+func (t *trial) local(ctx context.Context, picked pick.Picked) call.Result {
+	reader, end := t.body.Attempt()
+	defer end()
+	r := *t.r
+	r.Body = reader
+	res := t.entry.Local.Handle(ctx, t.w, &r, t.call)
+	picked.Done(time.Now(), faultOf(res), t.entry.Local.Load(), true)
+	return res
+}
+
+// remote sends the call to the gate of another node.
+func (t *trial) remote(ctx context.Context, picked pick.Picked) call.Result {
+	reader, end := t.body.Attempt()
+	defer end()
+	a := forward.Attempt{
+		Transport: t.entry.Transport, Scheme: t.entry.Scheme, Host: picked.Record.Address, Prefix: t.entry.GatePath,
+		Body: reader, Size: t.body.Size(), Expect: t.body.Streams(), Idempotent: t.call.Idempotent,
+		Prepare: t.prepare,
+	}
+	resp, res := a.Do(ctx, t.r)
+	if res.Code != api.OK {
+		picked.Done(time.Now(), faultOf(res), gate.Load{}, false)
+		return res
+	}
+	load, err := gate.ParseLoad(resp.Header.Get(call.HeaderLoad))
+	if refusal, ok := forward.Refused(resp); ok {
+		resp.Body.Close()
+		picked.Done(time.Now(), faultOf(refusal), load, err == nil)
+		return refusal
+	}
+	res = t.take(ctx, resp)
+	picked.Done(time.Now(), faultOf(res), load, err == nil)
+	return res
+}
+
+func (t *trial) prepare(h http.Header) {
+	t.call.ToGate(h, time.Now())
+	h.Set(call.HeaderPeerKey, t.entry.PeerKey)
+}
+
+// take passes the upstream's answer on, unless another upstream may do
+// better: then it is kept.
+func (t *trial) take(ctx context.Context, resp *http.Response) call.Result {
+	res := call.Result{Code: api.OK, Ran: api.RanYes, Status: resp.StatusCode, Deeper: resp.Header.Get(call.HeaderDeeper) != ""}
+	if _, again := retry.Again(res, t.state(ctx)); again {
+		t.kept = resp
+		return res
+	}
+	return t.answer(ctx, resp)
+}
+
+func (t *trial) answer(ctx context.Context, resp *http.Response) call.Result {
+	delete(resp.Header, call.HeaderLoad)
+	deeper := resp.Header.Get(call.HeaderDeeper) != ""
+	res := forward.Answer(ctx, t.w, resp, t.call.Deadline.Add(answerGrace))
+	res.Deeper = deeper
+	return res
+}
+
+// faultOf reads what an attempt has shown of its upstream.
+func faultOf(res call.Result) pick.Fault {
+	switch res.Code {
+	case api.OK:
+		return answerFault(res)
+	case api.CallNotReached:
+		return pick.NotReached
+	case api.CallLeaving, api.CallNoUpstream:
+		return pick.Leaving
+	case api.CallCut, api.CallShortAnswer, api.CallTimeout:
+		if !res.Deeper {
+			return pick.Failed
+		}
+	}
+	return pick.Neutral
+}
+
+func answerFault(res call.Result) pick.Fault {
+	switch {
+	case res.Status < http.StatusInternalServerError:
+		return pick.NoFault
+	case res.Deeper:
+		return pick.Neutral
+	default:
+		return pick.Failed
+	}
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -6,105 +6,118 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"strconv"
-	"sync/atomic"
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/request/call"
 )
 
-// copyBufferBytes is the size of the buffer that a body streams through.
-const copyBufferBytes = 32 << 10
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
+
+// extraHeaders is the room for the headers that a hop adds.
+const extraHeaders = 12
+
+// Attempt is one sending of a request to one place.
+type Attempt struct {
+	Transport http.RoundTripper
+	// Scheme and Host say where to; Prefix goes before the path.
+	Scheme, Host, Prefix string
+	// Body is the request body, of Size bytes; -1 where that is not known.
+	Body io.ReadCloser
+	Size int64
+	// Expect asks the other side to ask for the body.
+	Expect bool
+	// Idempotent allows net/http to send the request again by itself when a
+	// reused connection turns out broken.
+	Idempotent bool
+	// Prepare sets the headers of this hop.
+	Prepare func(http.Header)
 }
 
-// Request sends r to base (scheme and authority) through t, after prepare has
-// set its headers, and returns the answer's header. On failure the result
-// says whether anything can have run.
-func Request(ctx context.Context, t http.RoundTripper, base string, r *http.Request, prepare func(http.Header)) (*http.Response, call.Result) {
-	var wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { wrote.Store(true) },
-	})
-	out, err := http.NewRequestWithContext(ctx, r.Method, base+r.URL.RequestURI(), r.Body)
-	if err != nil {
-		return nil, call.Refuse(api.CallHeader, err)
+// Do sends r and returns the answer's header. On failure the result says
+// whether anything can have run: "no" only if no byte was sent.
+func (a *Attempt) Do(ctx context.Context, r *http.Request) (*http.Response, call.Result) {
+	var sent sentTracker
+	watched := a.watch()
+	resp, err := a.Transport.RoundTrip(a.request(sent.trace(ctx), r))
+	if err == nil {
+		return resp, call.Result{}
 	}
-	out.ContentLength = r.ContentLength
-	if r.ContentLength == 0 {
-		out.Body = http.NoBody
-	}
-	out.Host = r.Host
-	CopyHeader(out.Header, r.Header)
-	prepare(out.Header)
-	resp, err := t.RoundTrip(out)
-	if err != nil {
-		return nil, failed(ctx, err, wrote.Load())
+	res := failed(ctx, err, sent.sent(ctx.Err() != nil))
+	if watched != nil && watched.failed.Load() && (res.Code == api.CallCut || res.Code == api.CallNotReached) {
+		res.Code = api.CallBody
+		res.Status = api.Info(api.CallBody).HTTP
 	}
-	return resp, call.Result{}
+	return nil, res
 }
 
-// failed tells what is known of a round trip without an answer.
-func failed(ctx context.Context, err error, sent bool) call.Result {
-	if !sent {
-		return call.Refuse(api.CallNotReached, err)
+// watch notes failures of a streamed body.
+func (a *Attempt) watch() *watchedBody {
+	if a.Size >= 0 && a.Size <= HeldBytes {
+		return nil
 	}
-	code := api.CallCut
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		code = api.CallTimeout
-	case ctx.Err() != nil:
-		code = api.CallCancelled
-	}
-	return call.Result{Code: code, Ran: api.RanUnknown, Status: api.Info(code).HTTP, Err: err}
+	w := &watchedBody{ReadCloser: a.Body}
+	a.Body = w
+	return w
 }
 
-// Answer streams resp to w. An answer that ends early aborts the connection
-// to the caller, so that it is never taken for whole.
-func Answer(w http.ResponseWriter, resp *http.Response) call.Result {
-	defer resp.Body.Close()
-	CopyHeader(w.Header(), resp.Header)
-	w.WriteHeader(resp.StatusCode)
-	res := call.Result{Code: api.OK, Ran: api.RanYes, Status: resp.StatusCode, Sent: true}
-	if _, err := io.CopyBuffer(flusher{w}, resp.Body, make([]byte, copyBufferBytes)); err != nil {
-		res.Code = api.CallShortAnswer
-		res.Err = err
+// request builds the outgoing request.
+func (a *Attempt) request(ctx context.Context, r *http.Request) *http.Request {
+	u := *r.URL
+	u.Scheme, u.Host, u.User, u.Fragment = a.Scheme, a.Host, nil, ""
+	u.Path = a.Prefix + u.Path
+	if u.RawPath != "" {
+		u.RawPath = a.Prefix + u.RawPath
+	}
+	out := &http.Request{
+		Method: r.Method, URL: &u, Host: r.Host, ContentLength: a.Size, Body: a.Body,
+		Header: make(http.Header, len(r.Header)+extraHeaders),
+	}
+	if a.Size < 0 {
+		out.Trailer = r.Trailer
 	}
-	return res
+	CopyHeader(out.Header, r.Header)
+	delete(out.Header, "Expect")
+	if a.Expect {
+		out.Header["Expect"] = []string{"100-continue"}
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = nil
+	}
+	a.Prepare(out.Header)
+	if !a.Idempotent {
+		a.sendOnce(out)
+	}
+	return out.WithContext(ctx)
 }
 
-// flusher passes each piece of an answer on at once.
-type flusher struct{ w http.ResponseWriter }
-
-// Write implements io.Writer.
-func (f flusher) Write(b []byte) (int, error) { return f.w.Write(b) }
-
-// CopyHeader copies all but the headers of one connection.
-func CopyHeader(dst, src http.Header) {
-	for k, v := range src {
-		dst[k] = v
-	}
-	for _, k := range hopHeaders {
-		dst.Del(k)
+// sendOnce keeps net/http from sending the request again by itself.
+func (a *Attempt) sendOnce(out *http.Request) {
+	hideReplayHeaders(out.Header)
+	if a.Size == 0 && usuallyEmpty(out.Method) {
+		out.Body = emptyBody{}
 	}
 }
 
-// Refused reads a numbered refusal out of a peer's answer; false where the
-// answer is the upstream's own.
-func Refused(resp *http.Response) (call.Result, bool) {
-	s := resp.Header.Get(call.HeaderCode)
-	if s == "" {
-		return call.Result{}, false
+// failed tells what is known of a round trip without an answer.
+func failed(ctx context.Context, err error, sent bool) call.Result {
+	code, ran := api.CallCut, api.RanUnknown
+	if !sent {
+		code, ran = api.CallNotReached, api.RanNo
 	}
-	n, err := strconv.ParseUint(s, 10, 16)
-	if err != nil {
-		return call.Result{}, false
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		code = api.CallBodyTooLarge
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && sent:
+		code = api.CallTimeout
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		code = api.CallNoTime
+	case ctx.Err() != nil:
+		code = api.CallCancelled
 	}
-	ran := api.Ran(resp.Header.Get(call.HeaderRun))
-	return call.Result{Code: api.Code(n), Ran: ran, Status: resp.StatusCode}, true
+	return call.Result{Code: code, Ran: ran, Status: api.Info(code).HTTP, Err: err}
 }
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -10,7 +10,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/request/call"
-	"github.com/daisytide/daisytide/internal/request/forward"
+	"github.com/daisytide/daisytide/internal/version/document"
 )
 
 // Observer hears how each call that reached the gate ended.
@@ -18,23 +18,97 @@
 	Observe(c *call.Call, res call.Result, took time.Duration)
 }
 
+// Config is what a gate works with.
+type Config struct {
+	// Dial makes the transport to an upstream that accepts so many connections.
+	Dial func(connections int) http.RoundTripper
+	// Limits returns what the configuration says of a service's limits.
+	Limits func(service string) document.Limits
+	// Refusals counts the failures that the entry of this node has answered;
+	// a change during a run tells that a failure came from further down.
+	Refusals func() uint64
+}
+
 // Gate admits calls to one upstream.
 type Gate struct {
-	Transport http.RoundTripper
 	Observers []Observer
+	cfg       Config
+
+	// mu guards all below. An announcement that changes the connections
+	// replaces the transport; runs in progress keep the one they began with.
+	mu          sync.Mutex
+	admission   Admission
+	upstream    api.Announcement
+	transport   http.RoundTripper
+	connections int
+	leaving     bool
+	idle        chan struct{}
+	lastCall    time.Time
+}
 
-	mu       sync.Mutex
-	upstream api.Announcement
-	leaving  bool
-	running  int
-	idle     chan struct{}
+// New returns a gate without an upstream.
+func New(cfg Config) *Gate {
+	if cfg.Limits == nil {
+		cfg.Limits = func(string) document.Limits { return document.Limits{} }
+	}
+	if cfg.Refusals == nil {
+		cfg.Refusals = func() uint64 { return 0 }
+	}
+	return &Gate{cfg: cfg}
 }
 
-// Announce takes what the upstream says of itself.
+// Announce takes what the upstream says of itself. An upstream that becomes
+// ready is cold and starts with few slots.
 func (g *Gate) Announce(a api.Announcement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	old := g.upstream
 	g.upstream = a
+	cold := a.State == api.UpstreamReady && (old.State == api.UpstreamNone || old.State == api.UpstreamStarting ||
+		old.State == api.UpstreamDown || old.Address != a.Address || old.Version != a.Version)
+	g.applyLimits(cold)
+	if a.State != api.UpstreamReady {
+		g.admission.RefuseWaiting(api.CallLeaving)
+	}
+}
+
+// ApplyConfig takes new limits into use.
+func (g *Gate) ApplyConfig() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.applyLimits(false)
+}
+
+// applyLimits sets ceiling, queue and transport; the caller holds mu. Requests
+// in progress never outnumber the connections, so that none waits for one.
+func (g *Gate) applyLimits(cold bool) {
+	if g.upstream.State == api.UpstreamNone {
+		return
+	}
+	limits := g.cfg.Limits(g.upstream.Service)
+	slots := lower(g.upstream.Slots, limits.Slots)
+	connections := lower(g.upstream.Connections, limits.Connections)
+	if connections == 0 {
+		connections = slots
+	}
+	g.admission.QueueMax = limits.Queue
+	g.admission.Limit.SetCeiling(lower(slots, connections), cold)
+	if g.transport != nil && connections == g.connections {
+		return
+	}
+	if t, ok := g.transport.(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+	g.connections = connections
+	g.transport = g.cfg.Dial(connections)
+}
+
+// lower returns the smaller of two limits, of which zero means none.
+func lower(a, b int) int {
+	if a <= 0 || b <= 0 {
+		return max(a, b, 0)
+	}
+	return min(a, b)
 }
 
 // Upstream returns what the upstream last said of itself.
@@ -48,17 +122,33 @@
 func (g *Gate) Running() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running
+	return g.admission.Running()
+}
+
+// Load returns what the gate tells of itself on answers.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := &g.admission
+	return Load{Busy: a.Running() + a.Waiting(), Slots: a.Limit.Slots(), Held: a.Held()}
+}
+
+// LastCall returns when the last call arrived, admitted or not.
+func (g *Gate) LastCall() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lastCall
 }
 
-// Leave refuses new calls from now on; the channel closes when the last
-// request in progress has ended.
+// Leave refuses new and waiting calls from now on; the channel closes when
+// the last request in progress has ended.
 func (g *Gate) Leave() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leaving = true
 	if g.idle == nil {
+		g.leaving = true
 		g.idle = make(chan struct{})
+		g.admission.RefuseWaiting(api.CallLeaving)
 		g.closeIfIdle()
 	}
 	return g.idle
@@ -66,87 +156,66 @@
 
 // closeIfIdle closes idle when nothing runs; the caller holds mu.
 func (g *Gate) closeIfIdle() {
-	if g.leaving && g.running == 0 && g.idle != nil {
+	if g.leaving && g.admission.Running() == 0 {
 		close(g.idle)
 	}
 }
 
-// admit takes a slot or says why not.
-func (g *Gate) admit(c *call.Call, now time.Time) (api.Announcement, api.Code) {
+// slot is the right to run one call in the upstream.
+type slot struct {
+	address   string
+	transport http.RoundTripper
+}
+
+// arrive decides on a call without waiting.
+func (g *Gate) arrive(c *call.Call, size int64, now time.Time) (slot, *Ticket, api.Code) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	u := g.upstream
+	g.lastCall = now
+	u := &g.upstream
+	s := slot{address: u.Address, transport: g.transport}
 	switch {
 	case g.leaving || u.State == api.UpstreamDraining:
-		return u, api.CallLeaving
+		return s, nil, api.CallLeaving
 	case u.State != api.UpstreamReady || u.Service != c.Service || u.Version != c.Version:
-		return u, api.CallNoUpstream
-	case c.TimeLeft(now) <= 0:
-		return u, api.CallNoTime
-	case g.running >= u.Slots:
-		return u, api.CallShed
+		return s, nil, api.CallNoUpstream
 	}
-	g.running++
-	return u, api.OK
-}
-
-func (g *Gate) release() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.running--
-	g.closeIfIdle()
+	t, code := g.admission.Arrive(now, Request{Route: c.Route, Rank: RankOf(c, size), Deadline: c.Deadline})
+	return s, t, code
 }
 
-// Handle implements call.Handler: admit, run, pass the answer on.
-func (g *Gate) Handle(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
-	start := time.Now()
-	u, code := g.admit(c, start)
-	if code != api.OK {
-		return call.Refuse(code, nil)
-	}
-	defer g.release()
-	res := g.run(ctx, w, r, c, u)
-	for _, o := range g.Observers {
-		o.Observe(c, res, time.Since(start))
+// admit takes a slot, waits for one, or says why not.
+func (g *Gate) admit(ctx context.Context, c *call.Call, size int64, now time.Time) (slot, api.Code) {
+	s, t, code := g.arrive(c, size, now)
+	if code != api.OK || t == nil {
+		return s, code
 	}
-	return res
-}
-
-func (g *Gate) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call, u api.Announcement) call.Result {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	resp, res := forward.Request(ctx, g.Transport, "http://"+u.Address, r, func(h http.Header) {
-		c.ToGate(h, time.Now())
-		h.Del(call.HeaderPeerKey)
-	})
-	if res.Code != api.OK {
-		return res
+	select {
+	case code := <-t.Verdict:
+		return s, code
+	case <-ctx.Done():
 	}
-	resp.Header.Set(call.HeaderRun, string(api.RanYes))
-	resp.Header.Del(call.HeaderCode)
-	return forward.Answer(w, resp)
-}
-
-// ServeHTTP takes a call from an entry; the peer key was checked.
-func (g *Gate) ServeHTTP(h call.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, err := call.AtGate(r.Header, time.Now())
-		if err != nil {
-			call.WriteRefusal(w, call.Refuse(api.CallHeader, err))
-			return
-		}
-		Finish(w, h(r.Context(), w, r, c))
-	})
-}
-
-// Finish answers what is left to answer: a refusal where nothing was sent,
-// an abort where the answer ended early.
-func Finish(w http.ResponseWriter, res call.Result) {
-	switch {
-	case res.Code == api.OK:
-	case res.Sent:
-		panic(http.ErrAbortHandler)
-	default:
-		call.WriteRefusal(w, res)
+	if !g.withdraw(t) {
+		return s, <-t.Verdict
+	}
+	if time.Now().Before(c.Deadline) {
+		return s, api.CallCancelled
 	}
+	return s, api.CallNoTime
+}
+
+func (g *Gate) withdraw(t *Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Withdraw(t)
+}
+
+func (g *Gate) release(c *call.Call, began time.Time, took time.Duration, o Outcome) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Done(now, c.Route, took, now.Sub(began), o)
+	g.closeIfIdle()
 }
--- /dev/null
+++ b/internal/request/gate/load.go
@@ -0,0 +1,44 @@
+package gate
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Load is what a gate tells of itself on each answer.
+type Load struct {
+	// Busy counts the requests in progress and waiting.
+	Busy int
+	// Slots is the limit of requests in progress.
+	Slots int
+	// Held is the mean time that a request holds its slot.
+	Held time.Duration
+}
+
+// String gives the form of the load header: busy, slots, microseconds.
+func (l Load) String() string {
+	var b [48]byte
+	out := strconv.AppendInt(b[:0], int64(l.Busy), 10)
+	out = append(out, ' ')
+	out = strconv.AppendInt(out, int64(l.Slots), 10)
+	out = append(out, ' ')
+	out = strconv.AppendInt(out, l.Held.Microseconds(), 10)
+	return string(out)
+}
+
+// ParseLoad reads what String wrote.
+func ParseLoad(s string) (Load, error) {
+	busy, rest, _ := strings.Cut(s, " ")
+	slots, held, _ := strings.Cut(rest, " ")
+	var numbers [3]uint64
+	for i, field := range [...]string{busy, slots, held} {
+		n, err := strconv.ParseUint(field, 10, 31)
+		if err != nil {
+			return Load{}, fmt.Errorf("load %q: %w", s, err)
+		}
+		numbers[i] = n
+	}
+	return Load{Busy: int(numbers[0]), Slots: int(numbers[1]), Held: time.Duration(numbers[2]) * time.Microsecond}, nil
+}
--- /dev/null
+++ b/internal/request/pick/choose.go
@@ -0,0 +1,144 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Distance orders the data centres of upstreams as seen from an entry.
+type Distance uint8
+
+// The distances, the nearest first.
+const (
+	SameDataCentre Distance = iota
+	SameRegion
+	OtherRegion
+	distances = 3
+)
+
+// Parameters of the choice.
+const (
+	// spillUse is the use of slots from which upstreams farther away are
+	// weighed against the best of the nearer ones.
+	spillUse = 0.9
+	// subsetSize is how many upstreams of one distance an entry uses first.
+	subsetSize = 8
+	// heldFloor is the shortest time that a slot is taken to be held, so that
+	// use counts among upstreams that are idle or have not answered yet.
+	heldFloor = 100 * time.Microsecond
+)
+
+// farCost is the time that a distance adds to a call.
+var farCost = [distances]time.Duration{0, 3 * time.Millisecond, 60 * time.Millisecond}
+
+// Candidate is one upstream as a choice sees it.
+type Candidate struct {
+	Sight *Sight
+	Slots int
+	// Tried tells that this call was refused there.
+	Tried bool
+}
+
+// Choose picks one of a call's candidates, which are grouped by distance and
+// in each group in the entry's order of preference. It returns the group and
+// the place in it; false where all were tried.
+//
+// The better of two random ones of the nearest group is taken, unless its
+// slots are nearly all in use or its calls fail: then the better of two of
+// the next group is weighed against it.
+func Choose(groups *[distances][]Candidate, now time.Time, rng *rand.Rand) (Distance, int, bool) {
+	var best option
+	for d := range groups {
+		o := better(groups[d], now, rng)
+		if !o.found {
+			continue
+		}
+		o.distance = Distance(d)
+		o.cost += farCost[d].Seconds()
+		if !best.found || o.cost < best.cost {
+			best = o
+		}
+		if best.use < spillUse && !best.faulty {
+			break
+		}
+	}
+	return best.distance, best.place, best.found
+}
+
+// option is a candidate with what it is expected to cost.
+type option struct {
+	found    bool
+	distance Distance
+	place    int
+	cost     float64
+	use      float64
+	faulty   bool
+}
+
+// better takes two open candidates of a group at random and returns the one
+// that costs less.
+func better(group []Candidate, now time.Time, rng *rand.Rand) option {
+	first := draw(group, now, rng, -1)
+	if first < 0 {
+		return option{}
+	}
+	a := weigh(group, first, now)
+	second := draw(group, now, rng, first)
+	if second < 0 {
+		return a
+	}
+	if b := weigh(group, second, now); b.cost < a.cost {
+		return b
+	}
+	return a
+}
+
+func weigh(group []Candidate, place int, now time.Time) option {
+	c := &group[place]
+	return option{
+		found: true, place: place,
+		cost: c.Sight.cost(now, c.Slots), use: c.Sight.use(now, c.Slots), faulty: c.Sight.faults > 0,
+	}
+}
+
+// draw returns a random open candidate among the first subsetSize untried
+// ones, other than except; -1 where there is none.
+func draw(group []Candidate, now time.Time, rng *rand.Rand, except int) int {
+	spare := spared(group, now)
+	chosen, seen := -1, 0
+	for i := range group {
+		c := &group[i]
+		if c.Tried || i == except || (c.Sight.Ejected(now) && i != spare) {
+			continue
+		}
+		seen++
+		if rng.IntN(seen) == 0 {
+			chosen = i
+		}
+		if seen == subsetSize {
+			break
+		}
+	}
+	return chosen
+}
+
+// spared returns the ejected candidate that is used all the same, because
+// more than half of the group is ejected: the one whose ejection ends first.
+// Else it returns -1. So faults never empty a group.
+func spared(group []Candidate, now time.Time) int {
+	ejected, earliest := 0, -1
+	for i := range group {
+		c := &group[i]
+		if !c.Sight.Ejected(now) {
+			continue
+		}
+		ejected++
+		if !c.Tried && (earliest < 0 || c.Sight.until.Before(group[earliest].Sight.until)) {
+			earliest = i
+		}
+	}
+	if 2*ejected <= len(group) {
+		return -1
+	}
+	return earliest
+}
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -1,30 +1,177 @@
-// Package pick chooses the node whose upstream gets a call.
+// Package pick chooses the node whose upstream gets a call: by what the
+// entry's own calls have shown and the load that gates carry back on answers,
+// among a few upstreams per service, the own data centre first.
 package pick
 
 import (
 	"math/rand/v2"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/request/gate"
 )
 
-// Picker chooses among the nodes of one version of a service.
+// Picker chooses among the nodes of one version of a service and keeps what
+// the entry knows of each.
 type Picker struct {
-	// DataCentre is preferred.
-	DataCentre string
+	// Self is the entry's own address, DataCentre and Region where it stands.
+	Self, DataCentre, Region string
+
+	views atomic.Pointer[views]
+	// mu orders rebuilds of views.
+	mu sync.Mutex
+}
+
+// views are the upstreams of one index of the members, by version. What is
+// known of a node that stays is taken over into the next views.
+type views struct {
+	index  *member.Index
+	nodes  map[string]*node
+	groups map[member.UpstreamKey]*[distances][]*node
+}
+
+// node is one upstream. Its state outlives changes of its record, so that a
+// call in progress across one is still counted.
+type node struct {
+	record member.Record
+	// weight is the rendezvous weight: entries prefer different upstreams.
+	weight uint64
+	state  *state
+}
+
+// state is what is known of one upstream, under its own lock.
+type state struct {
+	mu    sync.Mutex
+	sight Sight
+}
+
+// Picked is the choice for one attempt; Done must be called when it ended.
+type Picked struct {
+	Record member.Record
+	state  *state
+}
+
+// Pick chooses among the nodes of key that are not in tried; false where none
+// is left.
+func (p *Picker) Pick(x *member.Index, key member.UpstreamKey, tried []string, now time.Time, rng *rand.Rand) (Picked, bool) {
+	nodes := p.view(x).groups[key]
+	if nodes == nil {
+		return Picked{}, false
+	}
+	s := scratches.Get().(*scratch)
+	defer scratches.Put(s)
+	s.fill(nodes, tried)
+	d, place, ok := Choose(&s.groups, now, rng)
+	if !ok {
+		return Picked{}, false
+	}
+	n := nodes[d][place]
+	n.state.mu.Lock()
+	defer n.state.mu.Unlock()
+	n.state.sight.Begin()
+	return Picked{Record: n.record, state: n.state}, true
+}
+
+// Done notes how the attempt ended, and the load that came back with it where
+// there was one.
+func (p Picked) Done(now time.Time, f Fault, l gate.Load, carried bool) {
+	p.state.mu.Lock()
+	defer p.state.mu.Unlock()
+	if carried {
+		p.state.sight.Carry(now, l)
+	}
+	p.state.sight.End(now, f)
+}
+
+// scratch holds copies of the sights that one choice looks at, so that the
+// choice itself runs without locks.
+type scratch struct {
+	groups [distances][]Candidate
+	sights []Sight
+}
+
+var scratches = sync.Pool{New: func() any { return &scratch{} }}
+
+func (s *scratch) fill(nodes *[distances][]*node, tried []string) {
+	total := len(nodes[0]) + len(nodes[1]) + len(nodes[2])
+	if cap(s.sights) < total {
+		s.sights = make([]Sight, total)
+	}
+	s.sights = s.sights[:total]
+	i := 0
+	for d, group := range nodes {
+		s.groups[d] = s.groups[d][:0]
+		for _, n := range group {
+			n.state.mu.Lock()
+			s.sights[i] = n.state.sight
+			n.state.mu.Unlock()
+			s.groups[d] = append(s.groups[d], Candidate{
+				Sight: &s.sights[i], Slots: n.record.Slots, Tried: contains(tried, n.record.Address),
+			})
+			i++
+		}
+	}
+}
+
+// view returns the views of x, built once per index.
+func (p *Picker) view(x *member.Index) *views {
+	if v := p.views.Load(); v != nil && v.index == x {
+		return v
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.views.Load()
+	if old != nil && old.index == x {
+		return old
+	}
+	v := p.build(x, old)
+	p.views.Store(v)
+	return v
 }
 
-// Pick returns one of nodes that is not in tried; false where none is left.
-func (p *Picker) Pick(nodes []member.Record, tried []string, rng *rand.Rand) (member.Record, bool) {
-	var open []member.Record
-	for _, n := range nodes {
-		if !contains(tried, n.Address) {
-			open = append(open, n)
+func (p *Picker) build(x *member.Index, old *views) *views {
+	v := &views{index: x, nodes: map[string]*node{}, groups: map[member.UpstreamKey]*[distances][]*node{}}
+	for key, records := range x.Serving {
+		groups := &[distances][]*node{}
+		for _, r := range records {
+			n := p.node(old, r)
+			v.nodes[r.Address] = n
+			d := p.distance(r)
+			groups[d] = append(groups[d], n)
+		}
+		for d := range groups {
+			sort.Slice(groups[d], func(i, j int) bool { return groups[d][i].weight > groups[d][j].weight })
 		}
+		v.groups[key] = groups
 	}
-	if len(open) == 0 {
-		return member.Record{}, false
+	return v
+}
+
+// node returns the node of a record with what was known of it, unless the
+// process or its upstream is another one now.
+func (p *Picker) node(old *views, r member.Record) *node {
+	if old != nil {
+		if n := old.nodes[r.Address]; n != nil && n.record.Incarnation == r.Incarnation && n.record.Version == r.Version {
+			return &node{record: r, weight: n.weight, state: n.state}
+		}
+	}
+	return &node{record: r, weight: xxhash.Sum64String(p.Self + " " + r.Address), state: &state{}}
+}
+
+func (p *Picker) distance(r member.Record) Distance {
+	switch {
+	case r.DataCentre == p.DataCentre:
+		return SameDataCentre
+	case r.Region == p.Region:
+		return SameRegion
+	default:
+		return OtherRegion
 	}
-	return open[rng.IntN(len(open))], true
 }
 
 func contains(list []string, s string) bool {
