--- /dev/null
+++ b/internal/request/forward/forward_test.go
@@ -0,0 +1,227 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/dial"
+	"github.com/daisytide/daisytide/internal/request/call"
+)
+
+// rawUpstream answers every request but those whose path is /cut: it reads
+// them whole and closes the connection. It counts both.
+type rawUpstream struct {
+	address       string
+	answered, cut atomic.Int64
+}
+
+func startRaw(t *testing.T) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &rawUpstream{address: l.Addr().String()}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/cut" {
+			u.cut.Add(1)
+			return
+		}
+		u.answered.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// send makes one attempt and reads the answer whole.
+func send(t *testing.T, tr http.RoundTripper, address, method, path, body string, idempotent bool) call.Result {
+	t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set(call.HeaderKey, "k1")
+	b, err := NewBody(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader, end := b.Attempt()
+	defer end()
+	a := Attempt{Transport: tr, Scheme: "http", Host: address, Body: reader, Size: b.Size(), Idempotent: idempotent, Prepare: func(http.Header) {}}
+	resp, res := a.Do(context.Background(), r)
+	if res.Code != api.OK {
+		return res
+	}
+	return Answer(context.Background(), httptest.NewRecorder(), resp, time.Now().Add(time.Minute))
+}
+
+func TestCallThatMustRunOnceIsNeverSentTwiceByTheTransport(t *testing.T) {
+	for _, tc := range []struct{ name, method, body string }{
+		{"keyed post without a body", http.MethodPost, ""},
+		{"keyed post with a body", http.MethodPost, "credit"},
+		{"get on a route that is not idempotent", http.MethodGet, ""},
+		{"delete", http.MethodDelete, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := startRaw(t)
+			tr := dial.Upstream(1)
+			if res := send(t, tr, u.address, tc.method, "/first", tc.body, false); res.Code != api.OK {
+				t.Fatalf("first: %+v", res)
+			}
+			res := send(t, tr, u.address, tc.method, "/cut", tc.body, false)
+			if res.Ran != api.RanUnknown || res.Code != api.CallCut {
+				t.Errorf("a cut call ended as %+v", res)
+			}
+			if n := u.cut.Load(); n != 1 {
+				t.Errorf("the call was sent %d times", n)
+			}
+		})
+	}
+}
+
+func TestNotRunIsSaidOnlyWhereNothingWasSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	res := send(t, dial.Upstream(1), address, http.MethodPost, "/x", "credit", false)
+	if res.Ran != api.RanNo || res.Code != api.CallNotReached {
+		t.Errorf("a refused connection ended as %+v", res)
+	}
+}
+
+// brokenConn takes part of the first write and then fails.
+type brokenConn struct {
+	net.Conn
+	take int
+}
+
+func (c *brokenConn) Write(b []byte) (int, error) {
+	if c.take == 0 {
+		return 0, io.ErrClosedPipe
+	}
+	return min(c.take, len(b)), io.ErrClosedPipe
+}
+
+func TestPartlyWrittenHeaderIsNotCalledNotRun(t *testing.T) {
+	for _, tc := range []struct {
+		take int
+		want api.Ran
+	}{{0, api.RanNo}, {1, api.RanUnknown}, {40, api.RanUnknown}} {
+		tr := dial.Upstream(1)
+		tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := net.Dial(network, address)
+			return &dial.CountedConn{Conn: &brokenConn{Conn: c, take: tc.take}}, err
+		}
+		res := send(t, tr, startRaw(t).address, http.MethodPost, "/x", "credit", false)
+		if res.Ran != tc.want {
+			t.Errorf("after %d bytes: ran %q, want %q (%v)", tc.take, res.Ran, tc.want, res.Err)
+		}
+	}
+}
+
+// answerOf runs a raw answer through Answer and returns what the caller saw.
+func answerOf(t *testing.T, method, raw string) (call.Result, *httptest.ResponseRecorder) {
+	t.Helper()
+	near, far := net.Pipe()
+	go func() {
+		r, err := http.ReadRequest(bufio.NewReader(far))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(far, raw)
+		}
+		_ = far.Close()
+	}()
+	tr := &http.Transport{DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return near, nil }}
+	r := httptest.NewRequest(method, "/x", nil)
+	a := Attempt{Transport: tr, Scheme: "http", Host: "upstream", Body: http.NoBody, Prepare: func(http.Header) {}}
+	resp, res := a.Do(context.Background(), r)
+	if res.Code != api.OK {
+		t.Fatalf("no answer: %+v", res)
+	}
+	w := httptest.NewRecorder()
+	return Answer(context.Background(), w, resp, time.Now().Add(time.Minute)), w
+}
+
+func TestAnswersAreWholeOrAnError(t *testing.T) {
+	for _, tc := range []struct {
+		name, method, raw string
+		code              api.Code
+		sent              bool
+		body              string
+	}{
+		{"whole", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", api.OK, true, "whole"},
+		{"short of its length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole", api.CallShortAnswer, true, "whole"},
+		{"chunks without the last", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", api.CallShortAnswer, true, "whole"},
+		{"no length and no chunks", "GET", "HTTP/1.1 200 OK\r\n\r\nwhole", api.CallShortAnswer, false, ""},
+		{"head has a length and no body", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", api.OK, true, ""},
+		{"head without a length", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", api.OK, true, ""},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", api.OK, true, ""},
+		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", api.OK, true, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			res, w := answerOf(t, tc.method, tc.raw)
+			if res.Code != tc.code || res.Sent != tc.sent || w.Body.String() != tc.body {
+				t.Errorf("%+v, body %q", res, w.Body)
+			}
+		})
+	}
+}
+
+func TestTrailersAndHeadersOfOneConnection(t *testing.T) {
+	_, w := answerOf(t, "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n"+
+		"Connection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nX-Kept: 1\r\n\r\n2\r\nok\r\n0\r\nSum: 7\r\n\r\n")
+	got := w.Result()
+	if got.Trailer.Get("Sum") != "7" {
+		t.Errorf("trailers: %v", got.Trailer)
+	}
+	if got.Header.Get("X-Hop")+got.Header.Get("Keep-Alive")+got.Header.Get("Connection") != "" || got.Header.Get("X-Kept") != "1" {
+		t.Errorf("headers: %v", got.Header)
+	}
+}
+
+func TestUnreadBodyStaysWholeForTheNextAttempt(t *testing.T) {
+	r := httptest.NewRequest("POST", "/x", strings.NewReader(strings.Repeat("b", HeldBytes+1)))
+	b, err := NewBody(r)
+	if err != nil || !b.Streams() {
+		t.Fatalf("%v, streams %v", err, b.Streams())
+	}
+	first, end := b.Attempt()
+	_ = first.Close()
+	end()
+	if _, err := first.Read(make([]byte, 1)); err == nil || !b.Whole() {
+		t.Fatal("an attempt that is over has read the body")
+	}
+	second, _ := b.Attempt()
+	if n, _ := io.Copy(io.Discard, second); n != HeldBytes+1 || b.Whole() {
+		t.Errorf("the second attempt read %d bytes", n)
+	}
+}
