Give operators their commands, and settle a lost reply

An apply carries a session: a node that finds it in the store answers accepted, and the command tells conflict, accepted and unknown apart by the base number. A wrong base, operator name or session in the headers is refused (3009). docs/CODES.md is generated and a test compares it; another asks that OPERATIONS says what to do for each code.

Seams: provider.ApplySession beside Apply (one check of the session, one against the document in the store), api.HeaderBase and HeaderSession, api.ConfigResponse.Session, api.ApplyResponse.Changes, client.Validate returns the number, operator.Server.Audit; codes 3008 to 3010.

--- a/api/codes.go
+++ b/api/codes.go
@@ -61,6 +61,9 @@
 	OperatorNoRollout Code = 3005
 	OperatorNotFound  Code = 3006
 	OperatorMethod    Code = 3007
+	OperatorNoAnswer  Code = 3008
+	OperatorHeader    Code = 3009
+	OperatorForm      Code = 3010
 
 	CallNoRoute        Code = 4001
 	CallNoUpstream     Code = 4002
@@ -150,6 +153,9 @@
 	{OperatorNoRollout, "operator-no-rollout", http.StatusNotFound, RanNone, true, "no running rollout has that service"},
 	{OperatorNotFound, "operator-not-found", http.StatusNotFound, RanNone, true, "the operator listener has no such page"},
 	{OperatorMethod, "operator-method", http.StatusMethodNotAllowed, RanNone, true, "the operator listener does not take that method there"},
+	{OperatorNoAnswer, "operator-no-answer", 0, RanNone, true, "the node's operator listener did not answer; nothing was changed"},
+	{OperatorHeader, "operator-header", http.StatusBadRequest, RanNone, true, "a header of the request to the operator listener is malformed or too long"},
+	{OperatorForm, "operator-form", http.StatusForbidden, RanNone, true, "a form of the console was sent without its token, or its session has ended"},
 
 	{CallNoRoute, "call-no-route", http.StatusNotFound, RanNo, true, "no route matches the request"},
 	{CallNoUpstream, "call-no-upstream", http.StatusServiceUnavailable, RanNo, true, "no upstream of the service can take the request"},
--- a/api/operator.go
+++ b/api/operator.go
@@ -18,6 +18,18 @@
 const (
 	HeaderToken    = "Daisytide-Token"
 	HeaderOperator = "Daisytide-Operator"
+	// HeaderBase carries the configuration number that an operator started
+	// from; absent means whichever is in force.
+	HeaderBase = "Daisytide-Base"
+	// HeaderSession identifies one apply over all tries to send it, so that a
+	// node that is asked again recognises a document that it has accepted.
+	HeaderSession = "Daisytide-Session"
+)
+
+// Limits of the headers of the operator listener, in bytes.
+const (
+	MaxOperatorBytes = 64
+	MaxSessionBytes  = 64
 )
 
 // ApplyOutcome is the truthful end of an attempt to apply a document.
@@ -39,7 +51,9 @@
 	Number uint64 `json:"number"`
 	// Winner names the operator whose document was accepted first, on conflict.
 	Winner string `json:"winner,omitempty"`
-	Error  *Error `json:"error,omitempty"`
+	// Changes lists what the accepted document changes, one line each.
+	Changes []string `json:"changes,omitempty"`
+	Error   *Error   `json:"error,omitempty"`
 }
 
 // ConfigResponse answers GET PathConfig.
@@ -48,6 +62,8 @@
 	Hash     string    `json:"hash"`
 	Operator string    `json:"operator"`
 	At       time.Time `json:"at"`
+	// Session is that of the apply that was accepted.
+	Session string `json:"session"`
 	// Document is the text of the document in force.
 	Document string `json:"document"`
 }
--- /dev/null
+++ b/api/table.go
@@ -0,0 +1,64 @@
+package api
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Markdown renders Table as the page docs/CODES.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString(codesHead)
+	kind := Code(0)
+	for _, info := range Table {
+		if k := info.Code / 1000; k != kind {
+			kind = k
+			fmt.Fprintf(&b, "\n## %s\n\n%s", kinds[k], columns)
+		}
+		if info.Code == OK {
+			fmt.Fprintf(&b, "\n%s", columns)
+		}
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s | %s |\n",
+			info.Code, info.Name, httpStatus(info.HTTP), info.Ran, yesNo(info.Repeat), info.Meaning)
+	}
+	return b.String()
+}
+
+const codesHead = `# Result codes
+
+Every refusal of daisytide carries a number: in the Daisytide-Code header of an
+answer, in the JSON of the operator listener, and in the output of the command
+line. "Ran" tells whether an upstream ran the request that the result belongs
+to, also given by the Daisytide-Run header; "-" stands where there is no such
+request. "Repeat" tells whether the same request may be sent again without a
+risk of a second run. docs/OPERATIONS.md says what to do for each.
+
+This page is generated: ` + "`go run ./cmd/daisytide codes > docs/CODES.md`" + ` writes it,
+and a test fails while it differs from the code.
+`
+
+const columns = "| number | name | HTTP status | ran | repeat | meaning |\n|---|---|---|---|---|---|\n"
+
+// kinds names the thousands of the codes.
+var kinds = map[Code]string{
+	1: "Documents",
+	2: "Settings",
+	3: "Operators",
+	4: "Calls",
+	5: "The platform's store",
+	6: "Peers",
+}
+
+func httpStatus(status int) string {
+	if status == 0 {
+		return "-"
+	}
+	return fmt.Sprint(status)
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/api/table_test.go
@@ -0,0 +1,60 @@
+package api
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestPageOfCodesMatchesTheTable(t *testing.T) {
+	page, err := os.ReadFile("../docs/CODES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != Markdown() {
+		t.Error("docs/CODES.md differs from api.Table; run: go run ./cmd/daisytide codes > docs/CODES.md")
+	}
+}
+
+func TestTableIsInOrderWithOneRowAndNamePerCode(t *testing.T) {
+	names := map[string]bool{}
+	for i, info := range Table {
+		if i > 0 && info.Code <= Table[i-1].Code {
+			t.Errorf("%d stands after %d", info.Code, Table[i-1].Code)
+		}
+		if names[info.Name] || info.Meaning == "" {
+			t.Errorf("%d: the name %q is used twice, or there is no meaning", info.Code, info.Name)
+		}
+		names[info.Name] = true
+	}
+}
+
+// TestEveryCodeConstantHasARow reads the constants' source, since a constant
+// that the table lacks would be printed as unlisted.
+func TestEveryCodeConstantHasARow(t *testing.T) {
+	source, err := os.ReadFile("codes.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	constants := 0
+	for line := range strings.Lines(string(source)) {
+		if strings.Contains(line, " Code = ") {
+			constants++
+		}
+	}
+	if constants != len(Table) {
+		t.Errorf("%d constants, %d rows", constants, len(Table))
+	}
+}
+
+func TestOperationsSaysWhatToDoForEveryCode(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, info := range Table[1:] {
+		if !strings.Contains(string(page), "| "+info.Code.String()+" |") {
+			t.Errorf("docs/OPERATIONS.md has no row for %s", info.Code)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/daisytide/documents.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/operator/client"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/validate"
+)
+
+// fileArgument is the file that a command reads; "-" is the standard input.
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" required:"true" description:"file to read; - for the standard input"`
+}
+
+// read returns the file, at most a little over the largest document.
+func (f fileArgument) read(stdin io.Reader) ([]byte, error) {
+	in := stdin
+	if f.File != "-" {
+		opened, err := os.Open(f.File)
+		if err != nil {
+			return nil, usage(err.Error())
+		}
+		defer opened.Close()
+		in = opened
+	}
+	text, err := io.ReadAll(io.LimitReader(in, document.MaxBytes+1))
+	if err != nil {
+		return nil, usage(err.Error())
+	}
+	return text, nil
+}
+
+// validateCommand checks a document.
+type validateCommand struct {
+	jsonOption
+	Args fileArgument `positional-args:"true"`
+	app  *app
+}
+
+// verdict is the JSON output of a valid document.
+type verdict struct {
+	Valid bool `json:"valid"`
+	// Number is the configuration that the document was checked against; 0
+	// where it was checked alone.
+	Number uint64 `json:"number"`
+}
+
+// Execute implements flags.Commander.
+func (c *validateCommand) Execute([]string) error {
+	text, err := c.Args.read(c.app.stdin)
+	if err != nil {
+		return err
+	}
+	if _, faults := validate.Text(text, nil, nil); len(faults) > 0 {
+		return c.failed(c.app.stdout, validate.Refusal(faults))
+	}
+	out := verdict{Valid: true}
+	node, err := c.app.node.complete()
+	if err != nil {
+		return err
+	}
+	if node.Node != "" {
+		if out.Number, err = c.against(text); err != nil {
+			return c.failed(c.app.stdout, err)
+		}
+	}
+	if c.JSON {
+		return printJSON(c.app.stdout, out)
+	}
+	if out.Number > 0 {
+		fmt.Fprintf(c.app.stdout, "%s: valid against configuration %d\n", c.Args.File, out.Number)
+		return nil
+	}
+	fmt.Fprintf(c.app.stdout, "%s: valid\n", c.Args.File)
+	return nil
+}
+
+// against asks the node for its verdict.
+func (c *validateCommand) against(text []byte) (uint64, error) {
+	node, err := c.app.node.connect()
+	if err != nil {
+		return 0, err
+	}
+	ctx, stop := untilInterrupt()
+	defer stop()
+	number, err := node.Validate(ctx, text)
+	return number, asked(err)
+}
+
+// applyCommand puts a document in force.
+type applyCommand struct {
+	jsonOption
+	Base      uint64        `long:"base" description:"configuration number that the document was written against (default: the one in force)"`
+	Wait      bool          `long:"wait" description:"wait until the document is in force on every host"`
+	WaitLimit time.Duration `long:"wait-limit" default:"1m" description:"longest wait of --wait"`
+	Args      fileArgument  `positional-args:"true"`
+	app       *app
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	text, err := c.Args.read(c.app.stdin)
+	if err != nil {
+		return err
+	}
+	if _, faults := validate.Text(text, nil, nil); len(faults) > 0 {
+		return c.failed(c.app.stdout, validate.Refusal(faults))
+	}
+	node, err := c.app.node.connect()
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilInterrupt()
+	defer stop()
+	base, err := c.base(ctx, node)
+	if err != nil {
+		return c.failed(c.app.stdout, asked(err))
+	}
+	out := node.ApplyOnce(ctx, text, base)
+	if c.JSON {
+		if err := printJSON(c.app.stdout, out); err != nil {
+			return err
+		}
+	}
+	switch {
+	case out.Outcome == api.ApplyUnknown:
+		return unknownOutcome(out.Error)
+	case out.Outcome != api.ApplyAccepted:
+		return out.Error
+	}
+	c.printAccepted(out)
+	if !c.Wait {
+		return nil
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, c.WaitLimit)
+	defer cancel()
+	return await(waitCtx, node, out.Number, c.app.stderr)
+}
+
+// base returns the number that the document follows.
+func (c *applyCommand) base(ctx context.Context, node *client.Client) (uint64, error) {
+	if c.Base != 0 {
+		return c.Base, nil
+	}
+	var status api.StatusResponse
+	err := node.Get(ctx, api.PathStatus, &status)
+	return status.Number, err
+}
+
+func (c *applyCommand) printAccepted(out api.ApplyResponse) {
+	if c.JSON {
+		return
+	}
+	fmt.Fprintf(c.app.stdout, "accepted as configuration %d\n", out.Number)
+	for _, line := range out.Changes {
+		fmt.Fprintln(c.app.stdout, "  "+line)
+	}
+}
+
+// getCommand prints the document in force.
+type getCommand struct {
+	jsonOption
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *getCommand) Execute([]string) error {
+	var cfg api.ConfigResponse
+	if err := ask(c.app, api.PathConfig, &cfg); err != nil {
+		return c.failed(c.app.stdout, err)
+	}
+	if c.JSON {
+		return printJSON(c.app.stdout, cfg)
+	}
+	fmt.Fprintf(c.app.stderr, "configuration %d by %s at %s, hash %s\n", cfg.Number, cfg.Operator, cfg.At.Format(time.RFC3339), cfg.Hash)
+	var text bytes.Buffer
+	if err := json.Indent(&text, []byte(cfg.Document), "", "  "); err != nil {
+		return fmt.Errorf("print the document: %w", err)
+	}
+	fmt.Fprintln(c.app.stdout, text.String())
+	return nil
+}
+
+// ask reads one page of the node.
+func ask(a *app, path string, out any) error {
+	node, err := a.node.connect()
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilInterrupt()
+	defer stop()
+	return asked(node.Get(ctx, path, out))
+}
--- /dev/null
+++ b/cmd/daisytide/hosts.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/operator/client"
+)
+
+// pollEvery is how often a waiting command asks again.
+const pollEvery = 500 * time.Millisecond
+
+// hostsCommand lists the hosts.
+type hostsCommand struct {
+	jsonOption
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *hostsCommand) Execute([]string) error {
+	var out api.HostsResponse
+	if err := ask(c.app, api.PathHosts, &out); err != nil {
+		return c.failed(c.app.stdout, err)
+	}
+	if c.JSON {
+		return printJSON(c.app.stdout, out)
+	}
+	t := tabwriter.NewWriter(c.app.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "HOST\tDATA CENTRE\tSTATE\tCONFIGURATION\tUPSTREAM\tSLOTS\t")
+	for _, h := range out.Hosts {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", h.Address, h.DataCentre, h.State, numberOf(h), upstreamOf(h), h.Slots, h.Error)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("print: %w", err)
+	}
+	have, all := inForce(out, out.Number)
+	fmt.Fprintf(c.app.stdout, "configuration %d is in force on %d of %d hosts\n", out.Number, have, all)
+	return nil
+}
+
+func numberOf(h api.Host) string {
+	if h.Error != "" {
+		return "?"
+	}
+	return strconv.FormatUint(h.Number, 10)
+}
+
+func upstreamOf(h api.Host) string {
+	if h.Service == "" {
+		return "-"
+	}
+	return h.Service + " " + h.Version + " " + h.Upstream
+}
+
+// inForce counts the hosts that have a configuration number or a later one.
+func inForce(out api.HostsResponse, number uint64) (have, all int) {
+	for _, h := range out.Hosts {
+		if h.Error == "" && h.Number >= number {
+			have++
+		}
+	}
+	return have, len(out.Hosts)
+}
+
+// await waits until every host has the configuration, printing progress. When
+// the time ends before, the document is accepted all the same, but not known
+// to be in force everywhere.
+func await(ctx context.Context, node *client.Client, number uint64, progress io.Writer) error {
+	last := -1
+	for {
+		var out api.HostsResponse
+		err := node.Get(ctx, api.PathHosts, &out)
+		have, all := inForce(out, number)
+		if err == nil && have != last {
+			fmt.Fprintf(progress, "configuration %d is in force on %d of %d hosts\n", number, have, all)
+			last = have
+		}
+		if err == nil && all > 0 && have == all {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return unknownOutcome(api.Errorf(api.OperatorUnknown, "configuration %d is accepted, and was seen in force on %d of %d hosts", number, max(last, 0), all))
+		case <-time.After(pollEvery):
+		}
+	}
+}
--- a/cmd/daisytide/main.go
+++ b/cmd/daisytide/main.go
@@ -2,59 +2,55 @@
 package main
 
 import (
-	"errors"
-	"fmt"
+	"io"
 	"os"
 
 	"github.com/jessevdk/go-flags"
-
-	"github.com/daisytide/daisytide/api"
 )
 
-// Exit codes.
-const (
-	exitDone    = 0
-	exitRefused = 1
-	exitUsage   = 2
-	exitUnknown = 3
-)
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
 
-// errUnknown marks an outcome that is not known.
-var errUnknown = errors.New("the outcome is unknown")
+// app is what the commands share.
+type app struct {
+	node   nodeOptions
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+}
 
-func main() {
+// run executes one command line and gives the exit code.
+func run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	a := &app{stdin: stdin, stdout: stdout, stderr: stderr}
 	p := flags.NewNamedParser("daisytide", flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription = "configuration distribution for a service mesh"
+	p.LongDescription = "Exit codes: 0 done, 1 refused (the number is printed), 2 wrong usage, 3 the outcome is unknown."
+	_, err := p.AddGroup("Node options", "Which node to ask, and as whom", &a.node)
+	must(err)
+	for _, c := range []struct {
+		name, short, long string
+		command           any
+	}{
+		{"validate", "check a document", "Checks a document alone and, when a node is given, against the configuration in force. Every fault is printed with its line, its path in the document and its number.", &validateCommand{app: a}},
+		{"apply", "put a document in force", "Takes a document to the store through a node. A lost reply is settled by asking again under the same session.", &applyCommand{app: a}},
+		{"get", "print the document in force", "Prints the document in force on the node.", &getCommand{app: a}},
+		{"hosts", "list the hosts", "Lists the hosts that the node knows, with the configuration in force on each.", &hostsCommand{app: a}},
+		{"rollouts", "list, follow or order moves", "Lists the moves between versions with their state, and gives orders to them.", &rolloutsCommand{app: a}},
+		{"audit", "print the audit trail", "Prints who changed what and when, the newest entry last.", &auditCommand{app: a}},
+		{"check-settings", "check a settings file of a node", "Checks a settings file of daisytided, with all files that it names. Every fault is printed with its line, key and number.", &checkSettingsCommand{app: a}},
+		{"codes", "print the table of result codes", "Prints the table of result codes, the page docs/CODES.md.", &codesCommand{app: a}},
+		{"version", "print the version", "Prints the version of this program.", &versionCommand{app: a}},
+	} {
+		_, err := p.AddCommand(c.name, c.short, c.long, c.command)
+		must(err)
+	}
 	addDemo(p)
-	_, err := p.Parse()
-	os.Exit(report(err))
-}
-
-// report prints err and gives the exit code.
-func report(err error) int {
-	var usage *flags.Error
-	var refused *api.Error
-	switch {
-	case err == nil:
-		return exitDone
-	case errors.As(err, &usage):
-		fmt.Fprintln(os.Stderr, usage.Message)
-		if usage.Type == flags.ErrHelp {
-			return exitDone
-		}
-		return exitUsage
-	case errors.Is(err, errUnknown):
-		fmt.Fprintln(os.Stderr, err)
-		return exitUnknown
-	case errors.As(err, &refused):
-		fmt.Fprintln(os.Stderr, refused)
-		for _, f := range refused.Faults {
-			fmt.Fprintln(os.Stderr, "  "+f.String())
-		}
-		return exitRefused
-	default:
-		fmt.Fprintln(os.Stderr, err)
-		return exitRefused
+	rest, err := p.ParseArgs(args)
+	if err == nil && len(rest) > 0 {
+		err = usage("unexpected argument " + rest[0])
 	}
+	return report(err, stdout, stderr)
 }
 
 // must ends the program on a wrong command declaration.
--- /dev/null
+++ b/cmd/daisytide/main_test.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/standin/cluster"
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+const (
+	wrongFolder = "../../internal/version/validate/testdata/wrong/"
+	example     = "../../docs/examples/coral-tt-north.json"
+)
+
+// command runs one command line without the environment's node.
+func command(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	for _, name := range []string{"NODE", "TOKEN", "OPERATOR", "CLIENT_FILE", "AUTHORITIES", "TIMEOUT"} {
+		t.Setenv("DAISYTIDE_"+name, "")
+		os.Unsetenv("DAISYTIDE_" + name)
+	}
+	var out, errs bytes.Buffer
+	code = run(args, strings.NewReader(""), &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func TestValidateNamesEveryFaultOfEachWrongDocument(t *testing.T) {
+	text, err := os.ReadFile(wrongFolder + "expected.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := map[string]string{}
+	for line := range strings.Lines(string(text)) {
+		var number int
+		name, fault, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		fields := strings.Split(fault, " ")
+		if _, err := fmt.Sscan(fields[2], &number); err != nil {
+			t.Fatal(err)
+		}
+		place := "line " + fields[0] + ": "
+		if fields[1] != "" {
+			place += fields[1] + ": "
+		}
+		if files[name] == "" {
+			code, _, stderr := command(t, "validate", wrongFolder+name+".json")
+			if code != exitRefused {
+				t.Errorf("%s: exit code %d", name, code)
+			}
+			files[name] = stderr
+		}
+		if want := place + api.Code(number).String() + ": "; !strings.Contains(files[name], want) {
+			t.Errorf("%s: no %q in\n%s", name, want, files[name])
+		}
+	}
+	if len(files) < 20 {
+		t.Errorf("only %d files", len(files))
+	}
+}
+
+func TestValidateRefusesADocumentOverTheLimit(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "large.json")
+	text := `{"services":[],"routes":[]}` + strings.Repeat(" ", document.MaxBytes)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, _, stderr := command(t, "validate", file); code != exitRefused || !strings.Contains(stderr, "1003") {
+		t.Errorf("%d %s", code, stderr)
+	}
+}
+
+func TestExitCodesOfCommandLines(t *testing.T) {
+	for line, want := range map[string]int{
+		"":                                  exitUsage,
+		"--help":                            exitDone,
+		"apply --help":                      exitDone,
+		"sail":                              exitUsage,
+		"version":                           exitDone,
+		"version more":                      exitUsage,
+		"version --loud":                    exitUsage,
+		"codes --json":                      exitDone,
+		"validate":                          exitUsage,
+		"validate lacking.json":             exitUsage,
+		"validate " + example:               exitDone,
+		"check-settings lacking.ini":        exitRefused,
+		"hosts":                             exitUsage,
+		"hosts --node 127.0.0.1 --token x":  exitUsage,
+		"hosts --client-file lacking.ini":   exitRefused,
+		"rollouts --pause a --resume b":     exitUsage,
+		"apply --base x " + example:         exitUsage,
+		"check-settings ../../go.mod":       exitRefused,
+		"hosts --client-file ../../go.mod":  exitRefused,
+		"validate --client-file x.ini nope": exitUsage,
+		"check-settings ../../docs/examples/himal-bagmati.ini": exitDone,
+	} {
+		if code, _, stderr := command(t, strings.Fields(line)...); code != want {
+			t.Errorf("daisytide %s: exit code %d, want %d: %s", line, code, want, stderr)
+		}
+	}
+}
+
+func TestOperatorWorksThroughTheCommandLine(t *testing.T) {
+	ctx := context.Background()
+	c, err := cluster.Start(ctx, cluster.Config{Nodes: 3, DataCentres: 3, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	if err := c.AwaitMembers(ctx); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "client.ini")
+	ini := "[client]\nnode = " + c.Hosts[1].OperatorBase() + "\ntoken = " + cluster.Token + "\noperator = ann\n"
+	if err := os.WriteFile(file, []byte(ini), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	do := func(want int, args ...string) (string, string) {
+		t.Helper()
+		code, stdout, stderr := command(t, append([]string{"--client-file", file}, args...)...)
+		if code != want {
+			t.Fatalf("daisytide %v: exit code %d, want %d\n%s%s", args, code, want, stdout, stderr)
+		}
+		return stdout, stderr
+	}
+	if _, stderr := do(exitRefused, "get"); !strings.Contains(stderr, "4007") {
+		t.Errorf("get before the first document: %s", stderr)
+	}
+	stdout, stderr := do(exitDone, "apply", "--wait", example)
+	if !strings.Contains(stdout, "accepted as configuration 1\n  + service status-desk") || !strings.Contains(stderr, "on 3 of 3 hosts") {
+		t.Errorf("apply: %s%s", stdout, stderr)
+	}
+	if stdout, _ = do(exitDone, "hosts"); !strings.Contains(stdout, "configuration 1 is in force on 3 of 3 hosts") {
+		t.Errorf("hosts: %s", stdout)
+	}
+	stdout, _ = do(exitDone, "get", "--json")
+	var cfg api.ConfigResponse
+	if err := json.Unmarshal([]byte(stdout), &cfg); err != nil || cfg.Number != 1 || cfg.Operator != "ann" {
+		t.Errorf("get: %+v %v", cfg, err)
+	}
+	if stdout, _ = do(exitDone, "validate", example); !strings.Contains(stdout, "valid against configuration 1") {
+		t.Errorf("validate: %s", stdout)
+	}
+	do(exitDone, "apply", example)
+	if _, stderr = do(exitRefused, "apply", "--base", "1", example); !strings.Contains(stderr, "3002") || !strings.Contains(stderr, "ann") {
+		t.Errorf("conflict: %s", stderr)
+	}
+	if _, stderr = do(exitRefused, "hosts", "--token", "wrong"); !strings.Contains(stderr, "3001") {
+		t.Errorf("wrong token: %s", stderr)
+	}
+	if _, stderr = do(exitRefused, "rollouts", "--pause", "status-desk"); !strings.Contains(stderr, "3005") {
+		t.Errorf("order without a move: %s", stderr)
+	}
+	do(exitDone, "rollouts", "--follow")
+	do(exitDone, "audit")
+}
--- a/internal/process/node/wire_operators.go
+++ b/internal/process/node/wire_operators.go
@@ -21,6 +21,7 @@
 		Node:      n,
 		Documents: n.provider,
 		Holder:    n.holder,
+		Audit:     n.audit,
 		Refused:   refused,
 	}
 	n.peerMux.Handle(rpc.Prefix+statusMethod, rpc.Handle(func(context.Context, struct{}) (api.StatusResponse, error) {
--- /dev/null
+++ b/internal/process/operator/apply.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+	"time"
+	"unicode"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// Origin tells where an order of an operator comes from.
+type Origin struct {
+	Operator string
+	// Base is the configuration number that the operator started from; 0
+	// means whichever is in force.
+	Base uint64
+	// Session identifies one apply over all tries to send it.
+	Session string
+}
+
+// origin reads the headers of an operator.
+func origin(h http.Header) (Origin, *api.Error) {
+	o := Origin{Operator: h.Get(api.HeaderOperator), Session: h.Get(api.HeaderSession)}
+	if !printable(o.Operator, api.MaxOperatorBytes) {
+		return o, api.Errorf(api.OperatorHeader, "%s must be at most %d printable bytes", api.HeaderOperator, api.MaxOperatorBytes)
+	}
+	if !printable(o.Session, api.MaxSessionBytes) {
+		return o, api.Errorf(api.OperatorHeader, "%s must be at most %d printable bytes", api.HeaderSession, api.MaxSessionBytes)
+	}
+	if base := h.Get(api.HeaderBase); base != "" {
+		n, err := strconv.ParseUint(base, 10, 64)
+		if err != nil {
+			return o, api.Errorf(api.OperatorHeader, "%s must be a configuration number", api.HeaderBase)
+		}
+		o.Base = n
+	}
+	return o, nil
+}
+
+func printable(s string, most int) bool {
+	for _, c := range s {
+		if !unicode.IsPrint(c) {
+			return false
+		}
+	}
+	return len(s) <= most
+}
+
+// Apply takes a document to the store and enters the outcome, whichever it is,
+// in the audit trail.
+func (s *Server) Apply(ctx context.Context, text []byte, from Origin) api.ApplyResponse {
+	if from.Session == "" {
+		from.Session = rand.Text()
+	}
+	before := s.Holder.Current()
+	out := s.Documents.ApplySession(ctx, text, from.Operator, from.Base, from.Session)
+	entry := api.AuditEntry{
+		At:       time.Now().UTC(),
+		Operator: from.Operator,
+		Action:   "apply",
+		From:     before.Number(),
+		Outcome:  string(out.Outcome),
+	}
+	if out.Outcome == api.ApplyAccepted {
+		entry.To = out.Number
+		var old *document.Document
+		if before != nil {
+			old = before.Document
+		}
+		if doc, faults := document.Decode(text); len(faults) == 0 {
+			out.Changes = document.Diff(old, doc)
+		}
+		entry.Changes = out.Changes
+	}
+	if out.Error != nil {
+		entry.Outcome += ": " + out.Error.Error()
+	}
+	s.Audit.Record(entry)
+	return out
+}
+
+// Order gives an operator's order to a move and enters it in the audit trail.
+func (s *Server) Order(o api.RolloutOrder, operator string) *api.Error {
+	err := s.Node.Order(o, operator)
+	number := s.Holder.Current().Number()
+	entry := api.AuditEntry{
+		At:       time.Now().UTC(),
+		Operator: operator,
+		Action:   "rollout-order",
+		From:     number,
+		To:       number,
+		Outcome:  "done",
+		Changes:  []string{string(o.Action) + " " + o.Service},
+	}
+	if o.Reason != "" {
+		entry.Changes = append(entry.Changes, "reason: "+o.Reason)
+	}
+	if err != nil {
+		entry.Outcome = "refused: " + err.Error()
+	}
+	s.Audit.Record(entry)
+	return err
+}
--- /dev/null
+++ b/internal/process/operator/client/apply_test.go
@@ -0,0 +1,105 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// answers plays one answer per request; nil breaks the connection unanswered.
+type answers struct {
+	list     []*api.ApplyResponse
+	sessions []string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (a *answers) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method == http.MethodPost {
+		a.sessions = append(a.sessions, r.Header.Get(api.HeaderSession))
+	}
+	next := a.list[0]
+	a.list = a.list[1:]
+	if next == nil {
+		return nil, errors.New("connection reset")
+	}
+	w := httptest.NewRecorder()
+	if next.Error != nil {
+		w.WriteHeader(api.Info(next.Error.Code).HTTP)
+	}
+	_, _ = w.WriteString(encode(next))
+	return w.Result(), nil
+}
+
+func TestLostReplyOfAnApplyIsSettledBySession(t *testing.T) {
+	accepted := &api.ApplyResponse{Outcome: api.ApplyAccepted, Number: 8}
+	next := &api.ApplyResponse{Outcome: api.ApplyConflict, Number: 8, Error: api.Errorf(api.OperatorConflict, "x")}
+	later := &api.ApplyResponse{Outcome: api.ApplyConflict, Number: 8 + document.PastLimit, Error: api.Errorf(api.OperatorConflict, "x")}
+	doubt := &api.ApplyResponse{Outcome: api.ApplyUnknown, Error: api.Errorf(api.StoreUnknown, "x")}
+	down := &api.ApplyResponse{Outcome: api.ApplyRefused, Error: api.Errorf(api.StoreNotReached, "x")}
+	for name, c := range map[string]struct {
+		list  []*api.ApplyResponse
+		want  api.ApplyOutcome
+		tries int
+	}{
+		"answered":                          {[]*api.ApplyResponse{accepted}, api.ApplyAccepted, 1},
+		"conflict":                          {[]*api.ApplyResponse{next}, api.ApplyConflict, 1},
+		"refused":                           {[]*api.ApplyResponse{down}, api.ApplyRefused, 1},
+		"lost, then recognised":             {[]*api.ApplyResponse{nil, accepted}, api.ApplyAccepted, 2},
+		"in doubt, then recognised":         {[]*api.ApplyResponse{doubt, accepted}, api.ApplyAccepted, 2},
+		"lost, and another has the number":  {[]*api.ApplyResponse{nil, next}, api.ApplyConflict, 2},
+		"lost, and too many have followed":  {[]*api.ApplyResponse{nil, later}, api.ApplyUnknown, 2},
+		"lost, then the store is down":      {[]*api.ApplyResponse{nil, down, down, down}, api.ApplyUnknown, 4},
+		"lost, refused once, then accepted": {[]*api.ApplyResponse{nil, down, accepted}, api.ApplyAccepted, 3},
+		"lost each time":                    {[]*api.ApplyResponse{nil, nil, nil, nil}, api.ApplyUnknown, 4},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			played := &answers{list: c.list}
+			node := Client{Base: "http://node", HTTP: &http.Client{Transport: played}}
+			out := node.ApplyOnce(context.Background(), []byte("{}"), 7)
+			if out.Outcome != c.want || len(played.sessions) != c.tries {
+				t.Errorf("%s: %s after %d tries, want %s after %d", name, out.Outcome, len(played.sessions), c.want, c.tries)
+			}
+			if strings.Count(strings.Join(played.sessions, " "), played.sessions[0]) != c.tries {
+				t.Errorf("%s: the session changed: %v", name, played.sessions)
+			}
+		})
+	}
+}
+
+func TestFirstDocumentIsNotSentTwiceWithoutABase(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		played := &answers{list: []*api.ApplyResponse{nil, nil, nil, nil}}
+		node := Client{Base: "http://node", HTTP: &http.Client{Transport: played}}
+		if out := node.ApplyOnce(context.Background(), []byte("{}"), 0); out.Outcome != api.ApplyUnknown || len(played.sessions) != 1 {
+			t.Errorf("%s after %d tries", out.Outcome, len(played.sessions))
+		}
+	})
+}
+
+func TestNodeThatIsNotReachedHasNotAccepted(t *testing.T) {
+	refuse := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	}}
+	node := Client{Base: "http://node", HTTP: &http.Client{Transport: refuse}}
+	out := node.ApplyOnce(context.Background(), []byte("{}"), 7)
+	if out.Outcome != api.ApplyRefused || out.Error.Code != api.OperatorNoAnswer {
+		t.Errorf("%+v", out)
+	}
+}
+
+func encode(out *api.ApplyResponse) string {
+	b, err := json.Marshal(out)
+	if err != nil {
+		panic(err)
+	}
+	return string(b)
+}
--- a/internal/process/operator/client/client.go
+++ b/internal/process/operator/client/client.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -16,9 +18,6 @@
 // maxAnswerBytes bounds an answer of the operator listener.
 const maxAnswerBytes = 8 << 20
 
-// headerBase carries the configuration number that an operator started from.
-const headerBase = "Daisytide-Base"
-
 // Client calls one node.
 type Client struct {
 	// Base is the URL of the operator listener.
@@ -28,28 +27,42 @@
 	HTTP     *http.Client
 }
 
-// Apply takes a document to the node. base is the configuration number that
-// the operator started from, 0 for whichever is in force. Whatever the
+// Apply takes a document to the node, once. base is the configuration number
+// that the operator started from, 0 for whichever is in force. Whatever the
 // outcome, it stands in the response; err means that no answer came, so that
-// the outcome is unknown.
+// the outcome is unknown. ApplyOnce settles that.
 func (c *Client) Apply(ctx context.Context, text []byte, base uint64) (api.ApplyResponse, error) {
+	return c.apply(ctx, text, base, "")
+}
+
+func (c *Client) apply(ctx context.Context, text []byte, base uint64, session string) (api.ApplyResponse, error) {
 	var out api.ApplyResponse
-	err := c.do(ctx, http.MethodPost, api.PathConfig, text, base, &out)
-	if refusal, ok := err.(*api.Error); ok {
+	h := http.Header{}
+	if base != 0 {
+		h.Set(api.HeaderBase, strconv.FormatUint(base, 10))
+	}
+	if session != "" {
+		h.Set(api.HeaderSession, session)
+	}
+	err := c.do(ctx, http.MethodPost, api.PathConfig, text, h, &out)
+	var refusal *api.Error
+	if errors.As(err, &refusal) && refusal.Code != api.OperatorNoAnswer {
 		return api.ApplyResponse{Outcome: api.ApplyRefused, Error: refusal}, nil
 	}
 	return out, err
 }
 
-// Validate checks a document against the configuration in force.
-func (c *Client) Validate(ctx context.Context, text []byte) error {
+// Validate checks a document against the configuration in force and returns
+// its number.
+func (c *Client) Validate(ctx context.Context, text []byte) (uint64, error) {
 	var out api.ApplyResponse
-	return c.do(ctx, http.MethodPost, api.PathValidate, text, 0, &out)
+	err := c.do(ctx, http.MethodPost, api.PathValidate, text, nil, &out)
+	return out.Number, err
 }
 
 // Get reads path into out.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
-	return c.do(ctx, http.MethodGet, path, nil, 0, out)
+	return c.do(ctx, http.MethodGet, path, nil, nil, out)
 }
 
 // Order sends an operator's order to a move.
@@ -59,20 +72,26 @@
 	if err != nil {
 		return out, fmt.Errorf("encode the order: %w", err)
 	}
-	return out, c.do(ctx, http.MethodPost, api.PathRollouts, b, 0, &out)
+	return out, c.do(ctx, http.MethodPost, api.PathRollouts, b, nil, &out)
 }
 
-func (c *Client) do(ctx context.Context, method, path string, in []byte, base uint64, out any) error {
+// do sends one request. A node that could not be connected to gives
+// api.OperatorNoAnswer; any other error without a number may follow an effect.
+func (c *Client) do(ctx context.Context, method, path string, in []byte, h http.Header, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(in))
 	if err != nil {
 		return fmt.Errorf("ask the node: %w", err)
 	}
+	if h != nil {
+		req.Header = h
+	}
 	req.Header.Set(api.HeaderToken, c.Token)
 	req.Header.Set(api.HeaderOperator, c.Operator)
-	if base != 0 {
-		req.Header.Set(headerBase, strconv.FormatUint(base, 10))
-	}
 	resp, err := c.HTTP.Do(req)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return api.Errorf(api.OperatorNoAnswer, "%w", err)
+	}
 	if err != nil {
 		return fmt.Errorf("ask the node: %w", err)
 	}
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -13,6 +13,7 @@
 	"strconv"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/audit"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
@@ -31,18 +32,17 @@
 // Documents takes documents to the store.
 type Documents interface {
 	Validate(text []byte) (*document.Document, *api.Error)
-	Apply(ctx context.Context, text []byte, operator string, base uint64) api.ApplyResponse
+	ApplySession(ctx context.Context, text []byte, operator string, base uint64, session string) api.ApplyResponse
 }
 
-// HeaderBase carries the configuration number that an operator started from.
-const HeaderBase = "Daisytide-Base"
-
 // Server is the handler of the operator listener.
 type Server struct {
 	Token     string
 	Node      Node
 	Documents Documents
 	Holder    *snapshot.Holder
+	// Audit takes an entry for each apply and order, refused ones too.
+	Audit audit.Recorder
 	// Refused counts requests with a wrong token.
 	Refused *expvar.Int
 }
@@ -60,6 +60,7 @@
 	mux.HandleFunc("GET "+api.PathStatus, func(w http.ResponseWriter, _ *http.Request) { write(w, s.Node.Status()) })
 	mux.HandleFunc("POST "+api.PathAnnounce, s.announce)
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("/", notFound)
 	return s.authorise(mux)
 }
 
@@ -76,15 +77,19 @@
 }
 
 func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
-	text, err := body(w, r)
+	from, err := origin(r.Header)
+	var text []byte
+	if err == nil {
+		text, err = body(w, r)
+	}
 	if err != nil {
 		refuse(w, err)
 		return
 	}
-	base, _ := strconv.ParseUint(r.Header.Get(HeaderBase), 10, 64)
-	out := s.Documents.Apply(r.Context(), text, r.Header.Get(api.HeaderOperator), base)
+	out := s.Apply(r.Context(), text, from)
 	if out.Error != nil {
 		w.Header().Set(call.HeaderCode, strconv.Itoa(int(out.Error.Code)))
+		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(api.Info(out.Error.Code).HTTP)
 	}
 	write(w, out)
@@ -113,6 +118,7 @@
 		Hash:     cur.Hash.String(),
 		Operator: cur.Accepted.Operator,
 		At:       cur.Accepted.At,
+		Session:  cur.Accepted.Session,
 		Document: string(cur.Accepted.Document),
 	})
 }
@@ -123,7 +129,11 @@
 		refuse(w, err)
 		return
 	}
-	if err := s.Node.Order(o, r.Header.Get(api.HeaderOperator)); err != nil {
+	from, err := origin(r.Header)
+	if err == nil {
+		err = s.Order(o, from.Operator)
+	}
+	if err != nil {
 		refuse(w, err)
 		return
 	}
@@ -152,10 +162,14 @@
 	write(w, s.Node.Status())
 }
 
+func notFound(w http.ResponseWriter, r *http.Request) {
+	refuse(w, api.Errorf(api.OperatorNotFound, "no page %s %s", r.Method, r.URL.Path))
+}
+
 func body(w http.ResponseWriter, r *http.Request) ([]byte, *api.Error) {
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, document.MaxBytes+1))
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	if errors.As(err, &large) || len(text) > document.MaxBytes {
 		return nil, api.Errorf(api.DocumentTooLarge, "the body is over %d bytes", document.MaxBytes)
 	}
 	if err != nil {
--- a/internal/process/provider/apply.go
+++ b/internal/process/provider/apply.go
@@ -49,6 +49,12 @@
 // the operator started from; 0 means whichever is in force. The document is
 // never moved onto another base: who lost a race is told the winner.
 func (p *Provider) Apply(ctx context.Context, text []byte, operator string, base uint64) api.ApplyResponse {
+	return p.ApplySession(ctx, text, operator, base, rand.Text())
+}
+
+// ApplySession is Apply under a session of the operator's, so that a document
+// which an earlier try brought into the store is recognised.
+func (p *Provider) ApplySession(ctx context.Context, text []byte, operator string, base uint64, session string) api.ApplyResponse {
 	doc, bad := p.Validate(text)
 	if bad != nil {
 		return p.refused(bad)
@@ -63,16 +69,22 @@
 	if err != nil {
 		return p.notWritten(err)
 	}
+	if prev != nil {
+		if number, ok := prev.NumberOf(session); ok {
+			return p.accepted(number, entry)
+		}
+	}
 	if base != 0 && (prev == nil || prev.Number != base) {
 		return p.conflict(prev)
 	}
 	if prevDoc != nil {
 		if faults := validate.Change(prevDoc, doc, p.Ended); len(faults) > 0 {
+			document.Locate(text, faults)
 			return p.refused(validate.Refusal(faults))
 		}
 	}
 	a := attempt{revision: entry.Revision}
-	a.next = document.Next(prev, prevDoc, text, doc, rand.Text(), operator, time.Now().UTC())
+	a.next = document.Next(prev, prevDoc, text, doc, session, operator, time.Now().UTC())
 	if a.envelope, err = a.next.Envelope(); err != nil {
 		return p.notWritten(err)
 	}
--- a/internal/process/settings/load.go
+++ b/internal/process/settings/load.go
@@ -30,16 +30,10 @@
 // when there is no fault.
 func Parse(text string, overrides ...string) (*Settings, []api.Fault) {
 	var s Settings
-	r := &reader{parser: flags.NewParser(&s, flags.PassDoubleDash), places: places{}}
-	if len(text) > maxFileBytes {
-		r.note(api.SettingsSyntax, 0, "", fmt.Sprintf("the file is over %d bytes", maxFileBytes))
+	r := newReader(&s)
+	if !r.read(text) {
 		return nil, r.faults
 	}
-	number := 0
-	for line := range strings.Lines(text) {
-		number++
-		r.line(number, strings.TrimSpace(line))
-	}
 	r.flags(overrides)
 	r.faults = append(r.faults, r.unless(s.Check(r.places))...)
 	sort.SliceStable(r.faults, func(i, j int) bool { return r.faults[i].Line < r.faults[j].Line })
@@ -61,6 +55,16 @@
 	return p[section]
 }
 
+// Into reads a text in INI form into groups of go-flags options, which dst
+// points to, and returns every fault with its line.
+func Into(dst any, text string) []api.Fault {
+	r := newReader(dst)
+	if r.read(text) {
+		r.flags(nil)
+	}
+	return r.faults
+}
+
 // reader collects what the lines of one file set.
 type reader struct {
 	parser *flags.Parser
@@ -72,6 +76,24 @@
 	faults   []api.Fault
 }
 
+func newReader(dst any) *reader {
+	return &reader{parser: flags.NewParser(dst, flags.PassDoubleDash), places: places{}}
+}
+
+// read takes all lines of a text; a text over the limit is not read.
+func (r *reader) read(text string) bool {
+	if len(text) > maxFileBytes {
+		r.note(api.SettingsSyntax, 0, "", fmt.Sprintf("the file is over %d bytes", maxFileBytes))
+		return false
+	}
+	number := 0
+	for line := range strings.Lines(text) {
+		number++
+		r.line(number, strings.TrimSpace(line))
+	}
+	return true
+}
+
 func (r *reader) note(c api.Code, line int, path, message string) {
 	r.faults = append(r.faults, api.Fault{Code: c, Line: line, Path: path, Message: message})
 }
