--- a/cmd/daisytide/documents.go
+++ b/cmd/daisytide/documents.go
@@ -100,6 +100,7 @@
 	jsonOption
 	Base      uint64        `long:"base" description:"configuration number that the document was written against (default: the one in force)"`
 	Wait      bool          `long:"wait" description:"wait until the document is in force on every host"`
+	Hosts     int           `long:"hosts" default:"1" description:"number of hosts that --wait must see at least"`
 	WaitLimit time.Duration `long:"wait-limit" default:"1m" description:"longest wait of --wait"`
 	Args      fileArgument  `positional-args:"true"`
 	app       *app
@@ -142,7 +143,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, c.WaitLimit)
 	defer cancel()
-	return await(waitCtx, node, out.Number, c.app.stderr)
+	return await(waitCtx, node, out.Number, c.Hosts, c.app.stderr)
 }
 
 // base returns the number that the document follows.
--- a/cmd/daisytide/hosts.go
+++ b/cmd/daisytide/hosts.go
@@ -67,25 +67,26 @@
 	return have, len(out.Hosts)
 }
 
-// await waits until every host has the configuration, printing progress. When
+// await waits until every host, and at least so many, has the configuration,
+// printing progress. When
 // the time ends before, the document is accepted all the same, but not known
 // to be in force everywhere.
-func await(ctx context.Context, node *client.Client, number uint64, progress io.Writer) error {
-	last := -1
+func await(ctx context.Context, node *client.Client, number uint64, least int, progress io.Writer) error {
+	last := [2]int{-1, 0}
 	for {
 		var out api.HostsResponse
 		err := node.Get(ctx, api.PathHosts, &out)
 		have, all := inForce(out, number)
-		if err == nil && have != last {
+		if line := [2]int{have, all}; err == nil && line != last {
 			fmt.Fprintf(progress, "configuration %d is in force on %d of %d hosts\n", number, have, all)
-			last = have
+			last = line
 		}
-		if err == nil && all > 0 && have == all {
+		if err == nil && all >= least && have == all {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return unknownOutcome(api.Errorf(api.OperatorUnknown, "configuration %d is accepted, and was seen in force on %d of %d hosts", number, max(last, 0), all))
+			return unknownOutcome(api.Errorf(api.OperatorUnknown, "configuration %d is accepted, and was seen in force on %d of %d hosts", number, max(last[0], 0), last[1]))
 		case <-time.After(pollEvery):
 		}
 	}
