--- /dev/null
+++ b/internal/request/entry/failure_test.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/request/call"
+)
+
+func codeOf(c api.Code) string { return fmt.Sprint(int(c)) }
+
+func TestUpstreamThatCrashesInEachPhaseOfACall(t *testing.T) {
+	header := "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n"
+	half := header + strings.Repeat("h", 45000)
+	for _, tc := range []struct {
+		phase, path, sent string
+		want              answer
+		runs              int64
+	}{
+		{"during the run of a credit", "/credit", "", answer{status: 502, code: codeOf(api.CallCut), ran: "unknown"}, 1},
+		{"in the header of a credit's answer", "/credit", header[:20], answer{status: 502, code: codeOf(api.CallCut), ran: "unknown"}, 1},
+		{"early in the body of a credit's answer", "/credit", header + "h", answer{status: 502, code: codeOf(api.CallCut), ran: "unknown"}, 1},
+		{"in the body of a credit's answer", "/credit", half, answer{cut: true}, 1},
+		{"during the run of a look-up", "/look", "", answer{status: 200, ran: "yes", body: "whole"}, 2},
+		{"early in the body of a look-up's answer", "/look", header + "h", answer{status: 200, ran: "yes", body: "whole"}, 2},
+		{"in the body of a look-up's answer", "/look", half, answer{cut: true}, 1},
+	} {
+		t.Run(tc.phase, func(t *testing.T) {
+			var crashed atomic.Bool
+			g := newRig(t, 3, func(_ *host, w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if crashed.CompareAndSwap(false, true) {
+					crash(w, tc.sent)
+					return
+				}
+				_, _ = io.WriteString(w, "whole")
+			})
+			got := g.do("POST", tc.path, strings.NewReader("x"), nil)
+			if tc.want.body == "" {
+				got.body = ""
+			}
+			if got.cut {
+				got = answer{cut: true}
+			}
+			if got != tc.want || g.runs() != tc.runs {
+				t.Errorf("got %+v after %d runs, want %+v after %d", got, g.runs(), tc.want, tc.runs)
+			}
+		})
+	}
+}
+
+func TestUpstreamThatIsGoneBeforeTheRunCostsNoCall(t *testing.T) {
+	g := newRig(t, 3, func(_ *host, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	g.hosts[0].upstream.Close()
+	g.hosts[1].peers.Close()
+	for i := range 50 {
+		if got := g.do("POST", "/credit", strings.NewReader("x"), nil); got.status != http.StatusOK || got.body != "whole" {
+			t.Fatalf("call %d: %+v", i, got)
+		}
+	}
+	if g.runs() != 50 {
+		t.Errorf("%d runs of 50 calls", g.runs())
+	}
+}
+
+func TestRefusedUploadIsOfferedElsewhereWhole(t *testing.T) {
+	const size = 10 << 20
+	g := newRig(t, 3, func(_ *host, w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n)
+	})
+	g.hosts[0].gate.Leave()
+	g.hosts[1].announce(api.UpstreamDraining)
+	for _, declared := range []bool{true, false} {
+		for range 6 {
+			got := g.do("POST", "/photo", large(size), func(r *http.Request) {
+				if !declared {
+					r.ContentLength = -1
+				}
+			})
+			if got.status != http.StatusOK || got.body != fmt.Sprint(size) {
+				t.Fatalf("%+v", got)
+			}
+		}
+	}
+	if n := g.hosts[2].runs.Load(); n != 12 || g.runs() != 12 {
+		t.Errorf("%d runs in all, %d at the open gate", g.runs(), n)
+	}
+}
+
+func TestDrainUnderLoadCutsNothing(t *testing.T) {
+	g := newRig(t, 4, func(_ *host, w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "whole")
+	})
+	var wrong, answered atomic.Int64
+	var load sync.WaitGroup
+	half := make(chan struct{})
+	for worker := range 6 {
+		load.Go(func() {
+			rng := seeded(uint64(worker))
+			for i := range 60 {
+				if worker == 0 && i == 30 {
+					close(half)
+				}
+				path := []string{"/look", "/credit"}[rng.IntN(2)]
+				if got := g.do("POST", path, strings.NewReader("x"), nil); got.body != "whole" || got.cut {
+					wrong.Add(1)
+				} else {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	<-half
+	g.hosts[0].announce(api.UpstreamDraining)
+	<-g.hosts[1].gate.Leave()
+	before := g.hosts[1].runs.Load()
+	load.Wait()
+	if wrong.Load() != 0 || answered.Load() != g.runs() || g.hosts[1].runs.Load() != before {
+		t.Errorf("%d wrong, %d answered, %d runs", wrong.Load(), answered.Load(), g.runs())
+	}
+}
+
+func TestFailureFromFurtherDownIsNotTriedAgainAbove(t *testing.T) {
+	g := newRig(t, 3, func(_ *host, w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/look/passed-on") {
+			w.Header().Set(call.HeaderCode, codeOf(api.CallShed))
+			w.Header().Set(call.HeaderRun, "no")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	got := g.do("GET", "/look/passed-on", nil, nil)
+	if got.status != 503 || got.ran != "yes" || got.code != "" || g.runs() != 1 {
+		t.Errorf("a passed-on refusal: %+v after %d runs", got, g.runs())
+	}
+	if got = g.do("GET", "/look/own", nil, nil); got.status != 503 || g.runs() != 4 {
+		t.Errorf("the upstream's own 503: %+v after %d runs", got, g.runs()-1)
+	}
+}
+
+func TestLyingHealthEndpointIsNeverAsked(t *testing.T) {
+	g := newRig(t, 3, func(h *host, w http.ResponseWriter, _ *http.Request) {
+		if h.runs.Load()%2 == 0 {
+			crash(w, "")
+			return
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	for range 30 {
+		g.do("GET", "/look", nil, nil)
+	}
+	for i, h := range g.hosts {
+		if h.health.Load() != 0 {
+			t.Errorf("host %d was probed %d times", i, h.health.Load())
+		}
+	}
+}
+
+func TestMisbehavingCallersHoldNoSlot(t *testing.T) {
+	blob := strings.Repeat("b", 8<<20)
+	g := newRig(t, 1, func(_ *host, w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		if err == nil && n == 0 {
+			_, _ = io.WriteString(w, blob)
+		}
+	})
+	for _, tc := range []struct{ name, request string }{
+		{"stops reading", "GET /look HTTP/1.1\r\nHost: x\r\nDaisytide-Time-Left: 300\r\n\r\n"},
+		{"sends half a streamed body", "POST /photo HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\nhalf"},
+		{"sends half a small body", "POST /credit HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"},
+		{"stalls in its body", "POST /photo HTTP/1.1\r\nHost: x\r\nDaisytide-Time-Left: 200\r\nContent-Length: 1000000\r\n\r\nhalf"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", g.callers.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			before := g.entry.Counts().Calls.Load()
+			_, _ = io.WriteString(conn, tc.request)
+			for g.entry.Counts().Calls.Load() == before {
+				if _, err := conn.Write(nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if strings.Contains(tc.name, "half") {
+				_ = conn.Close()
+			}
+			g.idle()
+			_ = conn.Close()
+			if got := g.do("GET", "/look", nil, nil); got.body != blob {
+				t.Errorf("the next call got %d bytes, status %d", len(got.body), got.status)
+			}
+		})
+	}
+}
+
+func TestHeadersOfCallersAreChecked(t *testing.T) {
+	g := newRig(t, 1, func(_ *host, w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, r.Header.Get(call.HeaderFence)+r.Header.Get(call.HeaderPeerKey)+r.Header.Get(call.HeaderDepth))
+	})
+	if got := g.do("GET", "/look", nil, func(r *http.Request) { r.Header.Set("X-Large", strings.Repeat("h", 1<<20)) }); !got.cut && got.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("a header of a megabyte: %+v", got)
+	}
+	if got := g.do("GET", "/look", nil, func(r *http.Request) { r.Header.Set(call.HeaderDepth, "65") }); got.code != codeOf(api.CallHeader) {
+		t.Errorf("too deep: %+v", got)
+	}
+	got := g.do("GET", "/look", nil, func(r *http.Request) {
+		r.Header.Set(call.HeaderFence, "forged")
+		r.Header.Set(call.HeaderPeerKey, "forged")
+	})
+	if got.body != "1" {
+		t.Errorf("the upstream saw %q of the callers' forged headers", got.body)
+	}
+}
+
+func TestLeavingMemberGetsNoCallAtOnce(t *testing.T) {
+	g := newRig(t, 2, func(_ *host, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	record, _ := g.entry.Members.Get(g.hosts[0].peers.Listener.Addr().String())
+	record.State = member.Leaving
+	g.entry.Members.Merge(record)
+	for range 20 {
+		g.do("GET", "/look", nil, nil)
+	}
+	if a, b := g.hosts[0].runs.Load(), g.hosts[1].runs.Load(); a != 0 || b != 20 {
+		t.Errorf("%d calls to the leaving node, %d to the other", a, b)
+	}
+}
