--- /dev/null
+++ b/internal/request/gate/admission_test.go
@@ -0,0 +1,189 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func newAdmission(slots int) *Admission {
+	a := &Admission{}
+	a.Limit.SetCeiling(slots, false)
+	return a
+}
+
+func request(rank Rank, left time.Duration) Request {
+	return Request{Route: "r", Rank: rank, Deadline: epoch.Add(left)}
+}
+
+func TestRanksPutUploadsFirstAndWhatRunsOnceLast(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		call call.Call
+		size int64
+		want Rank
+	}{
+		{"a buyer's look-up", call.Call{Caller: document.Buyer, Idempotent: true}, 0, RankLookup},
+		{"an organiser's look-up", call.Call{Caller: document.Organiser, Idempotent: true}, 0, RankLookup},
+		{"a credit", call.Call{Caller: document.Clerk}, 300, RankOnce},
+		{"a print order", call.Call{Caller: document.Organiser}, 4000, RankOnce},
+		{"a photo", call.Call{Caller: document.Driver}, 5 << 20, RankUpload},
+		{"a bundle of unknown size", call.Call{Caller: document.Organiser}, -1, RankUpload},
+	} {
+		if got := RankOf(&tc.call, tc.size); got != tc.want {
+			t.Errorf("%s: rank %d, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
+func TestFullQueueShedsTheLowestRankFirst(t *testing.T) {
+	a := newAdmission(2)
+	for range 2 {
+		a.Arrive(epoch, request(RankUpload, time.Minute))
+	}
+	upload, _ := a.Arrive(epoch, request(RankUpload, time.Minute))
+	lookup, _ := a.Arrive(epoch, request(RankLookup, time.Minute))
+	credit, code := a.Arrive(epoch, request(RankOnce, time.Minute))
+	if code != api.OK || <-upload.Verdict != api.CallShed {
+		t.Errorf("the credit got %v; the upload should have lost its place", code)
+	}
+	if _, code := a.Arrive(epoch, request(RankUpload, time.Minute)); code != api.CallShed {
+		t.Errorf("another upload got %v", code)
+	}
+	a.Done(epoch, "r", time.Millisecond, time.Millisecond, Answered)
+	if <-credit.Verdict != api.OK || len(lookup.Verdict) != 0 {
+		t.Error("the credit should run before the look-up that came first")
+	}
+}
+
+func TestNothingIsAdmittedThatCannotFinish(t *testing.T) {
+	a := newAdmission(1)
+	a.Arrive(epoch, request(RankLookup, time.Minute))
+	a.Done(epoch, "r", 100*time.Millisecond, 100*time.Millisecond, Answered)
+	if _, code := a.Arrive(epoch, request(RankOnce, 20*time.Millisecond)); code != api.CallNoTime {
+		t.Errorf("20 ms left for a run of 100 ms: %v", code)
+	}
+	a.Arrive(epoch, request(RankLookup, time.Minute))
+	if _, code := a.Arrive(epoch, request(RankLookup, 300*time.Millisecond)); code != api.CallShed {
+		t.Errorf("a wait of 100 ms with 300 ms left: %v", code)
+	}
+	late, _ := a.Arrive(epoch, request(RankLookup, time.Second))
+	a.Done(epoch.Add(2*time.Second), "r", time.Millisecond, time.Millisecond, Answered)
+	if <-late.Verdict != api.CallNoTime || a.Running() != 0 {
+		t.Errorf("a call whose time passed in the queue was admitted; %d running", a.Running())
+	}
+}
+
+// TestEveryCallIsDecidedOnceAndSlotsAreNeverExceeded walks random histories.
+func TestEveryCallIsDecidedOnceAndSlotsAreNeverExceeded(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		a := newAdmission(1 + rng.IntN(5))
+		now := epoch
+		running := 0
+		var waiting []*Ticket
+		for range 300 {
+			now = now.Add(time.Duration(rng.IntN(10)) * time.Millisecond)
+			switch rng.IntN(4) {
+			case 0, 1:
+				r := Request{Route: "r", Rank: Rank(rng.IntN(ranks)), Deadline: now.Add(time.Duration(rng.IntN(400)) * time.Millisecond)}
+				if ticket, code := a.Arrive(now, r); ticket != nil {
+					waiting = append(waiting, ticket)
+				} else if code == api.OK {
+					running++
+				}
+			case 2:
+				if running > 0 {
+					running--
+					a.Done(now, "r", time.Duration(rng.IntN(50))*time.Millisecond, time.Millisecond, Outcome(rng.IntN(3)))
+				}
+			case 3:
+				if len(waiting) > 0 && a.Withdraw(waiting[0]) {
+					waiting = waiting[1:]
+				}
+			}
+			var still []*Ticket
+			for _, w := range waiting {
+				select {
+				case code := <-w.Verdict:
+					if code == api.OK {
+						running++
+					}
+				default:
+					still = append(still, w)
+				}
+			}
+			waiting = still
+			if running != a.Running() || len(waiting) != a.Waiting() || running > a.Limit.ceiling {
+				t.Fatalf("seed %d: %d running, %d waiting, gate says %d and %d", seed, running, len(waiting), a.Running(), a.Waiting())
+			}
+		}
+	}
+}
+
+func TestColdUpstreamGetsFewSlotsAndMoreWithEachGoodWindow(t *testing.T) {
+	var l Limit
+	l.SetCeiling(16, true)
+	if l.Slots() != 4 {
+		t.Fatalf("a cold start with %d slots", l.Slots())
+	}
+	runs := 0
+	for l.Slots() < 16 && runs < 1000 {
+		l.Done("r", 10*time.Millisecond, Answered, l.Slots())
+		runs++
+	}
+	if l.Slots() != 16 || runs > 40 {
+		t.Errorf("%d slots after %d runs", l.Slots(), runs)
+	}
+}
+
+func TestLimitFallsWithSlownessAndShedding(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		slow    time.Duration
+		outcome Outcome
+		low     int
+		high    int
+	}{
+		{"steady", 10 * time.Millisecond, Answered, 16, 16},
+		{"five times slower", 50 * time.Millisecond, Answered, 4, 8},
+		{"refusing", 10 * time.Millisecond, Overloaded, 1, 1},
+		{"uploads that take their caller's time", time.Second, Untimed, 16, 16},
+	} {
+		var l Limit
+		l.SetCeiling(16, false)
+		for range 200 {
+			l.Done("r", 10*time.Millisecond, Answered, 8)
+		}
+		for range 320 {
+			l.Done("r", tc.slow, tc.outcome, 8)
+		}
+		if l.Slots() < tc.low || l.Slots() > tc.high {
+			t.Errorf("%s: %d slots, want %d to %d", tc.name, l.Slots(), tc.low, tc.high)
+		}
+		for range 2000 {
+			l.Done("r", 10*time.Millisecond, Answered, l.Slots())
+		}
+		if l.Slots() != 16 {
+			t.Errorf("%s: %d slots after it is over", tc.name, l.Slots())
+		}
+	}
+}
+
+func TestLoadSurvivesItsHeader(t *testing.T) {
+	in := Load{Busy: 7, Slots: 10, Held: 3200 * time.Microsecond}
+	if out, err := ParseLoad(in.String()); err != nil || out != in {
+		t.Errorf("%v %v", out, err)
+	}
+	for _, bad := range []string{"", "7", "7 10", "-1 2 3", "7 10 x", "7 10 99999999999"} {
+		if _, err := ParseLoad(bad); err == nil {
+			t.Errorf("%q was taken for a load", bad)
+		}
+	}
+}
--- a/internal/request/gate/limit.go
+++ b/internal/request/gate/limit.go
@@ -22,13 +22,13 @@
 	shedShare  = 0.1
 	// slowFloorPart bounds how far slowness alone cuts the limit: to the
 	// ceiling divided by it.
-	slowFloorPart = 4
+	slowFloorPart = 2
 	// coldPart divides the ceiling for the first limit of a cold upstream;
 	// each good window then doubles the limit.
 	coldPart = 4
 	// usualWeight is the weight of one run in a route's usual time, and
 	// fallWeight that of a run below it.
-	usualWeight = 1.0 / 256
+	usualWeight = 1.0 / 4096
 	fallWeight  = 1.0 / 32
 	// maxRoutes bounds the routes whose usual time is kept.
 	maxRoutes = 256
