--- a/api/codes.go
+++ b/api/codes.go
@@ -86,6 +86,8 @@
 	CallKeyClash       Code = 4019
 	CallCancelled      Code = 4020
 	CallBody           Code = 4021
+	CallKeyNotReady    Code = 4030
+	CallAnswerNotKept  Code = 4031
 
 	StoreNotReached Code = 5001
 	StoreUnknown    Code = 5002
@@ -178,6 +180,8 @@
 	{CallKeyClash, "call-key-clash", http.StatusUnprocessableEntity, RanNo, false, "the key was used before for a different request"},
 	{CallCancelled, "call-cancelled", 499, RanUnknown, false, "the caller went away"},
 	{CallBody, "call-body", http.StatusBadRequest, RanUnknown, false, "the caller's body ended early"},
+	{CallKeyNotReady, "call-key-not-ready", http.StatusServiceUnavailable, RanNo, true, "the gate cannot vouch for calls with a key yet"},
+	{CallAnswerNotKept, "call-answer-not-kept", http.StatusConflict, RanYes, false, "an earlier attempt with this key ran; its answer was not kept"},
 
 	{StoreNotReached, "store-not-reached", http.StatusServiceUnavailable, RanNone, true, "the platform's store did not answer; nothing took effect"},
 	{StoreUnknown, "store-unknown", http.StatusServiceUnavailable, RanNone, true, "the platform's store may or may not have taken the write"},
--- /dev/null
+++ b/internal/request/once/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package once
+
+const raceDetector = true
