Run keyed calls at most once through every entry

The gate notes a key before it runs the call, keeps the answer for five minutes and lets the run go on when the entry has gone, so that a repeat finds it. The entry takes any call without an attempt number for a possible repeat. Gates enter the roster of their service in the store (one read and one write per start) and learn the fences of a ready gate before they take keyed calls.

HeaderIdempotent and HeaderFence sent by a caller no longer reach the gate: call.ToGate drops them. The retry policy tries elsewhere after call-key-not-ready (api code 4030); 4031 says that a run's answer was not kept.

On real nodes: a credit runs once over 4 entries and 8 repeats, a late first attempt is refused as fenced, and with the store down first attempts run while repeats are answered from a record or as unknown.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/entry"
 	"github.com/daisytide/daisytide/internal/request/gate"
+	"github.com/daisytide/daisytide/internal/request/once"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
 
@@ -67,6 +68,10 @@
 	atGate http.Handler
 	// gateMiddlewares see each call at the gate before it is admitted.
 	gateMiddlewares []call.Middleware
+	// entryMiddlewares see each call before it is sent to a gate.
+	entryMiddlewares []call.Middleware
+	keeper           *once.Keeper
+	keys             *once.Keys
 
 	tls       certificates
 	callers   net.Listener
@@ -135,7 +140,9 @@
 	n.audit = audit.Log{}
 	n.wireSpread()
 	n.wireRollouts()
+	n.wireKeys()
 	n.wireCalls(transport)
+	n.entry.Middlewares = append(n.entry.Middlewares, n.entryMiddlewares...)
 	n.wireOperators()
 	n.wireMetrics()
 }
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -88,6 +88,7 @@
 		return api.Errorf(api.OperatorBody, "an announcement needs service, version, address and slots")
 	}
 	n.gate.Announce(a)
+	n.keeper.Serve(a.Service)
 	n.self.Announce(a)
 	return nil
 }
--- /dev/null
+++ b/internal/process/node/wire_keys.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"expvar"
+	"math/rand/v2"
+
+	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/request/once"
+)
+
+// wireKeys builds what makes keyed calls run at most once. It comes before
+// the entry and the gate.
+func (n *Node) wireKeys() {
+	self := once.Gate{Address: n.peers.Addr().String(), Instance: rand.Uint64() | 1}
+	keys := once.NewKeys(self, once.DefaultLimits)
+	n.keys = keys
+	entry := once.NewEntry(n.store, n.rpc, n.gatesOf)
+	entry.Metrics = new(expvar.Map).Init()
+	n.metrics.Set("keys", entry.Metrics)
+	n.metrics.Set("key_records", expvar.Func(func() any {
+		records, _ := keys.Size()
+		return records
+	}))
+	n.keeper = once.NewKeeper(keys, n.store, n.rpc)
+	n.addRunner(n.keeper.Run)
+	n.gateMiddlewares = append(n.gateMiddlewares, keys.Middleware)
+	n.entryMiddlewares = append(n.entryMiddlewares, entry.Middleware)
+	n.peerMux.Handle(rpc.Prefix+once.MethodFence, rpc.Handle(keys.Fence))
+	n.peerMux.Handle(rpc.Prefix+once.MethodLook, rpc.Handle(keys.Look))
+	n.peerMux.Handle(rpc.Prefix+once.MethodJoin, rpc.Handle(keys.Join))
+	n.peerMux.Handle(rpc.Prefix+once.MethodTake, rpc.Handle(keys.Take))
+}
+
+// gatesOf lists the addresses of the nodes whose upstream serves a service.
+func (n *Node) gatesOf(service string) []string {
+	var out []string
+	for _, r := range n.members.Index().Members {
+		if r.Service == service {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
+
+// KeysReady tells whether the node's gate takes keyed calls of a service.
+func (n *Node) KeysReady(service string) bool { return n.keys.Ready(service) }
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -202,6 +202,8 @@
 	h.Set(HeaderAttempt, strconv.Itoa(c.Attempt))
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
 	h.Set(HeaderTimeLeft, strconv.FormatInt(c.TimeLeft(now).Milliseconds(), 10))
+	h.Del(HeaderIdempotent)
+	h.Del(HeaderFence)
 	if c.Idempotent {
 		h.Set(HeaderIdempotent, "1")
 	}
--- a/internal/request/retry/policy.go
+++ b/internal/request/retry/policy.go
@@ -44,7 +44,7 @@
 // elsewhere tells that another gate may take what this one refused.
 func elsewhere(c api.Code) bool {
 	switch c {
-	case api.CallShed, api.CallLeaving, api.CallNoUpstream, api.CallNotReached, api.CallWithdrawn:
+	case api.CallShed, api.CallLeaving, api.CallNoUpstream, api.CallNotReached, api.CallWithdrawn, api.CallKeyNotReady:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/internal/standin/cluster/keys_test.go
@@ -0,0 +1,153 @@
+package cluster
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/operator/client"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/request/once"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/standin/upstream"
+)
+
+const ledger = `{"services":[{"name":"credit-ledger","versions":["v1"],"current":"v1"}],
+"routes":[{"name":"credit","match":{"prefix":"/credit"},"service":"credit-ledger","idempotent":false,"time_limit":"5s","caller":"clerk"},
+{"name":"balance","match":{"prefix":"/balance"},"service":"credit-ledger","idempotent":true,"time_limit":"5s","caller":"buyer"}]}`
+
+// ledgerCluster starts hosts with upstreams of credit-ledger beside each and
+// waits until every gate takes keyed calls.
+func ledgerCluster(t *testing.T, hosts int) *Cluster {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	c, err := Start(t.Context(), Config{Nodes: hosts, DataCentres: 2, Seed: 1, Upstream: func(int) upstream.Options {
+		return upstream.Options{Service: "credit-ledger", Version: "v1", Slots: 8, Connections: 16}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Stop)
+	if err := c.AwaitMembers(ctx); err != nil {
+		t.Fatal(err)
+	}
+	operator := client.Client{Base: c.Hosts[0].OperatorBase(), Token: Token, Operator: "test", HTTP: http.DefaultClient}
+	out, err := operator.Apply(ctx, []byte(ledger), 0)
+	if err != nil || out.Outcome != api.ApplyAccepted {
+		t.Fatalf("apply: %v %+v", err, out)
+	}
+	if err := c.AwaitNumber(ctx, out.Number); err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range c.Hosts {
+		for !h.Node.KeysReady("credit-ledger") {
+			if ctx.Err() != nil {
+				t.Fatal("gates are not ready for keyed calls")
+			}
+			time.Sleep(pollEvery)
+		}
+	}
+	return c
+}
+
+type reply struct {
+	status int
+	code   api.Code
+	saved  bool
+	body   string
+}
+
+// post sends one keyed request; attempt 0 leaves the number out.
+func post(t *testing.T, h *Host, path, key string, attempt int, body string) reply {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, h.CallerBase()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(call.HeaderKey, key)
+	req.GetBody = nil
+	if attempt > 0 {
+		req.Header.Set(call.HeaderAttempt, strconv.Itoa(attempt))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	code, _ := strconv.Atoi(resp.Header.Get(call.HeaderCode))
+	return reply{resp.StatusCode, api.Code(code), resp.Header.Get(once.HeaderSaved) == "1", string(b)}
+}
+
+func runsOf(c *Cluster, key string) int {
+	n := 0
+	for _, h := range c.Hosts {
+		n += h.Upstream.Runs()[key]
+	}
+	return n
+}
+
+func TestKeyedCallRunsOnceThroughEveryEntry(t *testing.T) {
+	c := ledgerCluster(t, 4)
+	first := post(t, c.Hosts[0], "/credit/7", "k1", 1, "20 TTD")
+	if first.status != http.StatusOK || first.saved {
+		t.Fatalf("first attempt: %+v", first)
+	}
+	for i, h := range c.Hosts {
+		for _, attempt := range []int{i + 2, 0} {
+			again := post(t, h, "/credit/7", "k1", attempt, "20 TTD")
+			if again.status != http.StatusOK || !again.saved || again.body != first.body {
+				t.Errorf("attempt %d: %+v, want the answer %q", attempt, again, first.body)
+			}
+		}
+	}
+	if clash := post(t, c.Hosts[1], "/credit/8", "k1", 2, "20 TTD"); clash.code != api.CallKeyClash {
+		t.Errorf("another request with the key: %+v", clash)
+	}
+	if n := runsOf(c, "k1"); n != 1 {
+		t.Errorf("k1 ran %d times", n)
+	}
+}
+
+func TestRepeatWithoutAFirstAttemptRunsAndFencesIt(t *testing.T) {
+	c := ledgerCluster(t, 3)
+	if r := post(t, c.Hosts[1], "/credit/7", "k2", 2, "x"); r.status != http.StatusOK || r.saved {
+		t.Fatalf("second attempt: %+v", r)
+	}
+	for range 8 {
+		late := post(t, c.Hosts[2], "/credit/7", "k2", 1, "x")
+		if late.code != api.CallFenced && !late.saved {
+			t.Errorf("late first attempt: %+v", late)
+		}
+	}
+	if n := runsOf(c, "k2"); n != 1 {
+		t.Errorf("k2 ran %d times", n)
+	}
+}
+
+func TestWithTheStoreDownFirstAttemptsRunAndRepeatsRunNothing(t *testing.T) {
+	c := ledgerCluster(t, 3)
+	c.Store.SetFaults(store.Faults{Down: true})
+	first := post(t, c.Hosts[0], "/credit/7", "k3", 1, "x")
+	if first.status != http.StatusOK {
+		t.Fatalf("first attempt: %+v", first)
+	}
+	if again := post(t, c.Hosts[1], "/credit/7", "k3", 2, "x"); !again.saved || again.body != first.body {
+		t.Errorf("repeat of an answered call: %+v", again)
+	}
+	if r := post(t, c.Hosts[1], "/credit/7", "k4", 2, "x"); r.code != api.CallOutcomeUnknown {
+		t.Errorf("repeat of a call that no gate knows: %+v", r)
+	}
+	if n := runsOf(c, "k3") + runsOf(c, "k4"); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
