Move calls between versions by evidence, and take bad ones back

Cause: versions moved by the clock alone; nothing counted, judged, spread or recorded a move.

Change: a move's state that merges, a schedule and a decision as pure functions, counters at the gate, judges that add reports up and test each route by CUSUM, withdrawal spread as a fact and enforced by gate and entry, orders, rows and the end written to the store. entry.Versions gets Refused, so that an entry which has not heard retries on the old version; a code for a take-back that would leave no upstream. The gate's part is a middleware in place of a gate.Observer, since calls in progress must be seen while they hang.

--- a/api/codes.go
+++ b/api/codes.go
@@ -64,6 +64,8 @@
 	OperatorNoAnswer  Code = 3008
 	OperatorHeader    Code = 3009
 	OperatorForm      Code = 3010
+	// OperatorNoOldVersion keeps a move from being taken back to nowhere.
+	OperatorNoOldVersion Code = 3011
 
 	CallNoRoute        Code = 4001
 	CallNoUpstream     Code = 4002
@@ -159,6 +161,8 @@
 	{OperatorHeader, "operator-header", http.StatusBadRequest, RanNone, true, "a header of the request to the operator listener is malformed or too long"},
 	{OperatorForm, "operator-form", http.StatusForbidden, RanNone, true, "a form of the console was sent without its token, or its session has ended"},
 
+	{OperatorNoOldVersion, "operator-no-old-version", http.StatusConflict, RanNone, true, "the rollout cannot be taken back, since no upstream of the old version is left"},
+
 	{CallNoRoute, "call-no-route", http.StatusNotFound, RanNo, true, "no route matches the request"},
 	{CallNoUpstream, "call-no-upstream", http.StatusServiceUnavailable, RanNo, true, "no upstream of the service can take the request"},
 	{CallShed, "call-shed", http.StatusServiceUnavailable, RanNo, true, "the gate is at its limit"},
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/operator"
 	"github.com/daisytide/daisytide/internal/process/provider"
+	"github.com/daisytide/daisytide/internal/process/rollouts"
 	"github.com/daisytide/daisytide/internal/process/settings"
 	"github.com/daisytide/daisytide/internal/process/spread"
 	"github.com/daisytide/daisytide/internal/request/call"
@@ -57,6 +58,7 @@
 	// storeReached tells whether the last call to the store was answered.
 	storeReached func() bool
 	audit        audit.Recorder
+	rollouts     *rollouts.Manager
 	versions     entry.Versions
 	operator     *operator.Server
 	metrics      *expvar.Map
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -67,16 +67,6 @@
 	return h
 }
 
-// Rollouts implements operator.Node.
-func (n *Node) Rollouts() api.RolloutsResponse {
-	return api.RolloutsResponse{Number: n.holder.Current().Number()}
-}
-
-// Order implements operator.Node.
-func (n *Node) Order(o api.RolloutOrder, operator string) *api.Error {
-	return api.Errorf(api.OperatorNoRollout, "no running rollout of %q", o.Service)
-}
-
 // Audit implements operator.Node.
 func (n *Node) Audit(context.Context) (api.AuditResponse, *api.Error) {
 	return api.AuditResponse{}, nil
--- a/internal/process/node/wire_rollouts.go
+++ b/internal/process/node/wire_rollouts.go
@@ -1,10 +1,40 @@
 package node
 
 import (
-	"github.com/daisytide/daisytide/internal/version/rollout"
+	"context"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/process/rollouts"
 )
 
 // wireRollouts builds what moves calls between versions.
 func (n *Node) wireRollouts() {
-	n.versions = rollout.Timed{}
+	n.rollouts = rollouts.NewManager(rollouts.Config{
+		Self:      n.self.Record,
+		Members:   n.members,
+		Holder:    n.holder,
+		Peers:     n.rpc,
+		Store:     n.store,
+		Audit:     n.audit,
+		Publisher: n.spread,
+	})
+	n.versions = n.rollouts
+	n.provider.Ended = n.rollouts.Ended
+	n.spread.Register(n.rollouts)
+	n.holder.OnSwap(n.rollouts.ConfigChanged)
+	n.gateMiddlewares = append(n.gateMiddlewares, n.rollouts.Gate)
+	n.peerMux.Handle(rpc.Prefix+rollouts.ReportMethod, rpc.Handle(n.rollouts.HandleReport))
+	n.peerMux.Handle(rpc.Prefix+rollouts.EvidenceMethod, rpc.Handle(n.rollouts.HandleEvidence))
+	n.addRunner(n.rollouts.Run)
+}
+
+// Rollouts implements operator.Node.
+func (n *Node) Rollouts() api.RolloutsResponse {
+	return n.rollouts.Rollouts(context.Background())
+}
+
+// Order implements operator.Node.
+func (n *Node) Order(o api.RolloutOrder, operator string) *api.Error {
+	return n.rollouts.Order(o, operator)
 }
--- /dev/null
+++ b/internal/process/rollouts/manager.go
@@ -0,0 +1,236 @@
+// Package rollouts runs the moves between versions on one node: it counts the
+// calls at the gate, judges where the node is a judge, spreads what was
+// decided, chooses versions for entries and records the ends.
+package rollouts
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/process/audit"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/spread"
+	"github.com/daisytide/daisytide/internal/version/rollout"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+	"github.com/daisytide/daisytide/internal/version/verdict"
+)
+
+const logPrefix = "rollouts: "
+
+// Periods of the loop.
+const (
+	// activeTick is the period while a move of any service runs.
+	activeTick = 100 * time.Millisecond
+	// idleTick is the period otherwise.
+	idleTick = time.Second
+	// baselineLead is how long before a move's start gates begin to report,
+	// so that the old version's record is known.
+	baselineLead = time.Minute
+)
+
+// judgeCount is how many nodes of a service judge its move.
+const judgeCount = 2
+
+// Config is what a Manager works with.
+type Config struct {
+	Self      func() member.Record
+	Members   *member.Table
+	Holder    *snapshot.Holder
+	Peers     rpc.Caller
+	Store     platform.Store
+	Audit     audit.Recorder
+	Publisher spread.Publisher
+}
+
+// Manager runs the moves of one node. It implements entry.Versions and
+// spread.Topic.
+type Manager struct {
+	cfg  Config
+	wake chan struct{}
+
+	// view is what calls read without a lock.
+	view atomic.Pointer[view]
+	// local counts the calls of the upstream beside this node.
+	local atomic.Pointer[counter]
+
+	mu    sync.Mutex
+	moves map[rollout.Key]*move
+	// seen is the highest configuration number that this node has had in force.
+	seen uint64
+	// lateEnds are ends of replaced moves that the store lacks, the oldest
+	// first, and nextLate is when to write the next.
+	lateEnds []End
+	nextLate time.Time
+
+	// readySince is when the local upstream became ready with readyVersion;
+	// only Run uses them.
+	readySince   time.Time
+	readyVersion string
+
+	// sending holds the peers that a report is on its way to.
+	sending sync.Map
+	// failed holds when a peer last failed to take a report.
+	failed sync.Map
+	// avoid holds the moves whose new version a gate refused of late.
+	avoid sync.Map
+
+	work sync.WaitGroup
+}
+
+// move is one move as this node knows it.
+type move struct {
+	state rollout.State
+	// plan is set while the move stands in the configuration in force.
+	plan    rollout.Plan
+	inForce bool
+	// witnessed tells that this node had an older configuration in force when
+	// the move came, so nothing can have happened to it before.
+	witnessed bool
+	// checked tells that the store was read for the move's end.
+	checked bool
+	// recorded tells that the end is in the store.
+	recorded bool
+	// nextStore is when the store may be asked again, and backoff the wait
+	// after that.
+	nextStore time.Time
+	backoff   time.Duration
+	judge     *verdict.Judge
+	// heard is when each gate last reported to the judge here.
+	heard map[string]time.Time
+	// verdict is the judge's latest, for operators.
+	verdict verdict.Verdict
+	item    []byte
+}
+
+// NewManager returns a manager without moves.
+func NewManager(cfg Config) *Manager {
+	m := &Manager{cfg: cfg, wake: make(chan struct{}, 1), moves: map[rollout.Key]*move{}}
+	m.view.Store(&view{})
+	return m
+}
+
+// Run counts, reports and judges until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	defer m.work.Wait()
+	for {
+		wait := m.tick(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.wake:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// nudge makes Run tick at once.
+func (m *Manager) nudge() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// tick does what is due at now and returns the wait until the next.
+func (m *Manager) tick(ctx context.Context, now time.Time) time.Duration {
+	m.followUpstream(now)
+	m.report(ctx, now)
+	m.judge(now)
+	m.keepEnds(ctx, now)
+	if m.active(now) {
+		return activeTick
+	}
+	return idleTick
+}
+
+// active tells whether any move of the configuration in force runs.
+func (m *Manager) active(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, mv := range m.moves {
+		if mv.running(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// running tells whether the move needs counts and verdicts at now.
+func (mv *move) running(now time.Time) bool {
+	return mv.inForce && !mv.state.Ended() && !now.Before(mv.plan.Rollout.Start.Add(-baselineLead))
+}
+
+// ConfigChanged takes the moves of a snapshot that came into force. States of
+// moves that it does not hold are dropped, but for those of configurations
+// still to come here: facts may overtake the document.
+func (m *Manager) ConfigChanged(s *snapshot.Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := map[rollout.Key]bool{}
+	for _, r := range s.Document.Rollouts {
+		in, _ := s.Move(r.Service)
+		key := rollout.Key{Service: r.Service, Since: in.Since}
+		present[key] = true
+		mv := m.moveOf(key)
+		if !mv.inForce {
+			mv.inForce = true
+			mv.plan = rollout.NewPlan(r)
+			mv.witnessed = m.seen > 0 && m.seen < in.Since
+		}
+	}
+	m.seen = s.Number()
+	for key, mv := range m.moves {
+		if present[key] || key.Since > s.Number() {
+			continue
+		}
+		m.replaced(mv, s)
+		delete(m.moves, key)
+	}
+	m.rebuild()
+	m.nudge()
+}
+
+// moveOf returns the move of a key, made if need be; the caller holds mu.
+func (m *Manager) moveOf(key rollout.Key) *move {
+	mv := m.moves[key]
+	if mv == nil {
+		mv = &move{state: rollout.State{Service: key.Service, Since: key.Since}}
+		m.moves[key] = mv
+	}
+	return mv
+}
+
+// set puts a changed state in force here; the caller holds mu.
+func (m *Manager) set(mv *move, s rollout.State) {
+	mv.state = s
+	mv.item = encode(s)
+	m.rebuild()
+}
+
+// change sets a state that this node decided and spreads it; the caller holds
+// mu, so the publisher, which may ask for the topic's sum, is called apart.
+func (m *Manager) change(mv *move, s rollout.State) {
+	m.set(mv, s)
+	go m.cfg.Publisher.Publish(TopicName, mv.item)
+}
+
+// Ended tells whether the move of a service under the configuration in force
+// has ended.
+func (m *Manager) Ended(service string) bool {
+	s := m.cfg.Holder.Current()
+	if s == nil {
+		return true
+	}
+	in, ok := s.Move(service)
+	if !ok {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mv := m.moves[rollout.Key{Service: service, Since: in.Since}]
+	return mv != nil && mv.state.Ended()
+}
--- /dev/null
+++ b/internal/process/rollouts/rows.go
@@ -0,0 +1,172 @@
+package rollouts
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/version/rollout"
+	"github.com/daisytide/daisytide/internal/version/verdict"
+)
+
+// EvidenceMethod is the question for a judge's counts of one move.
+const EvidenceMethod = "move-evidence"
+
+// evidenceTimeout bounds the wait for a judge when an operator asks.
+const evidenceTimeout = 500 * time.Millisecond
+
+// EvidenceQuestion names the move that evidence is asked for.
+type EvidenceQuestion struct {
+	Service string `cbor:"1,keyasint"`
+	Since   uint64 `cbor:"2,keyasint"`
+}
+
+// EvidenceAnswer is what a judge knows of a move.
+type EvidenceAnswer struct {
+	// Judge tells that the node asked is a judge of the move.
+	Judge bool           `cbor:"1,keyasint"`
+	Rows  []api.Evidence `cbor:"2,keyasint,omitempty"`
+	Doubt string         `cbor:"3,keyasint,omitempty"`
+}
+
+// The states of a move in an operator's table.
+const (
+	stateWaiting   = "waiting"
+	stateMoving    = "moving"
+	stateWatching  = "watching"
+	statePaused    = "paused"
+	stateDone      = "done"
+	stateTakenBack = "taken-back"
+)
+
+// Rollouts returns a row for each move of the configuration in force.
+func (m *Manager) Rollouts(ctx context.Context) api.RolloutsResponse {
+	s := m.cfg.Holder.Current()
+	out := api.RolloutsResponse{Number: s.Number()}
+	if s == nil {
+		return out
+	}
+	now := time.Now()
+	out.Rollouts = make([]api.Rollout, len(s.Document.Rollouts))
+	var asked sync.WaitGroup
+	for i, r := range s.Document.Rollouts {
+		in, _ := s.Move(r.Service)
+		key := rollout.Key{Service: r.Service, Since: in.Since}
+		asked.Go(func() {
+			answer := m.evidence(ctx, key, now)
+			out.Rollouts[i] = m.row(key, rollout.NewPlan(r), answer, now)
+		})
+	}
+	asked.Wait()
+	sort.Slice(out.Rollouts, func(i, j int) bool { return out.Rollouts[i].Service < out.Rollouts[j].Service })
+	return out
+}
+
+// evidence asks the judges of a move, this node first if it is one.
+func (m *Manager) evidence(ctx context.Context, key rollout.Key, now time.Time) EvidenceAnswer {
+	question := EvidenceQuestion{Service: key.Service, Since: key.Since}
+	answer, _ := m.HandleEvidence(ctx, question)
+	if answer.Judge {
+		return answer
+	}
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	self := m.cfg.Self().Address
+	for _, address := range m.judges(key, now) {
+		if address == self {
+			continue
+		}
+		if err := m.cfg.Peers.Call(ctx, address, EvidenceMethod, question, &answer); err == nil && answer.Judge {
+			return answer
+		}
+	}
+	return answer
+}
+
+// HandleEvidence answers a peer's question for a move's counts.
+func (m *Manager) HandleEvidence(_ context.Context, q EvidenceQuestion) (EvidenceAnswer, error) {
+	m.mu.Lock()
+	mv := m.moves[rollout.Key(q)]
+	if mv == nil || mv.judge == nil {
+		m.mu.Unlock()
+		return EvidenceAnswer{}, nil
+	}
+	judge, doubt := mv.judge, mv.verdict.Doubt
+	m.mu.Unlock()
+	return EvidenceAnswer{Judge: true, Rows: judge.Rows(), Doubt: doubt}, nil
+}
+
+func (m *Manager) row(key rollout.Key, p rollout.Plan, e EvidenceAnswer, now time.Time) api.Rollout {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state := rollout.State{Service: key.Service, Since: key.Since}
+	mv := m.moves[key]
+	if mv != nil {
+		state = mv.state
+	}
+	row := api.Rollout{
+		Service: key.Service, From: p.Rollout.From, To: p.Rollout.To, Since: key.Since,
+		State: stateName(p, state), Share: state.Share(),
+		Step: state.Step.Number, Steps: len(p.Shares),
+		Start: p.Rollout.Start, Deadline: p.Rollout.Deadline,
+		ExpectedEnd: p.ExpectedEnd(state, now), Evidence: e.Rows,
+	}
+	f := rollout.Findings{New: 1, Old: 1}
+	if mv != nil && mv.inForce {
+		f = m.findings(mv, verdict.Verdict{Doubt: e.Doubt})
+	}
+	row.Why = why(p, state, f)
+	if state.Ended() {
+		row.ExpectedEnd = endMark(state).At()
+	}
+	return row
+}
+
+func endMark(s rollout.State) rollout.Mark {
+	if s.Withdrawn != nil {
+		return *s.Withdrawn
+	}
+	return *s.Done
+}
+
+func stateName(p rollout.Plan, s rollout.State) string {
+	switch {
+	case s.Withdrawn != nil:
+		return stateTakenBack
+	case s.Done != nil:
+		return stateDone
+	case s.Paused():
+		return statePaused
+	case s.Step.Number == 0:
+		return stateWaiting
+	case s.Step.Number >= len(p.Shares):
+		return stateWatching
+	default:
+		return stateMoving
+	}
+}
+
+// why says in one sentence why a move is where it is.
+func why(p rollout.Plan, s rollout.State, f rollout.Findings) string {
+	switch blocked := rollout.Blocked(p, s, f); {
+	case s.Withdrawn != nil && f.Old == 0:
+		return s.Withdrawn.Why + "; no upstream of " + p.Rollout.From + " is left, so calls are refused"
+	case s.Ended():
+		return endMark(s).Why
+	case s.Paused():
+		return fmt.Sprintf("paused by %s: %s", s.Pause.Mark.By, s.Pause.Mark.Why)
+	case blocked != "":
+		return blocked
+	case f.Old == 0:
+		return "no upstream of " + p.Rollout.From + " is left; all calls go to " + p.Rollout.To
+	case s.Step.Number == 0:
+		return "begins at " + p.Rollout.Start.UTC().Format(time.RFC3339)
+	case f.Doubt != "":
+		return "held by doubt: " + f.Doubt
+	default:
+		return s.Step.Mark.Why
+	}
+}
--- /dev/null
+++ b/internal/process/rollouts/topic.go
@@ -0,0 +1,75 @@
+package rollouts
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/version/rollout"
+)
+
+// TopicName is the spread topic of the moves' states.
+const TopicName = "moves"
+
+func encode(s rollout.State) []byte {
+	b, err := wire.Marshal(s)
+	if err != nil {
+		klog.Errorf(logPrefix+"%v", err)
+		return nil
+	}
+	return b
+}
+
+// Name implements spread.Topic.
+func (m *Manager) Name() string { return TopicName }
+
+// Merge implements spread.Topic.
+func (m *Manager) Merge(item []byte) (bool, error) {
+	var s rollout.State
+	if err := wire.Unmarshal(item, &s); err != nil {
+		return false, err
+	}
+	return m.merge(s), nil
+}
+
+// merge joins a state from elsewhere with the one here. A state of a move
+// that the configuration in force no longer holds is of no more use.
+func (m *Manager) merge(s rollout.State) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mv := m.moves[s.Key()]
+	if mv == nil && s.Since <= m.seen {
+		return false
+	}
+	if mv == nil {
+		mv = m.moveOf(s.Key())
+	}
+	merged := rollout.Merge(mv.state, s)
+	if merged.Equal(mv.state) {
+		return false
+	}
+	m.set(mv, merged)
+	return true
+}
+
+// Sum implements spread.Topic: the exclusive or of all states' hashes.
+func (m *Manager) Sum() uint64 {
+	var sum uint64
+	for _, item := range m.Items() {
+		sum ^= xxhash.Sum64(item)
+	}
+	return sum
+}
+
+// Items implements spread.Topic. A move that nothing has happened to has no item.
+func (m *Manager) Items() [][]byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out [][]byte
+	for _, mv := range m.moves {
+		if mv.item != nil {
+			out = append(out, mv.item)
+		}
+	}
+	return out
+}
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -24,6 +24,8 @@
 type Versions interface {
 	// Version returns a version's name; u is uniform in [0, 1).
 	Version(s *snapshot.Snapshot, service string, u float64) string
+	// Refused notes that a gate answered api.CallWithdrawn for a version.
+	Refused(s *snapshot.Snapshot, service, version string)
 }
 
 // Local is the gate of the entry's own node.
@@ -167,6 +169,9 @@
 	defer t.drop()
 	for {
 		res, more := t.once(ctx)
+		if res.Code == api.CallWithdrawn {
+			e.Versions.Refused(snap, c.Service, c.Version)
+		}
 		if !more {
 			return t.settle(ctx, res)
 		}
--- a/internal/request/entry/rig_test.go
+++ b/internal/request/entry/rig_test.go
@@ -63,6 +63,9 @@
 
 func (current) Version(*snapshot.Snapshot, string, float64) string { return "v1" }
 
+// Refused implements Versions.
+func (current) Refused(*snapshot.Snapshot, string, string) {}
+
 func testSnapshot(t *testing.T) *snapshot.Snapshot {
 	t.Helper()
 	route := func(name string, idempotent bool, caller document.Caller) document.Route {
--- /dev/null
+++ b/internal/version/rollout/next_test.go
@@ -0,0 +1,171 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+var t0 = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func rolloutOf(length time.Duration) document.Rollout {
+	return document.Rollout{Service: "s", From: "v1", To: "v2", Start: t0, Deadline: t0.Add(length), FirstShare: 1}
+}
+
+var healthy = Findings{Enough: true, Old: 3, New: 3, Evidence: "new 0 of 9 calls failed"}
+
+// play ticks a move by itself until it ends or limit has passed since its
+// deadline: every 100 ms, or every second in a move of hours.
+func play(p Plan, limit time.Duration, find func(s State, now time.Time) Findings) (State, time.Time) {
+	s := State{Service: "s", Since: 1}
+	now := p.Rollout.Start.Add(-time.Second)
+	tick := 100 * time.Millisecond
+	if p.Rollout.Deadline.Sub(p.Rollout.Start) >= time.Hour {
+		tick = time.Second
+	}
+	for end := p.Rollout.Deadline.Add(limit); now.Before(end) && !s.Ended(); now = now.Add(tick) {
+		s, _ = Next(p, s, find(s, now), now)
+	}
+	return s, now
+}
+
+func TestAGoodMoveIsDoneByItsDeadlineWhateverItsLength(t *testing.T) {
+	for _, caution := range []document.Caution{"", document.CautionSwift, document.CautionNormal, document.CautionHigh} {
+		for _, length := range []time.Duration{10 * time.Second, time.Minute, time.Hour, 24 * time.Hour} {
+			for _, steps := range [][]float64{nil, {100}, {5, 25, 50, 100}} {
+				for _, enough := range []bool{true, false} {
+					r := rolloutOf(length)
+					r.Caution, r.Steps = caution, steps
+					f := healthy
+					f.Enough = enough
+					s, at := play(NewPlan(r), 0, func(State, time.Time) Findings { return f })
+					if s.Done == nil {
+						t.Errorf("%s %s steps %v enough %v: not done, step %d at %s", caution, length, steps, enough, s.Step.Number, at.Sub(t0))
+					}
+				}
+			}
+		}
+	}
+}
+
+func TestNothingMovesBeforeTheStart(t *testing.T) {
+	p := NewPlan(rolloutOf(time.Minute))
+	if _, ok := Next(p, State{}, healthy, t0.Add(-time.Millisecond)); ok {
+		t.Error("moved before the start")
+	}
+	if s, ok := Next(p, State{}, healthy, t0); !ok || s.Share() != 1 {
+		t.Errorf("first share %g", s.Share())
+	}
+}
+
+func TestSharesRiseInSmallStepsWhereTheyAreLarge(t *testing.T) {
+	got := NewPlan(rolloutOf(time.Hour)).Shares
+	for i := 1; i < len(got); i++ {
+		if rise := got[i] - got[i-1]; rise <= 0 || rise > maxStepRise {
+			t.Errorf("step %d rises from %g to %g", i, got[i-1], got[i])
+		}
+	}
+	if last := got[len(got)-1]; last != wholeShare-controlShare {
+		t.Errorf("last share %g", last)
+	}
+}
+
+func TestABadVersionIsTakenBackAtAnyStepAndNeverTwice(t *testing.T) {
+	p := NewPlan(rolloutOf(time.Minute))
+	for step := 1; step <= len(p.Shares); step++ {
+		s := State{Step: Step{Number: step, Share: p.Shares[step-1], Mark: Mark{AtMillis: t0.UnixMilli()}}}
+		s, ok := Next(p, s, Findings{Bad: "failures", Old: 1, New: 1}, t0)
+		if !ok || s.Withdrawn == nil || s.Share() != 0 {
+			t.Errorf("step %d: %+v", step, s)
+		}
+		if _, again := Next(p, s, healthy, t0.Add(time.Hour)); again {
+			t.Errorf("step %d: changed after its end", step)
+		}
+	}
+}
+
+func TestAPausedMoveStaysButIsStillTakenBack(t *testing.T) {
+	p := NewPlan(rolloutOf(time.Minute))
+	s := State{Step: Step{Number: 2, Share: 2, Mark: Mark{AtMillis: t0.UnixMilli()}}, Pause: Pause{Orders: 1}}
+	if _, ok := Next(p, s, healthy, t0.Add(time.Hour)); ok {
+		t.Error("a paused move went on")
+	}
+	if s, _ := Next(p, s, Findings{Bad: "failures", Old: 1, New: 1}, t0); s.Withdrawn == nil {
+		t.Error("a paused bad move was not taken back")
+	}
+}
+
+func TestAMoveHeldUpCatchesUpByTheDeadline(t *testing.T) {
+	p := NewPlan(rolloutOf(10 * time.Minute))
+	held := func(s State, now time.Time) Findings {
+		f := healthy
+		if now.Before(t0.Add(4 * time.Minute)) {
+			f.New = 0
+		}
+		return f
+	}
+	if s, at := play(p, 0, held); s.Done == nil {
+		t.Errorf("not done at %s: step %d", at.Sub(t0), s.Step.Number)
+	}
+}
+
+func TestDoubtHoldsAMoveAndTakesItBackAtTheDeadline(t *testing.T) {
+	p := NewPlan(rolloutOf(time.Minute))
+	s, at := play(p, time.Minute, func(s State, now time.Time) Findings {
+		f := healthy
+		if s.Step.Number == 3 {
+			f.Doubt = "failures on status"
+		}
+		return f
+	})
+	if s.Withdrawn == nil || s.Step.Number != 3 || at.Before(p.Rollout.Deadline) {
+		t.Errorf("%+v at %s", s, at.Sub(t0))
+	}
+}
+
+func TestNoCallsAreSentNowhere(t *testing.T) {
+	p := NewPlan(rolloutOf(time.Minute))
+	s := State{Step: Step{Number: 2, Share: 2, Mark: Mark{AtMillis: t0.UnixMilli()}}}
+	gone := Findings{Bad: "failures", Old: 0, New: 1}
+	if after, _ := Next(p, s, gone, t0.Add(time.Hour)); after.Ended() {
+		t.Error("taken back although no upstream of the old version is left")
+	}
+	if Blocked(p, s, gone) == "" {
+		t.Error("does not say that the old version has gone")
+	}
+	if after, ok := Next(p, State{}, Findings{Old: 1}, t0.Add(time.Second)); ok {
+		t.Errorf("began without an upstream of the new version: %+v", after)
+	}
+}
+
+func TestTheWatchEndsWhenTheOldUpstreamsLeave(t *testing.T) {
+	p := NewPlan(rolloutOf(time.Hour))
+	last := len(p.Shares)
+	s := State{Step: Step{Number: last, Share: p.Shares[last-1], Mark: Mark{AtMillis: t0.UnixMilli()}}}
+	if after, _ := Next(p, s, healthy, t0.Add(time.Second)); after.Done != nil {
+		t.Error("done before the watch was over")
+	}
+	if after, _ := Next(p, s, Findings{Enough: true, New: 3}, t0.Add(time.Second)); after.Done == nil {
+		t.Error("not done although the old upstreams have left")
+	}
+}
+
+func TestClocksApartTakeNoStepTwiceAndMissNoDeadline(t *testing.T) {
+	const apart = 200 * time.Millisecond
+	p := NewPlan(rolloutOf(time.Minute))
+	a, b := State{Service: "s"}, State{Service: "s"}
+	for now := t0.Add(-time.Second); now.Before(p.Rollout.Deadline); now = now.Add(100 * time.Millisecond) {
+		before := a
+		a, _ = Next(p, a, healthy, now)
+		b, _ = Next(p, b, healthy, now.Add(apart))
+		a = Merge(a, b)
+		b = a
+		if a.Step.Number > before.Step.Number+1 {
+			t.Fatalf("two steps at once at %s", now.Sub(t0))
+		}
+	}
+	if a.Done == nil {
+		t.Errorf("not done: step %d", a.Step.Number)
+	}
+}
--- /dev/null
+++ b/internal/version/rollout/plan.go
@@ -0,0 +1,173 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// wholeShare is the share, in percent, of a completed move.
+const wholeShare = 100.0
+
+// controlShare is the percentage of calls that stay with the old version
+// until the watch is over. Without it a general slowdown and a slow new
+// version would look alike once all calls had moved.
+const controlShare = 2.0
+
+// easedShare is the largest share, in percent, while a doubt lasts.
+const easedShare = 50.0
+
+// maxStepRise bounds how many points a step that daisytide chose adds. Small
+// shares double; large ones rise by this, since there each point adds the
+// most calls to an upstream.
+const maxStepRise = 15.0
+
+// defaultFirstShare is the first share, in percent, where none is given.
+const defaultFirstShare = 1.0
+
+// Bounds of the times of a move.
+const (
+	// minEase is the shortest time that a share stays lowered.
+	minEase = 3 * time.Second
+	// minHold is the shortest stay at one step.
+	minHold = 2 * time.Second
+	// minWatch and maxWatch bound the watch after the last step, whatever the
+	// length of the move.
+	minWatch = 2 * time.Second
+	maxWatch = 30 * time.Minute
+	// maxMargin bounds how long before its deadline a move means to be done.
+	maxMargin = 5 * time.Second
+)
+
+// marginPart is the part of a move's time that is kept free before the deadline.
+const marginPart = 0.02
+
+// Plan is a rollout with what daisytide adds to it.
+type Plan struct {
+	Rollout document.Rollout
+	// Shares are the percentages of the steps; the last is the largest.
+	Shares []float64
+	// Watch is how long the move is watched after the last step.
+	Watch time.Duration
+	// Early tells that a step with its evidence need not wait for its time.
+	Early bool
+	// Patience is how much longer than planned a step may wait for evidence,
+	// as a part of its planned stay.
+	Patience float64
+}
+
+// caution holds what depends on document.Caution.
+type caution struct {
+	watchPart float64
+	patience  float64
+	early     bool
+}
+
+var cautions = map[document.Caution]caution{
+	document.CautionSwift:  {watchPart: 0.10, patience: 0.25, early: true},
+	document.CautionNormal: {watchPart: 0.20, patience: 0.50},
+	document.CautionHigh:   {watchPart: 0.30, patience: 1.00},
+}
+
+// NewPlan works out the steps and times of a rollout.
+func NewPlan(r document.Rollout) Plan {
+	c, ok := cautions[r.Caution]
+	if !ok {
+		c = cautions[document.CautionNormal]
+	}
+	watch := time.Duration(float64(r.Deadline.Sub(r.Start)) * c.watchPart)
+	return Plan{
+		Rollout:  r,
+		Shares:   shares(r),
+		Watch:    min(max(watch, minWatch), maxWatch),
+		Early:    c.early,
+		Patience: c.patience,
+	}
+}
+
+// shares returns the percentages of all steps, rising, the last being
+// everything but the control share.
+func shares(r document.Rollout) []float64 {
+	first := r.FirstShare
+	if first <= 0 {
+		first = defaultFirstShare
+	}
+	last := wholeShare - controlShare
+	var out []float64
+	add := func(s float64) {
+		if s = min(s, last); len(out) == 0 || s > out[len(out)-1] {
+			out = append(out, s)
+		}
+	}
+	add(first)
+	for _, s := range r.Steps {
+		add(s)
+	}
+	if len(r.Steps) == 0 {
+		for s := first; s < last; s = min(2*s, s+maxStepRise) {
+			add(s)
+		}
+	}
+	add(wholeShare)
+	return out
+}
+
+// doneBy is when the move means to be done.
+func (p Plan) doneBy() time.Time {
+	margin := time.Duration(float64(p.Rollout.Deadline.Sub(p.Rollout.Start)) * marginPart)
+	return p.Rollout.Deadline.Add(-min(margin, maxMargin))
+}
+
+// lastStepBy is when the last step means to be taken.
+func (p Plan) lastStepBy() time.Time { return p.doneBy().Add(-p.Watch) }
+
+// NextDue returns when the step after s means to be taken, or, after the last
+// step, when the watch ends. What time is left is shared evenly among the
+// steps left, so a move that was held up catches up by itself.
+func (p Plan) NextDue(s State) time.Time {
+	taken := s.Step.Number
+	if taken == 0 {
+		return p.Rollout.Start
+	}
+	at := s.Step.Mark.At()
+	if taken >= len(p.Shares) {
+		return at.Add(p.watchAfter(at))
+	}
+	return at.Add(p.hold(at, len(p.Shares)-taken))
+}
+
+// hold is the planned stay at a step taken at at, with left steps to come.
+func (p Plan) hold(at time.Time, left int) time.Duration {
+	return max(p.lastStepBy().Sub(at)/time.Duration(left), p.shortestHold())
+}
+
+// shortestHold is minHold, or less for a move too short for it.
+func (p Plan) shortestHold() time.Duration {
+	even := p.lastStepBy().Sub(p.Rollout.Start) / time.Duration(len(p.Shares))
+	return max(min(minHold, even/2), 0)
+}
+
+// watchAfter is how long the watch lasts when the last step was taken at at: to the
+// time when the move means to be done, but never less than a half of the
+// planned watch.
+func (p Plan) watchAfter(at time.Time) time.Duration {
+	return min(max(p.doneBy().Sub(at), p.Watch/2), p.Watch)
+}
+
+// ExpectedEnd returns when the move will be done if nothing stands against it.
+func (p Plan) ExpectedEnd(s State, now time.Time) time.Time {
+	left := len(p.Shares) - s.Step.Number
+	due := p.NextDue(s)
+	if now.After(due) {
+		due = now
+	}
+	if left <= 0 {
+		return due
+	}
+	end := p.doneBy()
+	soonest := due.Add(time.Duration(left-1)*p.shortestHold() + p.Watch/2)
+	if soonest.After(end) {
+		return soonest
+	}
+	return end
+}
--- /dev/null
+++ b/internal/version/rollout/state_test.go
@@ -0,0 +1,76 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// randomState draws from few values, so that ties are common.
+func randomState(r *rand.Rand) State {
+	mark := func() Mark {
+		return Mark{AtMillis: int64(r.IntN(3)), Why: string(rune('a' + r.IntN(3))), By: string(rune('x' + r.IntN(2)))}
+	}
+	maybe := func() *Mark {
+		if r.IntN(3) > 0 {
+			return nil
+		}
+		m := mark()
+		return &m
+	}
+	return State{
+		Service:   "status-desk",
+		Since:     7,
+		Step:      Step{Number: r.IntN(4), Share: float64(r.IntN(3) * 10), Mark: mark()},
+		Withdrawn: maybe(),
+		Done:      maybe(),
+		Pause:     Pause{Orders: uint64(r.IntN(3)), Mark: mark()},
+		Ease:      Pause{Orders: uint64(r.IntN(3)), Mark: mark()},
+	}
+}
+
+func TestMergeDoesNotDependOnOrderOrRepetition(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 20_000 {
+		a, b, c := randomState(r), randomState(r), randomState(r)
+		if !Merge(a, b).Equal(Merge(b, a)) {
+			t.Fatalf("not commutative: %+v %+v", a, b)
+		}
+		if !Merge(a, Merge(b, c)).Equal(Merge(Merge(a, b), c)) {
+			t.Fatalf("not associative: %+v %+v %+v", a, b, c)
+		}
+		if !Merge(a, a).Equal(a) || !Merge(Merge(a, b), b).Equal(Merge(a, b)) {
+			t.Fatalf("not idempotent: %+v %+v", a, b)
+		}
+	}
+}
+
+func TestMergeNeverUndoesAWithdrawalOrAStep(t *testing.T) {
+	r := rand.New(rand.NewPCG(2, 2))
+	for range 20_000 {
+		a, b := randomState(r), randomState(r)
+		m := Merge(a, b)
+		if a.Withdrawn != nil && (m.Withdrawn == nil || m.Share() != 0) {
+			t.Fatalf("withdrawal undone: %+v %+v", a, b)
+		}
+		if m.Step.Number < a.Step.Number || m.Pause.Orders < a.Pause.Orders {
+			t.Fatalf("went back: %+v %+v", a, b)
+		}
+	}
+}
+
+func TestTwoNodesThatTakeTheSameStepSettleOnTheLowerShare(t *testing.T) {
+	a := State{Step: Step{Number: 2, Share: 10}}
+	b := State{Step: Step{Number: 2, Share: 20}}
+	if got := Merge(a, b).Share(); got != 10 {
+		t.Errorf("share %g", got)
+	}
+}
+
+func TestEaseLowersOnlyLargeShares(t *testing.T) {
+	for share, want := range map[float64]float64{10: 10, 50: 50, 98: easedShare} {
+		s := State{Step: Step{Number: 1, Share: share}, Ease: Pause{Orders: 1}}
+		if got := s.Share(); got != want {
+			t.Errorf("share %g eased to %g, want %g", share, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/verdict/counts_test.go
@@ -0,0 +1,69 @@
+package verdict
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/wire"
+)
+
+func TestEachDurationFallsBetweenTheEdgesOfItsBucket(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 10_000 {
+		d := time.Duration(r.Int64N(int64(40 * time.Second)))
+		i := bucketOf(d)
+		if d > bucketEdge(i)+1 || i > 0 && d < bucketEdge(i-1)-1 {
+			t.Fatalf("%s in bucket %d, %s to %s", d, i, bucketEdge(i-1), bucketEdge(i))
+		}
+	}
+	for _, d := range []time.Duration{-1, 0, time.Hour} {
+		if i := bucketOf(d); i < 0 || i >= bucketCount {
+			t.Errorf("%s in bucket %d", d, i)
+		}
+	}
+}
+
+func TestCountsSurviveTheWire(t *testing.T) {
+	var c Counts
+	c.Runs, c.Failures, c.Buckets[3], c.Buckets[9] = 12, 2, 4, 6
+	b, err := wire.Marshal(pack("status", c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rc RouteCounts
+	if err := wire.Unmarshal(b, &rc); err != nil {
+		t.Fatal(err)
+	}
+	if got := unpack(rc); !reflect.DeepEqual(got, c) {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestBucketsOutOfRangeAreDropped(t *testing.T) {
+	unpack(RouteCounts{First: -2, Buckets: []uint64{1, 1, 1}})
+	unpack(RouteCounts{First: bucketCount, Buckets: []uint64{1}})
+}
+
+// reportBytes bounds a report of 4 routes: at two reports a second to two
+// judges it is well under the 11 KB/s that a node may spend on control.
+const reportBytes = 500
+
+func TestAReportOfFourRoutesIsSmall(t *testing.T) {
+	rec := NewRecorder(time.Time{})
+	r := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1e9, 0)
+	for i := range 100_000 {
+		run := rec.Begin([]string{"status", "orders", "credit", "stock"}[i%4], now)
+		run.End(Answered, now.Add(time.Duration(r.ExpFloat64()*float64(5*time.Millisecond))))
+	}
+	b, err := wire.Marshal(Report{Service: "status-desk", Since: 1000, Writer: "10.20.30.40:7001", Incarnation: 1 << 60, Version: "v2", Routes: rec.Counts()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes", len(b))
+	if len(b) > reportBytes {
+		t.Errorf("%d bytes, over %d", len(b), reportBytes)
+	}
+}
--- /dev/null
+++ b/internal/version/verdict/recorder.go
@@ -0,0 +1,245 @@
+package verdict
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+)
+
+// What a gate takes as proof without asking others, and what it leaves out.
+const (
+	// plainStreak failures in a row, or overdue calls at once, are plain.
+	plainStreak = 4
+	// overdueFactor times the old version's slow edge is too long in progress.
+	overdueFactor = 3
+	// minOverdue is the shortest time in progress that counts as too long.
+	minOverdue = 50 * time.Millisecond
+	// coldSpan is how long after an upstream became ready its slow runs are
+	// left out.
+	coldSpan = 15 * time.Second
+	// cutSpan is the time in which cut calls of one host count as one: a
+	// host that dies cuts all that it runs at once.
+	cutSpan = time.Second
+)
+
+// Outcome is how a call ended for the purposes of a verdict.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered: the whole answer came, with a status under 500.
+	Answered Outcome = iota + 1
+	// Failed: a status of 500 or more, a short answer or the time limit.
+	Failed
+	// Shed: the upstream answered that it takes no more; a failure, but none
+	// that is plain, since a load that passes causes it too.
+	Shed
+	// Cut: the connection to the upstream broke.
+	Cut
+	// NotRun: the upstream did not run it, or the caller went away.
+	NotRun
+)
+
+// Running is one call in progress.
+type Running struct {
+	route   *routeRecorder
+	started time.Time
+	cold    bool
+	// counted tells that the call was counted as overdue already.
+	counted bool
+	index   int
+}
+
+// Recorder counts the calls of one upstream of one version. Each route has
+// its own lock.
+type Recorder struct {
+	mu     sync.RWMutex
+	routes map[string]*routeRecorder
+	ready  time.Time
+}
+
+type routeRecorder struct {
+	mu      sync.Mutex
+	name    string
+	counts  Counts
+	running []*Running
+	// streak counts the failures since the last answer.
+	streak  int
+	lastCut time.Time
+	// longer is the slow edge; 0 while no judge has told it.
+	longer time.Duration
+	// lastEnd is when a call last ended.
+	lastEnd time.Time
+}
+
+// NewRecorder returns an empty recorder of an upstream that became ready at
+// ready.
+func NewRecorder(ready time.Time) *Recorder {
+	return &Recorder{routes: map[string]*routeRecorder{}, ready: ready}
+}
+
+func (r *Recorder) route(name string) *routeRecorder {
+	r.mu.RLock()
+	rr := r.routes[name]
+	r.mu.RUnlock()
+	if rr != nil {
+		return rr
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rr = r.routes[name]; rr == nil {
+		rr = &routeRecorder{name: name}
+		r.routes[name] = rr
+	}
+	return rr
+}
+
+// Begin notes a call in progress; End must be called.
+func (r *Recorder) Begin(route string, now time.Time) *Running {
+	rr := r.route(route)
+	c := &Running{route: rr, started: now, cold: now.Before(r.ready.Add(coldSpan))}
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	c.index = len(rr.running)
+	rr.running = append(rr.running, c)
+	return c
+}
+
+// End notes how the call ended.
+func (c *Running) End(o Outcome, now time.Time) {
+	rr := c.route
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	last := rr.running[len(rr.running)-1]
+	rr.running[c.index], last.index = last, c.index
+	rr.running = rr.running[:len(rr.running)-1]
+	rr.lastEnd = now
+	rr.count(c, o, now)
+}
+
+func (rr *routeRecorder) count(c *Running, o Outcome, now time.Time) {
+	switch o {
+	case NotRun:
+		return
+	case Cut:
+		if now.Sub(rr.lastCut) < cutSpan {
+			return
+		}
+		rr.lastCut = now
+	}
+	if !c.counted {
+		rr.counts.Runs++
+	}
+	if o != Answered {
+		rr.counts.Failures++
+		if o != Shed {
+			rr.streak++
+		}
+		return
+	}
+	rr.streak = 0
+	if !c.counted && !c.cold {
+		rr.counts.Buckets[bucketOf(now.Sub(c.started))]++
+	}
+}
+
+// overdue returns how long a call may be in progress; 0 where it is not known.
+func (rr *routeRecorder) overdue() time.Duration {
+	if rr.longer == 0 {
+		return 0
+	}
+	return max(overdueFactor*rr.longer, minOverdue)
+}
+
+// SetEdges takes the slow edges that a judge answered with.
+func (r *Recorder) SetEdges(edges []Edge) {
+	for _, e := range edges {
+		rr := r.route(e.Route)
+		rr.mu.Lock()
+		rr.longer = e.Longer
+		rr.mu.Unlock()
+	}
+}
+
+// Scan counts calls that are in progress for too long as slow runs, each
+// once, and returns what is plain on this upstream; empty where nothing is.
+func (r *Recorder) Scan(now time.Time) string {
+	for _, rr := range r.sorted() {
+		if plain := rr.scan(now); plain != "" {
+			return plain
+		}
+	}
+	return ""
+}
+
+func (rr *routeRecorder) scan(now time.Time) string {
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	if rr.streak >= plainStreak {
+		return fmt.Sprintf("%d calls in a row failed on %s", rr.streak, rr.name)
+	}
+	limit := rr.overdue()
+	if limit == 0 {
+		return ""
+	}
+	hung := 0
+	for _, c := range rr.running {
+		age := now.Sub(c.started)
+		if c.cold || age < limit {
+			continue
+		}
+		if !c.counted {
+			c.counted = true
+			rr.counts.Runs++
+			rr.counts.Buckets[bucketOf(age)]++
+		}
+		if rr.lastEnd.Before(c.started) {
+			hung++
+		}
+	}
+	if hung >= plainStreak {
+		return fmt.Sprintf("%d calls hang on %s", hung, rr.name)
+	}
+	return ""
+}
+
+// Plain tells, cheaply enough for every call, whether a route has failed so
+// often in a row that nothing more should be sent.
+func (r *Recorder) Plain(route string) bool {
+	rr := r.route(route)
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	return rr.streak >= plainStreak
+}
+
+// Forgive ends a streak that the judges found to be no fault of the version.
+func (r *Recorder) Forgive() {
+	for _, rr := range r.sorted() {
+		rr.mu.Lock()
+		rr.streak = 0
+		rr.mu.Unlock()
+	}
+}
+
+// Counts returns the counts of every route, ready to be sent.
+func (r *Recorder) Counts() []RouteCounts {
+	var out []RouteCounts
+	for _, rr := range r.sorted() {
+		rr.mu.Lock()
+		out = append(out, pack(rr.name, rr.counts))
+		rr.mu.Unlock()
+	}
+	return out
+}
+
+func (r *Recorder) sorted() []*routeRecorder {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*routeRecorder, 0, len(r.routes))
+	for _, rr := range r.routes {
+		out = append(out, rr)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
+	return out
+}
