--- a/internal/request/pick/choose.go
+++ b/internal/request/pick/choose.go
@@ -18,16 +18,23 @@
 
 // Parameters of the choice.
 const (
-	// spillUse is the use of slots from which upstreams farther away are
-	// weighed against the best of the nearer ones.
-	spillUse = 0.9
-	// subsetSize is how many upstreams of one distance an entry uses first.
-	subsetSize = 8
 	// heldFloor is the shortest time that a slot is taken to be held, so that
 	// use counts among upstreams that are idle or have not answered yet.
 	heldFloor = 100 * time.Microsecond
 )
 
+// Policy is how a choice weighs.
+type Policy struct {
+	// Subset is how many upstreams of one distance an entry uses first.
+	Subset int
+	// SpillUse is the use of slots from which upstreams farther away are
+	// weighed against the best of the nearer ones.
+	SpillUse float64
+}
+
+// DefaultPolicy is the one that docs/DESIGN.md gives figures for.
+var DefaultPolicy = Policy{Subset: 4, SpillUse: 0.9}
+
 // farCost is the time that a distance adds to a call.
 var farCost = [distances]time.Duration{0, 3 * time.Millisecond, 60 * time.Millisecond}
 
@@ -46,10 +53,10 @@
 // The better of two random ones of the nearest group is taken, unless its
 // slots are nearly all in use or its calls fail: then the better of two of
 // the next group is weighed against it.
-func Choose(groups *[distances][]Candidate, now time.Time, rng *rand.Rand) (Distance, int, bool) {
+func (p Policy) Choose(groups *[distances][]Candidate, now time.Time, rng *rand.Rand) (Distance, int, bool) {
 	var best option
 	for d := range groups {
-		o := better(groups[d], now, rng)
+		o := p.better(groups[d], now, rng)
 		if !o.found {
 			continue
 		}
@@ -58,7 +65,7 @@
 		if !best.found || o.cost < best.cost {
 			best = o
 		}
-		if best.use < spillUse && !best.faulty {
+		if best.use < p.SpillUse && !best.faulty {
 			break
 		}
 	}
@@ -77,33 +84,37 @@
 
 // better takes two open candidates of a group at random and returns the one
 // that costs less.
-func better(group []Candidate, now time.Time, rng *rand.Rand) option {
-	first := draw(group, now, rng, -1)
+func (p Policy) better(group []Candidate, now time.Time, rng *rand.Rand) option {
+	first := p.draw(group, now, rng, -1)
 	if first < 0 {
 		return option{}
 	}
-	a := weigh(group, first, now)
-	second := draw(group, now, rng, first)
+	second := p.draw(group, now, rng, first)
 	if second < 0 {
-		return a
+		return weigh(group, first, now, usualUse)
 	}
-	if b := weigh(group, second, now); b.cost < a.cost {
+	a := weigh(group, first, now, knownUse(&group[second], now))
+	b := weigh(group, second, now, knownUse(&group[first], now))
+	if b.cost < a.cost {
 		return b
 	}
 	return a
 }
 
-func weigh(group []Candidate, place int, now time.Time) option {
+func knownUse(c *Candidate, now time.Time) float64 {
+	use, _ := c.Sight.known(now, c.Slots, usualUse)
+	return use
+}
+
+func weigh(group []Candidate, place int, now time.Time, reference float64) option {
 	c := &group[place]
-	return option{
-		found: true, place: place,
-		cost: c.Sight.cost(now, c.Slots), use: c.Sight.use(now, c.Slots), faulty: c.Sight.faults > 0,
-	}
+	use := c.Sight.use(now, c.Slots, reference)
+	return option{found: true, place: place, cost: c.Sight.cost(now, use), use: use, faulty: c.Sight.faulty(now)}
 }
 
-// draw returns a random open candidate among the first subsetSize untried
+// draw returns a random open candidate among the first p.Subset untried
 // ones, other than except; -1 where there is none.
-func draw(group []Candidate, now time.Time, rng *rand.Rand, except int) int {
+func (p Policy) draw(group []Candidate, now time.Time, rng *rand.Rand, except int) int {
 	spare := spared(group, now)
 	chosen, seen := -1, 0
 	for i := range group {
@@ -115,7 +126,7 @@
 		if rng.IntN(seen) == 0 {
 			chosen = i
 		}
-		if seen == subsetSize {
+		if seen == p.Subset {
 			break
 		}
 	}
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -66,7 +66,7 @@
 	s := scratches.Get().(*scratch)
 	defer scratches.Put(s)
 	s.fill(nodes, tried)
-	d, place, ok := Choose(&s.groups, now, rng)
+	d, place, ok := DefaultPolicy.Choose(&s.groups, now, rng)
 	if !ok {
 		return Picked{}, false
 	}
--- a/internal/request/pick/sight.go
+++ b/internal/request/pick/sight.go
@@ -12,7 +12,8 @@
 	// staleAfter is the time in which a load carried back loses all but 1/e
 	// of its weight against usualUse.
 	staleAfter = 2 * time.Second
-	// usualUse is the share of slots assumed in use where nothing is known.
+	// usualUse is the share of slots assumed in use where nothing is known of
+	// two upstreams; where one is known the other is taken to be like it.
 	usualUse = 0.5
 	// faultsToEject is how many faults in a row put an upstream aside; one
 	// suffices when it was not reached at all.
@@ -20,6 +21,9 @@
 	// ejectFor is the first time aside; it doubles up to ejectMax.
 	ejectFor = time.Second
 	ejectMax = 32 * time.Second
+	// probationPenalty keeps a second call from an upstream on probation
+	// while others can take it.
+	probationPenalty = 1000
 )
 
 // Fault is what a call has shown of an upstream.
@@ -47,6 +51,7 @@
 	// faults counts faults in a row, ejections those that put it aside since
 	// its last good answer.
 	faults    int
+	faultAt   time.Time
 	ejections int
 	// until is when it may be picked again.
 	until time.Time
@@ -64,11 +69,14 @@
 		s.ejections = 0
 		s.until = time.Time{}
 		return
+	case Neutral:
+		return
 	case NotReached, Leaving:
 		s.faults += faultsToEject
 	case Failed:
 		s.faults++
 	}
+	s.faultAt = now
 	if s.faults >= faultsToEject {
 		s.eject(now)
 	}
@@ -94,24 +102,48 @@
 // Ejected tells that the upstream is put aside.
 func (s *Sight) Ejected(now time.Time) bool { return now.Before(s.until) }
 
-// use estimates the share of slots in use, the new call among them. announced
-// is the slots of the member record, for a gate that has not answered yet.
-func (s *Sight) use(now time.Time, announced int) float64 {
-	slots := float64(s.load.Slots)
+// known estimates the share of slots in use from the load carried back: the
+// weight that its age leaves it, against reference. announced is the slots of
+// the member record, for a gate that has not answered yet.
+func (s *Sight) known(now time.Time, announced int, reference float64) (use, slots float64) {
+	slots = float64(s.load.Slots)
 	if slots < 1 {
 		slots = float64(max(1, announced))
 	}
-	weight := 0.0
-	if !s.loadAt.IsZero() {
-		weight = math.Exp(-float64(now.Sub(s.loadAt)) / float64(staleAfter))
+	if s.loadAt.IsZero() {
+		return reference, slots
+	}
+	weight := math.Exp(-float64(now.Sub(s.loadAt)) / float64(staleAfter))
+	return weight*float64(s.load.Busy)/slots + (1-weight)*reference, slots
+}
+
+// use estimates the share of slots in use, the new call among them.
+func (s *Sight) use(now time.Time, announced int, reference float64) float64 {
+	use, slots := s.known(now, announced, reference)
+	return max(use, float64(s.own)/slots) + 1/slots
+}
+
+// penalty multiplies the cost after faults, for a while only: an upstream
+// that never gets another call can never show that it is well again. One that
+// was put aside gets one call at a time until it has answered.
+func (s *Sight) penalty(now time.Time) float64 {
+	switch {
+	case s.ejections > 0 && s.own > 0:
+		return probationPenalty
+	case s.ejections == 0 && s.faulty(now):
+		return float64(1 + s.faults)
+	default:
+		return 1
 	}
-	busy := weight*float64(s.load.Busy) + (1-weight)*usualUse*slots
-	return (max(busy, float64(s.own)) + 1) / slots
+}
+
+// faulty tells that the last call there failed, a short while ago.
+func (s *Sight) faulty(now time.Time) bool {
+	return s.faults > 0 && now.Sub(s.faultAt) < staleAfter
 }
 
 // cost estimates the time until an answer, in seconds, without the network.
 // A gate that has not answered yet is taken to be as quick as any.
-func (s *Sight) cost(now time.Time, announced int) float64 {
-	use := s.use(now, announced)
-	return max(s.load.Held, heldFloor).Seconds() * (1 + use*use) * float64(1+s.faults)
+func (s *Sight) cost(now time.Time, use float64) float64 {
+	return max(s.load.Held, heldFloor).Seconds() * (1 + use*use) * s.penalty(now)
 }
