--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -19,6 +19,9 @@
 	"github.com/daisytide/daisytide/internal/request/call"
 )
 
+// HeaderTook tells how long the request was in the upstream, in nanoseconds.
+const HeaderTook = "Standin-Took"
+
 // Fault is what goes wrong on the paths with a prefix.
 type Fault struct {
 	// Prefix selects paths; empty means all.
@@ -210,6 +213,7 @@
 }
 
 func (u *Upstream) work(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
 	fault, took, ok := u.begin(r)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -236,14 +240,15 @@
 		return
 	case <-time.After(took):
 	}
-	u.answer(w, r, size, fault.Short)
+	u.answer(w, r, size, time.Since(began), fault.Short)
 }
 
 // answer echoes what identifies the request, so that a caller can check that
 // the answer is its own and whole.
-func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, size int64, short bool) {
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, size int64, took time.Duration, short bool) {
 	body := fmt.Sprintf("%s %s %s key=%s body=%d\n", u.o.Service, u.o.Version, r.URL.Path, r.Header.Get(call.HeaderKey), size)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set(HeaderTook, strconv.FormatInt(int64(took), 10))
 	if short {
 		body = body[:len(body)/2]
 	}
