Take a cut of the slot limit back when it does not help

On a machine with three times more runnable threads than cores the first run of the added-time benchmark answered 42% of calls at half of capacity, where direct calls got 80%: every run was slow, the gates halved their limits, and what they refused spent the retry budget. A slow window now starts a trial: the limit is cut, the window in which the cut takes effect is left out, and when the next one is not at least 5% quicker the cut is taken back and the present times become usual.

--- a/internal/request/gate/limit.go
+++ b/internal/request/gate/limit.go
@@ -22,7 +22,11 @@
 	shedShare  = 0.1
 	// slowFloorPart bounds how far slowness alone cuts the limit: to the
 	// ceiling divided by it.
-	slowFloorPart = 2
+	slowFloorPart = 4
+	// helpedRatio is what a cut must make of the mean time, at most, to be
+	// kept. Slowness that it does not change is not made by the number of
+	// requests in progress.
+	helpedRatio = 0.95
 	// coldPart divides the ceiling for the first limit of a cold upstream;
 	// each good window then doubles the limit.
 	coldPart = 4
@@ -45,6 +49,18 @@
 	Overloaded
 )
 
+// trial is the state of a trial of smaller limits. The window in which
+// slowness first shows and the one in which a cut takes effect are mixed, so
+// neither is compared with another.
+type trial uint8
+
+const (
+	noTrial trial = iota
+	slowSeen
+	settling
+	judging
+)
+
 // Limit adapts the number of requests in progress to what the upstream bears,
 // under the ceiling that it announced. Evidence is the time of each run
 // against the usual time of its route, so that a change in the mix of routes
@@ -58,6 +74,12 @@
 	// usual is the usual time of each route's runs, in seconds.
 	usual map[string]float64
 
+	// trial is how far a trial of smaller limits has come, cutFrom the limit
+	// before it, cutMean the mean ratio that led to its last cut.
+	trial   trial
+	cutFrom float64
+	cutMean float64
+
 	runs      int
 	timed     int
 	ratios    float64
@@ -132,14 +154,50 @@
 	switch {
 	case float64(l.bad) > shedShare*float64(l.runs):
 		l.warming = false
+		l.trial = noTrial
 		l.current = max(1, l.current*shedFactor)
 	case l.timed > 0 && l.ratios/float64(l.timed) > slowRatio:
 		l.warming = false
-		l.current = max(1, min(l.current, max(top/slowFloorPart, l.current*slowFactor)))
+		l.slow(l.ratios / float64(l.timed))
 	case l.saturated && l.warming:
 		l.current = min(top, 2*l.current)
 		l.warming = l.current < top
 	case l.saturated:
+		l.trial = noTrial
 		l.current = min(top, l.current+1)
+	default:
+		l.trial = noTrial
+	}
+}
+
+// slow takes a window of slow runs. It cuts the limit and sees whether that
+// helps; if not, the cuts are taken back, and the present times are the usual
+// ones from now on.
+func (l *Limit) slow(mean float64) {
+	switch l.trial {
+	case noTrial:
+		l.trial = slowSeen
+	case slowSeen:
+		l.cutFrom = l.current
+		l.cut(mean)
+	case settling:
+		l.trial = judging
+	case judging:
+		if mean < l.cutMean*helpedRatio {
+			l.cut(mean)
+			return
+		}
+		l.current = l.cutFrom
+		l.trial = noTrial
+		for route := range l.usual {
+			l.usual[route] *= mean
+		}
 	}
 }
+
+func (l *Limit) cut(mean float64) {
+	floor := max(1, float64(l.ceiling)/slowFloorPart)
+	l.cutMean = mean
+	l.trial = settling
+	l.current = min(l.current, max(floor, l.current*slowFactor))
+}
--- /dev/null
+++ b/internal/standin/cluster/added_bench_test.go
@@ -0,0 +1,71 @@
+package cluster
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/standin/upstream"
+)
+
+// BenchmarkAddedTime compares calls through entry and gate with the same calls
+// sent directly to the upstreams, at a steady rate, on real sockets:
+// -bench AddedTime -benchtime 1x.
+func BenchmarkAddedTime(b *testing.B) {
+	const (
+		slots = 10
+		work  = 10 * time.Millisecond
+		// capacity of two upstreams, calls per second
+		capacity = 2 * slots / 0.010
+		span     = 4 * time.Second
+	)
+	c := startService(b, 3, 1, upstream.Options{Service: "svc", Version: "v1", Slots: slots, Connections: 100, Work: work}, mixed(2*time.Second))
+	entry := c.Hosts[0].CallerBase()
+	direct := urls(c.Hosts[1:], upstreamBase)
+	client := caller()
+	through := func(int) ending { return request(client, http.MethodGet, entry+"/look", 0) }
+	straight := func(i int) ending { return request(client, http.MethodGet, direct[i%len(direct)]+"/look", 0) }
+	for _, use := range []float64{0.1, 0.5, 1} {
+		b.Run(fmt.Sprintf("use-%.1f", use), func(b *testing.B) {
+			for range b.N {
+				load(use*capacity, span/8, straight)
+				load(use*capacity, span/8, through)
+				var near, far []ending
+				var cost [2]usage
+				for range 2 {
+					near = append(near, measured(&cost[0], func() []ending { return load(use*capacity, span/2, straight) })...)
+					far = append(far, measured(&cost[1], func() []ending { return load(use*capacity, span/2, through) })...)
+				}
+				for _, p := range []struct {
+					name string
+					at   float64
+				}{{"p50", 0.5}, {"p99", 0.99}, {"p999", 0.999}} {
+					d, t := percentile(near, p.at), percentile(far, p.at)
+					b.ReportMetric(d, "direct-"+p.name+"-ms")
+					b.ReportMetric(t-d, "added-"+p.name+"-ms")
+				}
+				n := float64(len(near))
+				b.ReportMetric((cost[1].allocs-cost[0].allocs)/n, "added-allocs/call")
+				b.ReportMetric((cost[1].seconds-cost[0].seconds)/n*1e6, "added-cpu-us/call")
+				b.ReportMetric(100*float64(answered(near))/n, "direct-answered-%")
+				b.ReportMetric(100*float64(answered(far))/n, "answered-%")
+			}
+		})
+	}
+}
+
+// usage is what a load has cost the process.
+type usage struct{ allocs, seconds float64 }
+
+func measured(u *usage, run func() []ending) []ending {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	began := processor()
+	out := run()
+	u.seconds += (processor() - began).Seconds()
+	runtime.ReadMemStats(&after)
+	u.allocs += float64(after.Mallocs - before.Mallocs)
+	return out
+}
--- /dev/null
+++ b/internal/standin/cluster/load_test.go
@@ -0,0 +1,180 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/operator/client"
+	"github.com/daisytide/daisytide/internal/standin/upstream"
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// quiet keeps the nodes' logs out of a benchmark's table.
+func quiet() {
+	set := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(set)
+	_ = set.Set("logtostderr", "false")
+	_ = set.Set("stderrthreshold", "FATAL")
+	klog.SetOutput(io.Discard)
+}
+
+// startService starts hosts of which the first entries have no upstream, and
+// puts doc in force.
+func startService(tb testing.TB, nodes, entries int, o upstream.Options, doc document.Document) *Cluster {
+	tb.Helper()
+	quiet()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	tb.Cleanup(cancel)
+	c, err := Start(context.Background(), Config{Nodes: nodes, DataCentres: 1, Seed: 1, Upstream: func(i int) upstream.Options {
+		if i < entries {
+			return upstream.Options{}
+		}
+		return o
+	}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(c.Stop)
+	if err := c.AwaitMembers(ctx); err != nil {
+		tb.Fatal(err)
+	}
+	text, err := json.Marshal(doc)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	operator := client.Client{Base: c.Hosts[0].OperatorBase(), Token: Token, Operator: "test", HTTP: http.DefaultClient}
+	out, err := operator.Apply(ctx, text, 0)
+	if err != nil || out.Outcome != api.ApplyAccepted {
+		tb.Fatalf("apply: %v %+v", err, out)
+	}
+	if err := c.AwaitNumber(ctx, out.Number); err != nil {
+		tb.Fatal(err)
+	}
+	return c
+}
+
+// mixed is one service with a route for look-ups, credits and photos.
+func mixed(limit time.Duration) document.Document {
+	doc := document.Document{Services: []document.Service{{Name: "svc", Versions: []string{"v1"}, Current: "v1"}}}
+	for _, r := range []struct {
+		name       string
+		idempotent bool
+		caller     document.Caller
+	}{{"look", true, document.Buyer}, {"credit", false, document.Clerk}, {"photo", false, document.Driver}} {
+		doc.Routes = append(doc.Routes, document.Route{
+			Name: r.name, Match: document.Match{Prefix: "/" + r.name}, Service: "svc", Idempotent: r.idempotent,
+			TimeLimit: document.Duration(limit), Caller: r.caller, BodyLimit: 32_000_000,
+		})
+	}
+	return doc
+}
+
+// ending is how one call of a load ended.
+type ending struct {
+	path   string
+	status int
+	ran    string
+	// cut tells that there was no whole answer.
+	cut bool
+	// refused tells that the listener took no connection.
+	refused bool
+	took    time.Duration
+	// inside is the time in the upstream.
+	inside time.Duration
+}
+
+// load sends calls at a steady rate whether or not answers come, each at its
+// own time, and returns how they ended.
+func load(rate float64, span time.Duration, send func(i int) ending) []ending {
+	n := int(rate * span.Seconds())
+	out := make([]ending, n)
+	start := time.Now()
+	var wait sync.WaitGroup
+	for i := range n {
+		time.Sleep(time.Until(start.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
+		wait.Go(func() { out[i] = send(i) })
+	}
+	wait.Wait()
+	return out
+}
+
+// caller is a client that keeps its connections.
+func caller() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}}
+}
+
+func request(c *http.Client, method, url string, size int) ending {
+	began := time.Now()
+	path := url[strings.LastIndex(url, "/")+1:]
+	r, err := http.NewRequest(method, url, strings.NewReader(strings.Repeat("b", size)))
+	if err != nil {
+		return ending{path: path, cut: true}
+	}
+	resp, err := c.Do(r)
+	if err != nil {
+		return ending{path: path, cut: true, refused: strings.Contains(err.Error(), "connection refused")}
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	inside, _ := strconv.ParseInt(resp.Header.Get(upstream.HeaderTook), 10, 64)
+	return ending{
+		path: path, status: resp.StatusCode, ran: resp.Header.Get("Daisytide-Run"), cut: err != nil,
+		took: time.Since(began), inside: time.Duration(inside),
+	}
+}
+
+// percentile of the calls' time outside the upstream, in milliseconds.
+func percentile(es []ending, p float64) float64 {
+	var out []float64
+	for _, e := range es {
+		if e.status == http.StatusOK {
+			out = append(out, float64(e.took-e.inside)/float64(time.Millisecond))
+		}
+	}
+	sort.Float64s(out)
+	if len(out) == 0 {
+		return -1
+	}
+	return out[int(p*float64(len(out)-1))]
+}
+
+// processor is the processor time that this process has used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func answered(es []ending) int {
+	n := 0
+	for _, e := range es {
+		if e.status == http.StatusOK && !e.cut {
+			n++
+		}
+	}
+	return n
+}
+
+func urls(hosts []*Host, base func(*Host) string) []string {
+	var out []string
+	for _, h := range hosts {
+		out = append(out, base(h))
+	}
+	return out
+}
+
+func upstreamBase(h *Host) string { return fmt.Sprint("http://", h.Upstream.Address()) }
