--- a/internal/request/pick/driver_test.go
+++ b/internal/request/pick/driver_test.go
@@ -41,7 +41,6 @@
 	speed     float64
 	centre    int
 	waiting   map[*gate.Ticket]*driverCall
-	late      int
 }
 
 type driverCall struct {
