Check racing operators and the start against a store that fails

Sixty seeded races of four operators with half of the replies lost are checked by porcupine against a number that rises by one; a write that was replaced before its reply was read back is still told as accepted. Starts: peers held back until all are heard, the store preferred when it answers. The stand-in tells of each write that takes effect.

--- /dev/null
+++ b/internal/process/provider/race_test.go
@@ -0,0 +1,152 @@
+package provider_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/process/provider"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+// Sizes of the races.
+const (
+	raceSeeds     = 60
+	raceOperators = 4
+	raceAttempts  = 4
+	raceRate      = 1000
+)
+
+// step is one operator's attempt with the answer.
+type step struct {
+	base uint64
+	out  api.ApplyResponse
+}
+
+// register is what the store must look like from outside: a number that
+// rises by one with each accepted document. An attempt whose answer is
+// "unknown" may have raised it or not.
+var register = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, output any) []any {
+		number, in, out := state.(uint64), input.(step), output.(api.ApplyResponse)
+		switch out.Outcome {
+		case api.ApplyAccepted:
+			if out.Number == number+1 && (in.base == 0 || in.base == number) {
+				return []any{number + 1}
+			}
+			return nil
+		case api.ApplyConflict:
+			if out.Number == number && number != 0 && in.base != number {
+				return []any{number}
+			}
+			return nil
+		case api.ApplyUnknown:
+			return []any{number, number + 1}
+		default:
+			return []any{number}
+		}
+	},
+}).ToModel()
+
+func TestRacingOperatorsSeeOneOrder(t *testing.T) {
+	for seed := range uint64(raceSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			if !porcupine.CheckOperations(register, race(seed)) {
+				t.Errorf("seed %d: no order of the attempts explains the answers", seed)
+			}
+		})
+	}
+}
+
+func race(seed uint64) []porcupine.Operation {
+	s := store.New(seed)
+	s.SetFaults(store.Faults{LostReplies: 0.5, Delay: 20 * time.Millisecond})
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var operators sync.WaitGroup
+	for client := range raceOperators {
+		operators.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(client)))
+			p := &provider.Provider{
+				Store:  platform.NewGuard(s, raceRate),
+				Holder: &snapshot.Holder{},
+				Ended:  func(string) bool { return false },
+			}
+			for attempt := range raceAttempts {
+				time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+				in := step{base: p.Holder.Current().Number() * uint64(rng.IntN(2))}
+				begin := time.Now()
+				out := p.Apply(context.Background(), raceText(client, attempt), fmt.Sprint(client), in.base)
+				end := time.Now().UnixNano()
+				if out.Outcome == api.ApplyUnknown {
+					end = math.MaxInt64
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{
+					ClientId: client, Input: in, Call: begin.UnixNano(), Output: out, Return: end,
+				})
+				mu.Unlock()
+			}
+		})
+	}
+	operators.Wait()
+	return history
+}
+
+func raceText(client, attempt int) []byte {
+	return fmt.Appendf(nil, `{"services":[{"name":"roster","versions":["v1"],"current":"v1"}],
+"routes":[{"name":"r%d-%d","match":{"prefix":"/"},"service":"roster","time_limit":"1s","caller":"buyer"}]}`, client, attempt)
+}
+
+// TestSupersededWriteIsStillAccepted: the reply of a write is lost, and
+// before it is read back another document replaces it.
+func TestSupersededWriteIsStillAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(1)
+		other := &provider.Provider{Store: s, Holder: &snapshot.Holder{}}
+		s.SetFaults(store.Faults{LostReplies: 1})
+		first := true
+		p := &provider.Provider{Holder: &snapshot.Holder{}, Store: afterSwap{Store: s, then: func() {
+			if !first {
+				return
+			}
+			first = false
+			s.SetFaults(store.Faults{})
+			for i := range 3 {
+				if out := other.Apply(context.Background(), raceText(9, i), "other", 0); out.Outcome != api.ApplyAccepted {
+					t.Fatalf("apply: %+v", out)
+				}
+			}
+		}}}
+		out := p.Apply(context.Background(), raceText(1, 0), "first", 0)
+		if out.Outcome != api.ApplyAccepted || out.Number != 1 {
+			t.Errorf("answer %+v, want accepted as 1", out)
+		}
+		if got := p.Holder.Current().Number(); got != 4 {
+			t.Errorf("%d in force, want the one that stands, 4", got)
+		}
+	})
+}
+
+// afterSwap calls then after each write.
+type afterSwap struct {
+	platform.Store
+	then func()
+}
+
+func (s afterSwap) CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte, lease string) (platform.Entry, error) {
+	e, err := s.Store.CompareAndSwap(ctx, key, revision, value, lease)
+	s.then()
+	return e, err
+}
--- /dev/null
+++ b/internal/process/provider/start_test.go
@@ -0,0 +1,147 @@
+package provider_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/provider"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+func TestMain(m *testing.M) {
+	set := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(set)
+	_ = set.Set("logtostderr", "false")
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+func configuration(t *testing.T, number uint64) *snapshot.Snapshot {
+	t.Helper()
+	a := document.Accepted{Number: number, Session: fmt.Sprint("s", number), Document: raceText(0, int(number))}
+	envelope, err := a.Envelope()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := snapshot.Build(envelope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// inStart runs a provider against a store with faults while a test drives it.
+func inStart(t *testing.T, f store.Faults, settled *bool, test func(p *provider.Provider, s *store.Store)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(1)
+		s.SetFaults(f)
+		p := &provider.Provider{
+			Store:   platform.NewGuard(s, raceRate),
+			Holder:  &snapshot.Holder{},
+			Settled: func() bool { return *settled },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- p.Run(ctx) }()
+		test(p, s)
+		cancel()
+		<-done
+	})
+}
+
+func TestStartHoldsBackPeersUntilAllAreHeard(t *testing.T) {
+	settled := false
+	inStart(t, store.Faults{Down: true}, &settled, func(p *provider.Provider, _ *store.Store) {
+		p.Take(configuration(t, 5))
+		time.Sleep(time.Hour)
+		if n := p.Holder.Current().Number(); n != 0 || p.Held() != 5 {
+			t.Errorf("%d in force and %d held before the peers were heard, want 0 and 5", n, p.Held())
+		}
+		p.Take(configuration(t, 7))
+		p.Take(configuration(t, 6))
+		settled = true
+		time.Sleep(time.Minute)
+		if n := p.Holder.Current().Number(); n != 7 || p.Source() != provider.SourcePeers {
+			t.Errorf("%d in force from the %s, want 7 from the peers", n, p.Source())
+		}
+	})
+}
+
+func TestStartReadsTheStoreEvenWhenPeersAreHeard(t *testing.T) {
+	settled := true
+	inStart(t, store.Faults{Delay: time.Second}, &settled, func(p *provider.Provider, s *store.Store) {
+		envelope := configuration(t, 9).Envelope
+		if _, err := s.CompareAndSwap(context.Background(), platform.KeyConfig, 0, envelope, ""); err != nil {
+			t.Fatal(err)
+		}
+		p.Take(configuration(t, 8))
+		time.Sleep(10 * time.Second)
+		if n := p.Holder.Current().Number(); n != 9 || p.Source() != provider.SourceStore {
+			t.Errorf("%d in force from the %s, want 9 from the store", n, p.Source())
+		}
+	})
+}
+
+func TestStartOnAnEmptyStoreTakesWhatPeersHold(t *testing.T) {
+	settled := false
+	inStart(t, store.Faults{}, &settled, func(p *provider.Provider, _ *store.Store) {
+		p.Take(configuration(t, 3))
+		time.Sleep(time.Second)
+		if n := p.Holder.Current().Number(); n != 3 {
+			t.Errorf("%d in force, want 3", n)
+		}
+	})
+}
+
+func TestSeedsNameLiveNodesOfEachDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(1)
+		members := member.NewTable()
+		for i := range 12 {
+			r := member.Record{Address: fmt.Sprintf("10.0.0.%02d:1", i), DataCentre: fmt.Sprint("dc-", i%3), Incarnation: 1, State: member.Alive}
+			if i < 3 {
+				r.State = member.Gone
+			}
+			members.Merge(r)
+		}
+		var keeper member.Record
+		for _, r := range members.Index().Members {
+			if provider.Rank(members.Index().Members, r) == 0 {
+				keeper = r
+			}
+		}
+		seeds := &provider.Seeds{Store: s, Members: members, Self: func() member.Record { return keeper }, Links: func() int { return 1 }}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- seeds.Run(ctx) }()
+		time.Sleep(10 * time.Minute)
+		cancel()
+		<-done
+		e, err := s.Get(context.Background(), platform.KeySeeds)
+		var list []string
+		if err != nil || json.Unmarshal(e.Value, &list) != nil || len(list) != 9 {
+			t.Fatalf("the seeds are %q, %v", e.Value, err)
+		}
+		for _, a := range list {
+			if r, _ := members.Get(a); r.State != member.Alive {
+				t.Errorf("%s is %s", a, r.State)
+			}
+		}
+		if writes := s.Counts().Writes; writes != 1 {
+			t.Errorf("%d writes of an unchanged list, want 1", writes)
+		}
+	})
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -31,6 +31,7 @@
 	rng      *rand.Rand
 	reads    window
 	writes   window
+	onPut    func(platform.Entry)
 }
 
 type lease struct {
@@ -82,6 +83,14 @@
 	s.wake()
 }
 
+// OnPut registers fn, called with each write that takes effect, in order,
+// whether or not its reply is lost. It must not call the store.
+func (s *Store) OnPut(fn func(platform.Entry)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onPut = fn
+}
+
 // Counts returns the calls taken so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
@@ -238,6 +247,9 @@
 	} else {
 		s.entries[key] = e
 	}
+	if s.onPut != nil {
+		s.onPut(e)
+	}
 	s.wake()
 	return e
 }
