Drop a field that nothing reads from the race of operators

Cause: staticcheck failed on main: U1000 in the test of racing operators. Change: the field is gone; the model never read it. Figures: staticcheck and go test ./... pass. Conclusion: green again.

--- a/internal/process/provider/race_test.go
+++ b/internal/process/provider/race_test.go
@@ -27,10 +27,9 @@
 	raceRate      = 1000
 )
 
-// step is one operator's attempt with the answer.
+// step is one operator's attempt: the number that it started from.
 type step struct {
 	base uint64
-	out  api.ApplyResponse
 }
 
 // register is what the store must look like from outside: a number that
