Look for a record at the live gates before the store is read

Most repeats find the record of the run whose answer was lost. A look needs no store and so no share of the node's two store calls a second; only a repeat that finds nothing reads the roster.

--- a/internal/request/once/book.go
+++ b/internal/request/once/book.go
@@ -138,12 +138,15 @@
 }
 
 // Look returns the record of an attempt that was let through, and sets no fence.
-func (b *Book) Look(key string, now time.Time) Reply {
+func (b *Book) Look(key string, print uint64, now time.Time) Reply {
 	sh := b.shard(key)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	b.expire(sh, now)
 	e := sh.records[key]
+	if e.get().clashes(print) {
+		return Reply{Grant: Clash}
+	}
 	if e.get().Phase <= Fenced {
 		return Reply{Grant: Granted}
 	}
--- a/internal/request/once/entry.go
+++ b/internal/request/once/entry.go
@@ -94,14 +94,18 @@
 	return told(r.State.Code())
 }
 
-// collect asks every gate of the roster, and anew while gates join.
+// collect looks for a record at the live gates, which needs no store. Where
+// there is none it asks every gate of the roster, and anew while gates join.
 func (e *Entry) collect(ctx context.Context, r *http.Request, c *call.Call, b Ballot) Collection {
-	col := Collect(0)
+	col := e.look(ctx, r, c)
+	if col.Verdict() > Reread {
+		return col
+	}
 	for range maxReads {
 		roster, err := e.rosters.read(ctx, c.Service)
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"no table of gates of %s: %v", c.Service, err)
-			return e.look(ctx, r, c)
+			return Collect(0)
 		}
 		col = e.fence(ctx, r, c, b, roster)
 		if col.Verdict() != Reread {
@@ -129,8 +133,8 @@
 	return col
 }
 
-// look asks the live gates for a record, while the store is down. Nothing may
-// run after it, whatever they say.
+// look asks the live gates for a record. Nothing may run after it, whatever
+// they say.
 func (e *Entry) look(ctx context.Context, r *http.Request, c *call.Call) Collection {
 	questions := map[string]Question{}
 	for _, address := range e.Gates(c.Service) {
--- a/internal/request/once/gate.go
+++ b/internal/request/once/gate.go
@@ -197,7 +197,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	return s.book.Look(q.Key, time.Now()), nil
+	return s.book.Look(q.Key, q.Print, time.Now()), nil
 }
 
 // asked finds the service of a question to this incarnation.
