Refuse a request after its second crash of an upstream

Suspects run alone; a second crash has the request refused for ten minutes, and whoever ran beside it is cleared.

The facts of crashes are a spread topic of their own, one fact per crash. The body of a request is read ahead only while its service has a suspect.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/daisytide/daisytide/internal/request/entry"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/once"
+	"github.com/daisytide/daisytide/internal/request/quarantine"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
 
@@ -73,6 +74,7 @@
 	// entryMiddlewares see each call before it is sent to a gate.
 	entryMiddlewares []call.Middleware
 	keeper           *once.Keeper
+	quarantine       *quarantine.Gate
 	keys             *once.Keys
 
 	tls       certificates
@@ -142,6 +144,7 @@
 	n.audit = audit.Log{}
 	n.wireSpread()
 	n.wireRollouts()
+	n.wireQuarantine()
 	n.wireKeys()
 	n.wireCalls(transport)
 	n.entry.Middlewares = append(n.entry.Middlewares, n.entryMiddlewares...)
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -79,6 +79,7 @@
 	}
 	n.gate.Announce(a)
 	n.keeper.Serve(a.Service)
+	n.quarantine.Announced()
 	n.self.Announce(a)
 	return nil
 }
--- /dev/null
+++ b/internal/request/quarantine/ledger.go
@@ -0,0 +1,274 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisytide/daisytide/internal/conn/wire"
+)
+
+// How long a fact holds, and how many are held.
+const (
+	// SuspectFor is how long a crash blames what ran at it.
+	SuspectFor = 2 * time.Minute
+	// QuarantineFor is how long a repeat offender is refused.
+	QuarantineFor = 10 * time.Minute
+	maxFacts      = 2048
+	maxPrints     = 256
+	expireEvery   = 5 * time.Second
+)
+
+// Fact tells of one crash, or of one request that ran alone well. Facts only
+// add up, so their order and repetition do not matter.
+type Fact struct {
+	ID      uint64 `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	// Prints ran at the crash.
+	Prints []Fingerprint `cbor:"3,keyasint,omitempty"`
+	// Again are those of Prints that were suspect before.
+	Again []Fingerprint `cbor:"4,keyasint,omitempty"`
+	// Cleared ran alone well; Crashes are the facts that no longer blame it.
+	Cleared Fingerprint `cbor:"5,keyasint,omitempty"`
+	Crashes []uint64    `cbor:"6,keyasint,omitempty"`
+	// Until is when the fact is dropped, in seconds of the Unix epoch.
+	Until int64 `cbor:"7,keyasint"`
+}
+
+// Verdict is what a gate does with a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Free runs among its neighbours.
+	Free Verdict = iota
+	// Suspect runs alone.
+	Suspect
+	// Quarantined is refused.
+	Quarantined
+)
+
+type judged struct {
+	verdict Verdict
+	until   int64
+	// crashes are the facts that blame the request.
+	crashes []uint64
+}
+
+// index maps a service's fingerprints to verdicts; it is immutable.
+type index map[string]map[Fingerprint]judged
+
+// Ledger holds the facts of all services and what follows from them. Readers
+// take no lock.
+type Ledger struct {
+	index atomic.Pointer[index]
+
+	mu    sync.Mutex
+	facts map[uint64]Fact
+	now   func() time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(now func() time.Time) *Ledger {
+	l := &Ledger{facts: map[uint64]Fact{}, now: now}
+	l.index.Store(&index{})
+	return l
+}
+
+// Any tells whether anything of a service is suspect or refused; while it is
+// not, requests need no fingerprint ahead of their run.
+func (l *Ledger) Any(service string) bool { return len((*l.index.Load())[service]) > 0 }
+
+// Judge returns the verdict on a request, and the facts that blame it.
+func (l *Ledger) Judge(service string, p Fingerprint) (Verdict, []uint64) {
+	j := (*l.index.Load())[service][p]
+	if j.until <= l.now().Unix() {
+		return Free, nil
+	}
+	return j.verdict, j.crashes
+}
+
+// Add folds a fact in and tells whether it was new.
+func (l *Ledger) Add(f Fact) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	if _, ok := l.facts[f.ID]; ok || f.Until <= now.Unix() || len(f.Prints) > maxPrints {
+		return false
+	}
+	l.expire(now)
+	if len(l.facts) >= maxFacts {
+		return false
+	}
+	f.Until = min(f.Until, now.Add(QuarantineFor).Unix())
+	l.facts[f.ID] = f
+	l.rebuild()
+	return true
+}
+
+// Expire drops facts whose time has passed.
+func (l *Ledger) Expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.expire(l.now()) {
+		l.rebuild()
+	}
+}
+
+func (l *Ledger) expire(now time.Time) bool {
+	before := len(l.facts)
+	for id, f := range l.facts {
+		if f.Until <= now.Unix() {
+			delete(l.facts, id)
+		}
+	}
+	return len(l.facts) != before
+}
+
+// rebuild publishes a new index; the caller holds mu.
+func (l *Ledger) rebuild() {
+	next := index{}
+	for _, f := range l.facts {
+		if next[f.Service] == nil {
+			next[f.Service] = judge(l.of(f.Service))
+		}
+	}
+	l.index.Store(&next)
+}
+
+func (l *Ledger) of(service string) []Fact {
+	var out []Fact
+	for _, f := range l.facts {
+		if f.Service == service {
+			out = append(out, f)
+		}
+	}
+	slices.SortFunc(out, func(a, b Fact) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// judge derives the verdicts from the facts of one service. Whoever crashed
+// an upstream twice is refused. A crash that took place with a request which
+// crashed another upstream alone blames nobody else.
+func judge(facts []Fact) map[Fingerprint]judged {
+	cleared := map[Fingerprint]map[uint64]bool{}
+	for _, f := range facts {
+		for _, id := range f.Crashes {
+			if cleared[f.Cleared] == nil {
+				cleared[f.Cleared] = map[uint64]bool{}
+			}
+			cleared[f.Cleared][id] = true
+		}
+	}
+	out := map[Fingerprint]judged{}
+	for _, f := range facts {
+		for _, p := range f.Prints {
+			if !cleared[p][f.ID] {
+				out[p] = out[p].blame(f, slices.Contains(f.Again, p))
+			}
+		}
+	}
+	certain := map[Fingerprint]bool{}
+	for _, f := range facts {
+		if len(f.Prints) == 1 && len(f.Again) == 1 {
+			certain[f.Again[0]] = true
+		}
+	}
+	for _, f := range facts {
+		if slices.ContainsFunc(f.Prints, func(p Fingerprint) bool { return certain[p] }) {
+			acquit(out, f, certain)
+		}
+	}
+	return out
+}
+
+func (j judged) blame(f Fact, again bool) judged {
+	j.crashes = append(j.crashes, f.ID)
+	j.until = max(j.until, f.Until)
+	j.verdict = Suspect
+	if again || len(j.crashes) > 1 {
+		j.verdict = Quarantined
+	}
+	return j
+}
+
+// acquit takes the blame for one crash from those who merely ran beside the
+// one that brought it about.
+func acquit(out map[Fingerprint]judged, f Fact, certain map[Fingerprint]bool) {
+	for _, p := range f.Prints {
+		if !certain[p] {
+			out[p] = out[p].without(f.ID)
+		}
+	}
+}
+
+func (j judged) without(crash uint64) judged {
+	left := slices.DeleteFunc(slices.Clone(j.crashes), func(id uint64) bool { return id == crash })
+	if len(left) == 0 {
+		return judged{}
+	}
+	if len(left) < len(j.crashes) {
+		j.crashes, j.verdict = left, Suspect
+	}
+	return j
+}
+
+// TopicName is the spread topic of crashes.
+const TopicName = "crashes"
+
+// Name implements spread.Topic.
+func (l *Ledger) Name() string { return TopicName }
+
+// Merge implements spread.Topic.
+func (l *Ledger) Merge(item []byte) (bool, error) {
+	var f Fact
+	if err := wire.Unmarshal(item, &f); err != nil {
+		return false, err
+	}
+	return l.Add(f), nil
+}
+
+// Sum implements spread.Topic.
+func (l *Ledger) Sum() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(l.now())
+	var sum uint64
+	for id := range l.facts {
+		sum ^= xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, id))
+	}
+	return sum
+}
+
+// Items implements spread.Topic.
+func (l *Ledger) Items() [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out [][]byte
+	for _, f := range l.facts {
+		if b, err := wire.Marshal(f); err == nil {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// Run drops old facts until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.Expire()
+		}
+	}
+}
