Serve operators forms from an empty page to an applied document

Operators work only through forms, and there were none. The operator listener now serves /console: sign-in with a signed cookie, overview, hosts, audit trail, and a session that collects services, routes and rollouts, checks them by the document's own rules with each fault beside its field, shows the difference against the one in force and applies it with one button. The draft travels in hidden fields, so any node serves the next step and no host keeps anything. A conflict shows what the other session changed, keeps what was typed, and carries it over item by item. A lost reply is asked for again under the same session. The page after it loads itself again until every move has ended.

Seams: api.BaseNone is the base of a document that must be the first; operator.Server mounts the console.

--- a/api/operator.go
+++ b/api/operator.go
@@ -1,6 +1,9 @@
 package api
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Paths of the operator listener.
 const (
@@ -19,13 +22,16 @@
 	HeaderToken    = "Daisytide-Token"
 	HeaderOperator = "Daisytide-Operator"
 	// HeaderBase carries the configuration number that an operator started
-	// from; absent means whichever is in force.
+	// from; absent means whichever is in force, and BaseNone that none is.
 	HeaderBase = "Daisytide-Base"
 	// HeaderSession identifies one apply over all tries to send it, so that a
 	// node that is asked again recognises a document that it has accepted.
 	HeaderSession = "Daisytide-Session"
 )
 
+// BaseNone is the base of a document that must be the first one.
+const BaseNone = math.MaxUint64
+
 // Limits of the headers of the operator listener, in bytes.
 const (
 	MaxOperatorBytes = 64
--- a/cmd/daisytide/documents.go
+++ b/cmd/daisytide/documents.go
@@ -152,8 +152,13 @@
 		return c.Base, nil
 	}
 	var status api.StatusResponse
-	err := node.Get(ctx, api.PathStatus, &status)
-	return status.Number, err
+	if err := node.Get(ctx, api.PathStatus, &status); err != nil {
+		return 0, err
+	}
+	if status.Number == 0 {
+		return api.BaseNone, nil
+	}
+	return status.Number, nil
 }
 
 func (c *applyCommand) printAccepted(out api.ApplyResponse) {
--- a/internal/process/operator/client/apply.go
+++ b/internal/process/operator/client/apply.go
@@ -19,8 +19,9 @@
 
 // ApplyOnce applies a document and settles a lost reply: the same session is
 // sent again, and a node recognises a document that it has accepted under it.
-// base must be the configuration number that the operator started from, 0
-// where none is in force. The outcome is ApplyUnknown when every try was lost
+// base is the configuration number that the operator started from,
+// api.BaseNone where none is in force, and 0 for whichever is: then a lost
+// reply is settled by reading back alone. The outcome is ApplyUnknown when every try was lost
 // or when another document has followed, so that nothing tells whether this
 // one was accepted between.
 func (c *Client) ApplyOnce(ctx context.Context, text []byte, base uint64) api.ApplyResponse {
@@ -62,6 +63,9 @@
 // the latest sessions, so that the node would have recognised this one, unless
 // too many documents have followed.
 func settleConflict(out api.ApplyResponse, base uint64) api.ApplyResponse {
+	if base == api.BaseNone {
+		base = 0
+	}
 	if out.Number > base && out.Number-base <= document.PastLimit {
 		return out
 	}
--- /dev/null
+++ b/internal/process/operator/console/console_test.go
@@ -0,0 +1,403 @@
+package console_test
+
+import (
+	"context"
+	"expvar"
+	"html"
+	"io"
+	"net/http"
+	"net/http/cookiejar"
+	"net/http/httptest"
+	"net/url"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/operator/console"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+	"github.com/daisytide/daisytide/internal/version/validate"
+)
+
+const token = "token-of-the-console-test"
+
+// Paths, fields and buttons, as a browser sees them.
+const (
+	pathHome     = "/console"
+	pathSignIn   = "/console/sign-in"
+	pathSession  = "/console/session"
+	pathFollow   = "/console/follow"
+	pathHosts    = "/console/hosts"
+	pathAudit    = "/console/audit"
+	pathRollouts = "/console/rollouts"
+
+	fieldForm  = "form-token"
+	fieldDo    = "do"
+	fieldDraft = "session-draft"
+
+	doSave   = "save"
+	doReview = "review"
+	doApply  = "apply"
+	doCarry  = "carry"
+)
+
+// fakeNode accepts documents in memory, by the rules of the provider.
+type fakeNode struct {
+	holder snapshot.Holder
+	moves  []api.Rollout
+	orders []api.RolloutOrder
+	// lost answers the next applies as unknown, after they took effect.
+	lost int
+}
+
+func (n *fakeNode) Validate(text []byte) (*document.Document, *api.Error) {
+	var inForce *document.Document
+	if cur := n.holder.Current(); cur != nil {
+		inForce = cur.Document
+	}
+	doc, faults := validate.Text(text, inForce, nil)
+	if len(faults) > 0 {
+		return nil, validate.Refusal(faults)
+	}
+	return doc, nil
+}
+
+func (n *fakeNode) Apply(_ context.Context, text []byte, operator string, base uint64, session string) api.ApplyResponse {
+	doc, bad := n.Validate(text)
+	if bad != nil {
+		return api.ApplyResponse{Outcome: api.ApplyRefused, Error: bad}
+	}
+	var prev *document.Accepted
+	var prevDoc *document.Document
+	number := uint64(api.BaseNone)
+	if cur := n.holder.Current(); cur != nil {
+		prev, prevDoc, number = cur.Accepted, cur.Document, cur.Number()
+		if at, ok := prev.NumberOf(session); ok {
+			return api.ApplyResponse{Outcome: api.ApplyAccepted, Number: at}
+		}
+	}
+	if base != number {
+		return api.ApplyResponse{Outcome: api.ApplyConflict, Number: number, Winner: prev.Operator, Error: api.Errorf(api.OperatorConflict, "conflict")}
+	}
+	envelope, err := document.Next(prev, prevDoc, text, doc, session, operator, time.Unix(0, 0)).Envelope()
+	if err != nil {
+		panic(err)
+	}
+	s, err := snapshot.Build(envelope)
+	if err != nil {
+		panic(err)
+	}
+	n.holder.Offer(s)
+	if n.lost > 0 {
+		n.lost--
+		return api.ApplyResponse{Outcome: api.ApplyUnknown, Error: api.Errorf(api.StoreUnknown, "the reply was lost")}
+	}
+	return api.ApplyResponse{Outcome: api.ApplyAccepted, Number: s.Number()}
+}
+
+func (n *fakeNode) Hosts(context.Context) api.HostsResponse {
+	number := n.holder.Current().Number()
+	return api.HostsResponse{Number: number, Hosts: []api.Host{{Address: "127.0.0.1:1", Number: number}, {Address: "127.0.0.1:2", Number: number}}}
+}
+
+func (n *fakeNode) Rollouts() api.RolloutsResponse { return api.RolloutsResponse{Rollouts: n.moves} }
+
+func (n *fakeNode) Order(o api.RolloutOrder, _ string) *api.Error {
+	n.orders = append(n.orders, o)
+	return nil
+}
+
+func (n *fakeNode) Audit(context.Context) (api.AuditResponse, *api.Error) {
+	return api.AuditResponse{Entries: []api.AuditEntry{{Action: "apply", Outcome: "accepted <b>"}}}, nil
+}
+
+// browser is one operator with a cookie jar and the page last seen.
+type browser struct {
+	t      *testing.T
+	base   string
+	http   *http.Client
+	page   string
+	status int
+	path   string
+}
+
+func serve(t *testing.T) (*fakeNode, *httptest.Server) {
+	t.Helper()
+	node := &fakeNode{}
+	server := httptest.NewServer(console.New(node, &node.holder, token, new(expvar.Int)))
+	t.Cleanup(server.Close)
+	return node, server
+}
+
+func open(t *testing.T, base string) *browser {
+	t.Helper()
+	jar, err := cookiejar.New(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &browser{t: t, base: base, http: &http.Client{Jar: jar}}
+}
+
+func signIn(t *testing.T, base, operator string) *browser {
+	t.Helper()
+	b := open(t, base)
+	b.post(pathSignIn, url.Values{"operator": {operator}, "token": {token}})
+	b.want(http.StatusOK, pathHome, "In force")
+	return b
+}
+
+func (b *browser) take(resp *http.Response, err error) {
+	b.t.Helper()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.page, b.status, b.path = string(text), resp.StatusCode, resp.Request.URL.Path
+}
+
+func (b *browser) get(path string) {
+	b.t.Helper()
+	b.take(b.http.Get(b.base + path))
+}
+
+func (b *browser) post(path string, form url.Values) {
+	b.t.Helper()
+	b.take(b.http.PostForm(b.base+path, form))
+}
+
+var (
+	inputTag  = regexp.MustCompile(`<input[^>]*?name="([^"]*)"[^>]*?value="([^"]*)"`)
+	selectTag = regexp.MustCompile(`(?s)<select[^>]*?name="([^"]*)".*?</select>`)
+	selected  = regexp.MustCompile(`<option selected>([^<]*)</option>`)
+)
+
+// form reads the fields of the page's form, as a browser would send them.
+func (b *browser) form() url.Values {
+	form := url.Values{}
+	body := b.page[strings.Index(b.page, "<main"):]
+	for _, m := range inputTag.FindAllStringSubmatch(body, -1) {
+		form.Set(m[1], html.UnescapeString(m[2]))
+	}
+	for _, m := range selectTag.FindAllStringSubmatch(body, -1) {
+		if chosen := selected.FindStringSubmatch(m[0]); chosen != nil {
+			form.Set(m[1], html.UnescapeString(chosen[1]))
+		}
+	}
+	return form
+}
+
+// press types values, given as name and value in turn, and presses a button of
+// the session, which must be on the page.
+func (b *browser) press(button string, typed ...string) {
+	b.t.Helper()
+	if !strings.Contains(b.page, `name="do" value="`+button+`"`) {
+		b.t.Fatalf("no button %s on the page:\n%s", button, b.text())
+	}
+	form := b.form()
+	for i := 0; i < len(typed); i += 2 {
+		if !form.Has(typed[i]) && !strings.Contains(b.page, `name="`+typed[i]+`"`) {
+			b.t.Fatalf("no field %s on the page", typed[i])
+		}
+		form.Set(typed[i], typed[i+1])
+	}
+	form.Set(fieldDo, button)
+	b.post(pathSession, form)
+}
+
+func (b *browser) text() string {
+	return b.page[max(0, strings.Index(b.page, "<main")):]
+}
+
+func (b *browser) want(status int, path string, texts ...string) {
+	b.t.Helper()
+	if b.status != status || b.path != path {
+		b.t.Fatalf("%d %s, want %d %s\n%s", b.status, b.path, status, path, b.text())
+	}
+	for _, text := range texts {
+		if !strings.Contains(html.UnescapeString(b.page), text) {
+			b.t.Fatalf("no %q on %s:\n%s", text, b.path, b.text())
+		}
+	}
+}
+
+// addService types a service from the session's page.
+func (b *browser) addService(name string) {
+	b.t.Helper()
+	b.press("add-services")
+	b.press(doSave, "name", name, "versions", "v1, v2", "current", "v1")
+}
+
+func TestFromEmptyFormToAppliedDocument(t *testing.T) {
+	node, server := serve(t)
+	b := signIn(t, server.URL, "ann")
+	b.get(pathSession)
+	b.want(http.StatusOK, pathSession, "started from an empty document")
+
+	b.press("add-services")
+	b.press(doSave, "name", "Status Desk", "versions", "v1, v2", "current", "v3", "limits.slots", "ten")
+	b.want(http.StatusBadRequest, pathSession, "1005 document-bad-name", "1008 document-no-version", "1018 document-wrong-type", `value="Status Desk"`, `value="ten"`)
+	if faults := strings.Index(b.page, `id="limits-slots-faults"`); faults < 0 || !strings.Contains(b.page[faults:faults+120], "1018") {
+		t.Errorf("the fault of the slots does not stand beside its field:\n%s", b.text())
+	}
+	b.press(doSave, "name", "status-desk", "current", "v1", "limits.slots", "10")
+	b.want(http.StatusOK, pathSession, "versions v1, v2; current v1")
+
+	b.press("add-routes")
+	b.press(doSave, "name", "status", "match.prefix", "/status", "service", "status-desk", "time_limit", "2", "caller", "buyer")
+	b.want(http.StatusBadRequest, pathSession, "1009 document-bad-unit")
+	b.press(doSave, "time_limit", "2s", "match.method", "GET", "idempotent", "yes")
+	b.press("add-rollouts")
+	b.press(doSave, "service", "status-desk", "from", "v1", "to", "v2", "start", "2030-01-31T08:00:00Z", "deadline", "2030-01-31T07:00:00Z", "first_share", "5", "steps", "25, 101")
+	b.want(http.StatusBadRequest, pathSession, "1012 document-bad-deadline", "1011 document-bad-share")
+	b.press(doSave, "deadline", "2030-01-31T09:00:00Z", "steps", "25, 100")
+	b.want(http.StatusOK, pathSession)
+
+	b.press("add-routes")
+	b.press(doSave, "name", "other", "match.prefix", "/status", "match.method", "GET", "service", "status-desk", "time_limit", "1s", "caller", "clerk")
+	b.want(http.StatusBadRequest, pathSession, "1013 document-same-match")
+	b.press("remove-routes-1")
+	b.press(doReview)
+	b.want(http.StatusOK, pathSession, "+ service status-desk", "+ route status: match GET /status", "+ rollout of status-desk")
+
+	node.moves = []api.Rollout{{Service: "status-desk", From: "v1", To: "v2", State: "moving", Share: 5}}
+	b.press(doApply)
+	b.want(http.StatusOK, pathFollow, "In force on 2 of 2 hosts", "moving", `http-equiv="refresh"`)
+	node.moves[0].State = "done"
+	b.get(pathFollow + "?number=1")
+	b.want(http.StatusOK, pathFollow, "Every move is done or taken back")
+	if strings.Contains(b.page, "refresh") {
+		t.Error("the page goes on loading after the end")
+	}
+	cur := node.holder.Current()
+	if cur.Number() != 1 || cur.Accepted.Operator != "ann" || len(cur.Document.Routes) != 1 || cur.Document.Services[0].Limits.Slots != 10 {
+		t.Errorf("in force: %d %+v", cur.Number(), cur.Document)
+	}
+	b.get(pathHome)
+	b.post(pathRollouts, url.Values{fieldForm: {b.form().Get(fieldForm)}, "service": {"status-desk"}, "action": {"pause"}})
+	if len(node.orders) != 1 || node.orders[0].Action != api.RolloutPause {
+		t.Errorf("orders: %v", node.orders)
+	}
+}
+
+func TestConflictOfTwoSessionsShowsTheOtherAndKeepsWhatWasTyped(t *testing.T) {
+	node, server := serve(t)
+	ann, ben := signIn(t, server.URL, "ann"), signIn(t, server.URL, "ben")
+	ann.get(pathSession)
+	ann.addService("shared")
+	ann.press(doReview)
+	ann.press(doApply)
+
+	ann.get(pathSession)
+	ben.get(pathSession)
+	ann.addService("of-ann")
+	ann.press("edit-services-0")
+	ann.press(doSave, "limits.slots", "4")
+	ben.addService("of-ben")
+	ben.press("edit-services-0")
+	ben.press(doSave, "limits.slots", "9")
+	ben.press(doReview)
+	ann.press(doReview)
+	ann.press(doApply)
+	ann.want(http.StatusOK, pathFollow)
+
+	ben.press(doApply)
+	ben.want(http.StatusConflict, pathSession, "configuration 2 by ann", "+ service of-ann", `slots "" -> "4"`, "+ service of-ben", `slots "" -> "9"`)
+	ben.press(doCarry)
+	ben.want(http.StatusOK, pathSession, "service shared was changed by both; yours is kept", "of-ann", "of-ben")
+	ben.press(doReview)
+	ben.want(http.StatusOK, pathSession, "~ service shared: slots 4 -> 9", "+ service of-ben")
+	ben.press(doApply)
+	ben.want(http.StatusOK, pathFollow)
+	if doc := node.holder.Current().Document; len(doc.Services) != 3 || doc.Services[0].Limits.Slots != 9 || node.holder.Current().Number() != 3 {
+		t.Errorf("in force: %+v", doc)
+	}
+}
+
+func TestFirstDocumentsOfTwoSessionsConflict(t *testing.T) {
+	_, server := serve(t)
+	ann, ben := signIn(t, server.URL, "ann"), signIn(t, server.URL, "ben")
+	for _, b := range []*browser{ann, ben} {
+		b.get(pathSession)
+		b.addService("one")
+		b.press(doReview)
+	}
+	ann.press(doApply)
+	ben.press(doApply)
+	ben.want(http.StatusConflict, pathSession, "configuration 1 by ann")
+}
+
+func TestLostReplyOfAnApplyIsAskedForAgain(t *testing.T) {
+	node, server := serve(t)
+	node.lost = 1
+	b := signIn(t, server.URL, "ann")
+	b.get(pathSession)
+	b.addService("one")
+	b.press(doReview)
+	b.press(doApply)
+	b.want(http.StatusServiceUnavailable, pathSession, "5002 store-unknown")
+	b.press(doApply)
+	b.want(http.StatusOK, pathFollow)
+	if n := node.holder.Current().Number(); n != 1 {
+		t.Errorf("configuration %d, want 1", n)
+	}
+}
+
+func TestSessionIsServedByAnyNode(t *testing.T) {
+	node, first := serve(t)
+	second := httptest.NewServer(console.New(node, &node.holder, token, new(expvar.Int)))
+	defer second.Close()
+	b := signIn(t, first.URL, "ann")
+	b.get(pathSession)
+	b.addService("one")
+	b.base = second.URL
+	b.press(doReview)
+	b.press(doApply)
+	b.want(http.StatusOK, pathFollow)
+}
+
+func TestSignInIsNeededAndWrongTokensAreCounted(t *testing.T) {
+	node := &fakeNode{}
+	refused := new(expvar.Int)
+	server := httptest.NewServer(console.New(node, &node.holder, token, refused))
+	defer server.Close()
+	b := open(t, server.URL)
+	for _, path := range []string{pathHome, pathSession, pathHosts, pathAudit, pathFollow, pathHome + "/lacking"} {
+		b.get(path)
+		b.want(http.StatusOK, pathSignIn)
+	}
+	b.post(pathSession, url.Values{})
+	b.want(http.StatusForbidden, pathSession, "3010")
+	b.post(pathSignIn, url.Values{"operator": {"ann"}, "token": {token + "x"}})
+	b.want(http.StatusUnauthorized, pathSignIn, "3001", `value="ann"`)
+	if refused.Value() != 1 {
+		t.Errorf("%d refusals counted", refused.Value())
+	}
+	b.post(pathSignIn, url.Values{"operator": {strings.Repeat("a", api.MaxOperatorBytes+1)}, "token": {token}})
+	b.want(http.StatusBadRequest, pathSignIn, "3009")
+
+	b = signIn(t, server.URL, "ann")
+	b.get(pathAudit)
+	b.want(http.StatusOK, pathAudit, "accepted <b>")
+	if strings.Contains(b.page, "<b>") {
+		t.Error("a text of the trail is not escaped")
+	}
+	b.get(pathHome + "/lacking")
+	b.want(http.StatusNotFound, pathHome+"/lacking", "3006")
+	form := b.form()
+	b.post(pathSession, form)
+	b.want(http.StatusForbidden, pathSession, "3010")
+	b.get(pathSession)
+	form = b.form()
+	form.Set(fieldDraft, "x")
+	b.post(pathSession, form)
+	b.want(http.StatusBadRequest, pathSession, "3003")
+	form.Set(fieldDraft, strings.Repeat("x", 8*document.MaxBytes))
+	b.post(pathSession, form)
+	b.want(http.StatusBadRequest, pathSession, "3003")
+}
--- /dev/null
+++ b/internal/process/operator/console/merge.go
@@ -0,0 +1,75 @@
+package console
+
+import (
+	"fmt"
+	"strings"
+)
+
+// merge carries the changes from base to mine over to theirs. An item that
+// both have changed in different ways stays as in mine and is named in
+// clashes, so that nothing typed is lost.
+func merge(base, mine, theirs *Draft) (merged *Draft, clashes []string) {
+	m := merger{}
+	merged = &Draft{
+		Services: mergeItems(&m, "service", base.Services, mine.Services, theirs.Services, func(s Service) string { return s.Name }),
+		Routes:   mergeItems(&m, "route", base.Routes, mine.Routes, theirs.Routes, func(r Route) string { return r.Name }),
+		Rollouts: mergeItems(&m, "rollout of", base.Rollouts, mine.Rollouts, theirs.Rollouts, func(r Rollout) string { return r.Service }),
+	}
+	return merged, m.clashes
+}
+
+// merger collects the clashes.
+type merger struct {
+	clashes []string
+}
+
+// keyed lists items under their names; a name that stands again is numbered.
+func keyed[T any](items []T, name func(T) string) (order []string, byKey map[string]T) {
+	byKey = map[string]T{}
+	for _, t := range items {
+		key := name(t)
+		for n := 2; ; n++ {
+			if _, taken := byKey[key]; !taken {
+				break
+			}
+			key = fmt.Sprintf("%s#%d", name(t), n)
+		}
+		byKey[key] = t
+		order = append(order, key)
+	}
+	return order, byKey
+}
+
+// mergeItems keeps the order of theirs, with what only mine has behind it.
+func mergeItems[T comparable](m *merger, what string, base, mine, theirs []T, name func(T) string) []T {
+	_, baseByKey := keyed(base, name)
+	mineOrder, mineByKey := keyed(mine, name)
+	order, theirsByKey := keyed(theirs, name)
+	for _, key := range mineOrder {
+		if _, ok := theirsByKey[key]; !ok {
+			order = append(order, key)
+		}
+	}
+	var out []T
+	for _, key := range order {
+		b, inBase := baseByKey[key]
+		mi, inMine := mineByKey[key]
+		th, inTheirs := theirsByKey[key]
+		iChanged := inMine != inBase || mi != b
+		theyChanged := inTheirs != inBase || th != b
+		if iChanged && theyChanged && (inMine != inTheirs || mi != th) {
+			m.clash(what, key)
+		}
+		switch {
+		case iChanged && inMine:
+			out = append(out, mi)
+		case !iChanged && inTheirs:
+			out = append(out, th)
+		}
+	}
+	return out
+}
+
+func (m *merger) clash(what, key string) {
+	m.clashes = append(m.clashes, strings.TrimSpace(what+" "+key)+" was changed by both; yours is kept")
+}
--- /dev/null
+++ b/internal/process/operator/console/session.go
@@ -0,0 +1,91 @@
+package console
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Names and life of the session cookie.
+const (
+	cookieName  = "daisytide-session"
+	sessionLife = 8 * time.Hour
+	cookiePath  = "/console"
+)
+
+// keeper makes and checks session cookies. Nothing is kept on the host: the
+// cookie carries the operator's name and its end, signed with a key that comes
+// from the operator token, so every node that has the token accepts it.
+type keeper struct {
+	key []byte
+}
+
+func newKeeper(token string) keeper {
+	sum := hmac.New(sha256.New, []byte(token))
+	sum.Write([]byte("console session"))
+	return keeper{key: sum.Sum(nil)}
+}
+
+func (k keeper) sign(purpose, text string) string {
+	sum := hmac.New(sha256.New, k.key)
+	sum.Write([]byte(purpose + "\n" + text))
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// tokenMatches compares in constant time, whatever the lengths.
+func tokenMatches(given, want string) bool {
+	a, b := sha256.Sum256([]byte(given)), sha256.Sum256([]byte(want))
+	return subtle.ConstantTimeCompare(a[:], b[:]) == 1
+}
+
+// cookie makes the session cookie of an operator.
+func (k keeper) cookie(operator string, now time.Time, secure bool) *http.Cookie {
+	end := now.Add(sessionLife)
+	text := base64.RawURLEncoding.EncodeToString([]byte(operator)) + "." + strconv.FormatInt(end.Unix(), 10)
+	return &http.Cookie{
+		Name:     cookieName,
+		Value:    text + "." + k.sign("cookie", text),
+		Path:     cookiePath,
+		Expires:  end,
+		HttpOnly: true,
+		Secure:   secure,
+		SameSite: http.SameSiteStrictMode,
+	}
+}
+
+// session is a signed-in operator.
+type session struct {
+	operator string
+	// form is the token that every form of the session carries.
+	form string
+}
+
+// session reads the cookie of a request; ok is false where there is none, or
+// it is wrong, or it has ended.
+func (k keeper) session(r *http.Request, now time.Time) (s session, ok bool) {
+	c, err := r.Cookie(cookieName)
+	if err != nil {
+		return s, false
+	}
+	at := strings.LastIndexByte(c.Value, '.')
+	if at < 0 {
+		return s, false
+	}
+	text, signature := c.Value[:at], c.Value[at+1:]
+	if !hmac.Equal([]byte(signature), []byte(k.sign("cookie", text))) {
+		return s, false
+	}
+	name, end, _ := strings.Cut(text, ".")
+	operator, err := base64.RawURLEncoding.DecodeString(name)
+	seconds, endErr := strconv.ParseInt(end, 10, 64)
+	if err != nil || endErr != nil || now.Unix() >= seconds {
+		return s, false
+	}
+	return session{operator: string(operator), form: k.sign("form", c.Value)}, true
+}
--- /dev/null
+++ b/internal/process/operator/console/session_test.go
@@ -0,0 +1,106 @@
+package console
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+const token = "token-of-the-session-test"
+
+func TestCookieIsSignedAndEnds(t *testing.T) {
+	k := newKeeper(token)
+	now := time.Unix(1_900_000_000, 0)
+	good := k.cookie("ann.b", now, true)
+	if !good.HttpOnly || !good.Secure || good.SameSite != http.SameSiteStrictMode {
+		t.Errorf("cookie: %+v", good)
+	}
+	read := func(k keeper, value string, at time.Time) string {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.AddCookie(&http.Cookie{Name: cookieName, Value: value})
+		s, ok := k.session(r, at)
+		return fmt.Sprint(s.operator, ok)
+	}
+	for name, c := range map[string]struct {
+		got, want string
+	}{
+		"good":          {read(k, good.Value, now.Add(sessionLife-time.Second)), "ann.btrue"},
+		"ended":         {read(k, good.Value, now.Add(sessionLife)), "false"},
+		"changed":       {read(k, "x"+good.Value, now), "false"},
+		"other token":   {read(newKeeper("other"), good.Value, now), "false"},
+		"no signature":  {read(k, "ann", now), "false"},
+		"no text at it": {read(k, "."+k.sign("cookie", ""), now), "false"},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %q, want %q", name, c.got, c.want)
+		}
+	}
+}
+
+func draftOfServices(slots ...string) *Draft {
+	d := &Draft{}
+	for i := 0; i < len(slots); i += 2 {
+		d.Services = append(d.Services, Service{Name: slots[i], Slots: slots[i+1]})
+	}
+	return d
+}
+
+func TestMergeCarriesChangesOverAndNamesClashes(t *testing.T) {
+	base := draftOfServices("a", "1", "b", "1", "c", "1")
+	for name, c := range map[string]struct {
+		mine, theirs, want *Draft
+		clashes            []string
+	}{
+		"nothing":               {base, base, base, nil},
+		"mine alone":            {draftOfServices("a", "2", "c", "1", "d", "1"), base, draftOfServices("a", "2", "c", "1", "d", "1"), nil},
+		"theirs alone":          {base, draftOfServices("b", "2", "d", "1"), draftOfServices("b", "2", "d", "1"), nil},
+		"different items":       {draftOfServices("a", "2", "b", "1", "c", "1"), draftOfServices("a", "1", "b", "2"), draftOfServices("a", "2", "b", "2"), nil},
+		"the same change":       {draftOfServices("a", "2", "b", "1", "c", "1"), draftOfServices("a", "2", "b", "1", "c", "1"), draftOfServices("a", "2", "b", "1", "c", "1"), nil},
+		"one item, two changes": {draftOfServices("a", "2", "b", "1", "c", "1"), draftOfServices("a", "3", "b", "1", "c", "1"), draftOfServices("a", "2", "b", "1", "c", "1"), []string{"service a was changed by both; yours is kept"}},
+		"removed and changed":   {draftOfServices("b", "1", "c", "1"), draftOfServices("a", "3", "b", "1", "c", "1"), draftOfServices("b", "1", "c", "1"), []string{"service a was changed by both; yours is kept"}},
+		"changed and removed":   {draftOfServices("a", "2", "b", "1", "c", "1"), draftOfServices("b", "1", "c", "1"), draftOfServices("b", "1", "c", "1", "a", "2"), []string{"service a was changed by both; yours is kept"}},
+		"one name typed twice":  {draftOfServices("a", "1", "b", "1", "c", "1", "a", "5"), base, draftOfServices("a", "1", "b", "1", "c", "1", "a", "5"), nil},
+		"removed by both":       {draftOfServices("a", "1", "b", "1"), draftOfServices("a", "1", "b", "1"), draftOfServices("a", "1", "b", "1"), nil},
+		"added by both alike":   {draftOfServices("a", "1", "b", "1", "c", "1", "d", "1"), draftOfServices("a", "1", "b", "1", "c", "1", "d", "1"), draftOfServices("a", "1", "b", "1", "c", "1", "d", "1"), nil},
+		"added by both unlike":  {draftOfServices("a", "1", "b", "1", "c", "1", "d", "1"), draftOfServices("a", "1", "b", "1", "c", "1", "d", "2"), draftOfServices("a", "1", "b", "1", "c", "1", "d", "1"), []string{"service d was changed by both; yours is kept"}},
+	} {
+		got, clashes := merge(base, c.mine, c.theirs)
+		if !slices.Equal(got.Services, c.want.Services) || !slices.Equal(clashes, c.clashes) {
+			t.Errorf("%s: got %v %q, want %v %q", name, got.Services, clashes, c.want.Services, c.clashes)
+		}
+	}
+}
+
+func TestDraftOfADocumentSaysTheSame(t *testing.T) {
+	text, err := os.ReadFile("../../../../docs/examples/coral-tt-north.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc, faults := document.Decode(text)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	doc.Rollouts = []document.Rollout{{Service: "status-desk", From: "v1", To: "v2", Start: time.Unix(1, 5).UTC(), Deadline: time.Unix(9, 0).UTC(), FirstShare: 0.5, Steps: []float64{12.5, 100}, Caution: "high"}}
+	packed, err := pack(draftOf(doc))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var d Draft
+	if err := unpack(packed, &d); err != nil {
+		t.Fatal(err)
+	}
+	again, err := d.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, faults := document.Decode(again)
+	if diff := document.Diff(doc, got); len(faults) > 0 || len(diff) > 0 {
+		t.Errorf("%v %v", faults, diff)
+	}
+}
--- /dev/null
+++ b/internal/process/operator/forms.go
@@ -0,0 +1,33 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/version/document"
+)
+
+// forms is the console's side of the listener; it implements console.Node.
+type forms struct{ s *Server }
+
+// Validate implements console.Node.
+func (f forms) Validate(text []byte) (*document.Document, *api.Error) {
+	return f.s.Documents.Validate(text)
+}
+
+// Apply implements console.Node.
+func (f forms) Apply(ctx context.Context, text []byte, operator string, base uint64, session string) api.ApplyResponse {
+	return f.s.Apply(ctx, text, Origin{Operator: operator, Base: base, Session: session})
+}
+
+// Hosts implements console.Node.
+func (f forms) Hosts(ctx context.Context) api.HostsResponse { return f.s.Node.Hosts(ctx) }
+
+// Rollouts implements console.Node.
+func (f forms) Rollouts() api.RolloutsResponse { return f.s.Node.Rollouts() }
+
+// Order implements console.Node.
+func (f forms) Order(o api.RolloutOrder, operator string) *api.Error { return f.s.Order(o, operator) }
+
+// Audit implements console.Node.
+func (f forms) Audit(ctx context.Context) (api.AuditResponse, *api.Error) { return f.s.Node.Audit(ctx) }
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -1,5 +1,5 @@
 // Package operator serves the operator listener: documents, hosts, rollouts,
-// the audit trail, and the local upstream's announcements.
+// the audit trail, the console, and the local upstream's announcements.
 package operator
 
 import (
@@ -14,6 +14,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/process/audit"
+	"github.com/daisytide/daisytide/internal/process/operator/console"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
@@ -61,7 +62,13 @@
 	mux.HandleFunc("POST "+api.PathAnnounce, s.announce)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", notFound)
-	return s.authorise(mux)
+	root := http.NewServeMux()
+	pages := console.New(forms{s}, s.Holder, s.Token, s.Refused)
+	root.Handle(console.Prefix, pages)
+	root.Handle(console.Prefix+"/", pages)
+	root.Handle("GET /{$}", http.RedirectHandler(console.Prefix, http.StatusSeeOther))
+	root.Handle("/", s.authorise(mux))
+	return root
 }
 
 // authorise refuses requests without the operator token.
--- a/internal/process/provider/apply.go
+++ b/internal/process/provider/apply.go
@@ -74,7 +74,7 @@
 			return p.accepted(number, entry)
 		}
 	}
-	if base != 0 && (prev == nil || prev.Number != base) {
+	if first := prev == nil && base == api.BaseNone; base != 0 && !first && (prev == nil || prev.Number != base) {
 		return p.conflict(prev)
 	}
 	if prevDoc != nil {
--- a/internal/version/validate/validate.go
+++ b/internal/version/validate/validate.go
@@ -45,7 +45,8 @@
 			continue
 		}
 		unread = append(unread, r.Path)
-		servicesRead = servicesRead && !within(r.Path, "services")
+		namesRead := strings.Contains(r.Path, ".limits") || !within(r.Path, "services")
+		servicesRead = servicesRead && namesRead
 	}
 	var out []api.Fault
 	for _, f := range rules {
