Keep the audit trail in the store, and show an operator the node's counters

The trail stood in the log alone, and hosts keep nothing. Trail merges entries into one bounded list under the audit key by compare-and-swap; an entry is known by its ID, so conflicts, lost replies and a second writer of the same event leave it there once. While the store is down entries wait in a bounded queue; those dropped are counted and the trail says how many. Only the node that made the change writes. /debug/vars shows the node's own counters, which no page showed; unknown paths and methods get 3006 and 3007; the command line takes a client certificate.

Seams: api.AuditEntry.ID, api.AuditResponse.Trimmed and Pending; node.go calls wireAudit in place of the log recorder.

go test -race ./internal/process/audit passes: 40 entries of 5 nodes stand once with 4 of 10 replies lost; 50 nodes of which one records 3 entries make 2 calls to the store in an hour.

--- a/api/operator.go
+++ b/api/operator.go
@@ -153,9 +153,12 @@
 
 // AuditEntry is one line of the audit trail.
 type AuditEntry struct {
+	// ID identifies the entry: one that is written twice, or by two nodes
+	// under the same ID, stands once. The trail gives one where it is empty.
+	ID       string    `json:"id,omitempty"`
 	At       time.Time `json:"at"`
 	Operator string    `json:"operator"`
-	// Action is apply, rollout-step, rollout-end or rollout-order.
+	// Action is apply, rollout-step, rollout-end, rollout-order or audit-gap.
 	Action string `json:"action"`
 	// From and To are configuration numbers.
 	From    uint64 `json:"from"`
@@ -168,6 +171,10 @@
 // AuditResponse answers GET PathAudit, the newest entry last.
 type AuditResponse struct {
 	Entries []AuditEntry `json:"entries"`
+	// Trimmed counts older entries that the store's bounded list has lost.
+	Trimmed uint64 `json:"trimmed,omitempty"`
+	// Pending counts entries that this node has not yet written to the store.
+	Pending int `json:"pending,omitempty"`
 }
 
 // StatusResponse answers GET PathStatus.
--- a/cmd/daisytide/main_test.go
+++ b/cmd/daisytide/main_test.go
@@ -23,7 +23,7 @@
 // command runs one command line without the environment's node.
 func command(t *testing.T, args ...string) (code int, stdout, stderr string) {
 	t.Helper()
-	for _, name := range []string{"NODE", "TOKEN", "OPERATOR", "CLIENT_FILE", "AUTHORITIES", "TIMEOUT"} {
+	for _, name := range []string{"NODE", "TOKEN", "OPERATOR", "CLIENT_FILE", "AUTHORITIES", "CERTIFICATE", "KEY", "TIMEOUT"} {
 		t.Setenv("DAISYTIDE_"+name, "")
 		os.Unsetenv("DAISYTIDE_" + name)
 	}
@@ -158,5 +158,7 @@
 		t.Errorf("order without a move: %s", stderr)
 	}
 	do(exitDone, "rollouts", "--follow")
-	do(exitDone, "audit")
+	if stdout, _ = do(exitDone, "audit"); !strings.Contains(stdout, "apply by ann, configuration 2: conflict: 3002") || !strings.Contains(stdout, "+ service status-desk") {
+		t.Errorf("audit: %s", stdout)
+	}
 }
--- a/cmd/daisytide/node.go
+++ b/cmd/daisytide/node.go
@@ -28,6 +28,8 @@
 	Token       string        `long:"token" ini-name:"token" env:"DAISYTIDE_TOKEN" description:"operator token"`
 	Operator    string        `long:"operator" ini-name:"operator" env:"DAISYTIDE_OPERATOR" description:"name entered in the audit trail (default: the login name)"`
 	Authorities string        `long:"authorities" ini-name:"authorities" env:"DAISYTIDE_AUTHORITIES" description:"PEM file with the authorities that sign the node's certificate"`
+	Certificate string        `long:"certificate" ini-name:"certificate" env:"DAISYTIDE_CERTIFICATE" description:"PEM file with a certificate, for nodes that ask for one"`
+	Key         string        `long:"key" ini-name:"key" env:"DAISYTIDE_KEY" description:"PEM file with the private key of the certificate"`
 	Timeout     time.Duration `long:"timeout" ini-name:"timeout" env:"DAISYTIDE_TIMEOUT" description:"time limit of one question to the node (default: 15s)"`
 	File        string        `long:"client-file" env:"DAISYTIDE_CLIENT_FILE" no-ini:"true" description:"INI file with a section [client] that gives the options above"`
 }
@@ -56,6 +58,8 @@
 	fill(&o.Operator, file.Client.Operator)
 	fill(&o.Operator, loginName())
 	fill(&o.Authorities, file.Client.Authorities)
+	fill(&o.Certificate, file.Client.Certificate)
+	fill(&o.Key, file.Client.Key)
 	fill(&o.Timeout, file.Client.Timeout)
 	fill(&o.Timeout, requestTimeout)
 	o.Node = strings.TrimSuffix(o.Node, "/")
@@ -91,12 +95,8 @@
 		return nil, usage("--node must be an http or https URL, not " + o.Node)
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
-	if o.Authorities != "" {
-		pool, err := authorities(o.Authorities)
-		if err != nil {
-			return nil, err
-		}
-		transport.TLSClientConfig = &tls.Config{RootCAs: pool}
+	if transport.TLSClientConfig, err = o.tls(); err != nil {
+		return nil, err
 	}
 	return &client.Client{
 		Base:     o.Node,
@@ -106,6 +106,31 @@
 	}, nil
 }
 
+// tls builds the configuration for a node with certificates; nil where none
+// is named.
+func (o nodeOptions) tls() (*tls.Config, error) {
+	if o.Authorities == "" && o.Certificate == "" && o.Key == "" {
+		return nil, nil
+	}
+	out := &tls.Config{MinVersion: tls.VersionTLS12}
+	if o.Authorities != "" {
+		pool, err := authorities(o.Authorities)
+		if err != nil {
+			return nil, err
+		}
+		out.RootCAs = pool
+	}
+	if o.Certificate == "" && o.Key == "" {
+		return out, nil
+	}
+	pair, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
+	if err != nil {
+		return nil, api.Errorf(api.SettingsBadValue, "certificate and key: %w", err)
+	}
+	out.Certificates = []tls.Certificate{pair}
+	return out, nil
+}
+
 func authorities(file string) (*x509.CertPool, error) {
 	pem, err := os.ReadFile(file)
 	if err != nil {
--- /dev/null
+++ b/internal/process/audit/list.go
@@ -0,0 +1,104 @@
+package audit
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+// Bounds of the trail in the store. A full list is one value of the store, so
+// it stays well under a megabyte.
+const (
+	maxEntries   = 500
+	maxListBytes = 400_000
+	// maxChanges and maxTextBytes bound one entry.
+	maxChanges   = 50
+	maxTextBytes = 400
+)
+
+// list is the trail as the store holds it, the newest entry last.
+type list struct {
+	Entries []api.AuditEntry `json:"entries"`
+	// Trimmed counts the older entries that were cut at the bounds.
+	Trimmed uint64 `json:"trimmed"`
+}
+
+func decode(value []byte) (list, error) {
+	var l list
+	if len(value) == 0 {
+		return l, nil
+	}
+	if err := json.Unmarshal(value, &l); err != nil {
+		return l, fmt.Errorf("decode the trail: %w", err)
+	}
+	return l, nil
+}
+
+// merge adds the entries that the list lacks, in the order of their times,
+// and cuts the oldest at the bounds. An entry is known by its ID, so one that
+// is merged again, after a lost reply or by a second writer, stands once.
+func (l list) merge(entries []api.AuditEntry) list {
+	known := make(map[string]bool, len(l.Entries))
+	for _, e := range l.Entries {
+		known[e.ID] = true
+	}
+	out := list{Entries: slices.Clone(l.Entries), Trimmed: l.Trimmed}
+	for _, e := range entries {
+		if !known[e.ID] {
+			known[e.ID] = true
+			out.Entries = append(out.Entries, e)
+		}
+	}
+	slices.SortStableFunc(out.Entries, func(a, b api.AuditEntry) int { return a.At.Compare(b.At) })
+	out.trim()
+	return out
+}
+
+// trim cuts the oldest entries until the list is within its bounds.
+func (l *list) trim() {
+	bytes, keep := 0, 0
+	for i := len(l.Entries) - 1; i >= 0 && keep < maxEntries; i-- {
+		bytes += size(l.Entries[i])
+		if bytes > maxListBytes {
+			break
+		}
+		keep++
+	}
+	cut := len(l.Entries) - keep
+	l.Trimmed += uint64(cut)
+	l.Entries = l.Entries[cut:]
+}
+
+// size is the encoded length of an entry in bytes.
+func size(e api.AuditEntry) int {
+	b, err := json.Marshal(e)
+	if err != nil {
+		return maxListBytes
+	}
+	return len(b) + 1
+}
+
+// bounded cuts the texts of an entry at their limits and says so in them.
+func bounded(e api.AuditEntry) api.AuditEntry {
+	e.Outcome = cut(e.Outcome)
+	e.Operator = cut(e.Operator)
+	more := len(e.Changes) - maxChanges
+	e.Changes = slices.Clone(e.Changes[:min(len(e.Changes), maxChanges)])
+	for i := range e.Changes {
+		e.Changes[i] = cut(e.Changes[i])
+	}
+	if more > 0 {
+		e.Changes = append(e.Changes, fmt.Sprintf("and %d more", more))
+	}
+	return e
+}
+
+func cut(s string) string {
+	if len(s) <= maxTextBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxTextBytes], "") + "..."
+}
--- /dev/null
+++ b/internal/process/audit/trail_test.go
@@ -0,0 +1,164 @@
+package audit
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/standin/store"
+)
+
+// fleet runs trails around one store in a bubble and stops them at the end.
+func fleet(t *testing.T, nodes int, run func(s *store.Store, trails []*Trail)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		var trails []*Trail
+		for i := range nodes {
+			trail := NewTrail(s, fmt.Sprint("node-", i))
+			trails = append(trails, trail)
+			go func() { _ = trail.Run(ctx) }()
+		}
+		run(s, trails)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// stored reads the list and checks that no entry stands twice.
+func stored(t *testing.T, s *store.Store) list {
+	t.Helper()
+	e, err := s.Get(context.Background(), platform.KeyAudit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := decode(e.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	for _, e := range l.Entries {
+		if e.ID == "" || seen[e.ID] {
+			t.Fatalf("entry %q stands twice", e.ID)
+		}
+		seen[e.ID] = true
+	}
+	return l
+}
+
+func TestEntriesOfAllNodesStandOnceThroughConflictsAndLostReplies(t *testing.T) {
+	const nodes, each = 5, 8
+	fleet(t, nodes, func(s *store.Store, trails []*Trail) {
+		s.SetFaults(store.Faults{LostReplies: 0.4, Delay: 3 * time.Millisecond})
+		for i := range each {
+			for _, trail := range trails {
+				trail.Record(api.AuditEntry{Operator: trail.Node, Action: "apply", From: uint64(i)})
+			}
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Minute)
+		if l := stored(t, s); len(l.Entries) != nodes*each {
+			t.Errorf("%d entries, want %d", len(l.Entries), nodes*each)
+		}
+	})
+}
+
+func TestEntryThatTwoNodesRecordUnderOneIDStandsOnce(t *testing.T) {
+	fleet(t, 2, func(s *store.Store, trails []*Trail) {
+		for _, trail := range trails {
+			trail.Record(api.AuditEntry{ID: "move/status-desk/7/end", Action: "rollout-end"})
+		}
+		time.Sleep(time.Minute)
+		if l := stored(t, s); len(l.Entries) != 1 {
+			t.Errorf("%d entries", len(l.Entries))
+		}
+	})
+}
+
+func TestOutageDelaysEntriesAndCountsWhatIsDropped(t *testing.T) {
+	fleet(t, 1, func(s *store.Store, trails []*Trail) {
+		s.SetFaults(store.Faults{Down: true})
+		const over = 7
+		for i := range maxQueue + over {
+			trails[0].Record(api.AuditEntry{Action: "apply", To: uint64(i)})
+		}
+		time.Sleep(time.Hour)
+		if out, err := trails[0].List(context.Background()); err == nil || err.Code != api.StoreNotReached || out.Pending != maxQueue+1 {
+			t.Errorf("while down: %d waiting, %v", out.Pending, err)
+		}
+		s.SetFaults(store.Faults{})
+		time.Sleep(time.Minute)
+		l := stored(t, s)
+		last := l.Entries[len(l.Entries)-1]
+		if last.Action != "audit-gap" || !strings.HasPrefix(last.Outcome, "7 entries") || trails[0].Dropped.Value() != over {
+			t.Errorf("%d dropped, the last entry is %+v", trails[0].Dropped.Value(), last)
+		}
+		if total := len(l.Entries) + int(l.Trimmed); total != maxQueue+1 {
+			t.Errorf("%d entries stored or trimmed, want %d", total, maxQueue+1)
+		}
+	})
+}
+
+func TestStopWritesWhatIsQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(1)
+		trail := NewTrail(s, "node")
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		trail.Record(api.AuditEntry{Action: "apply"})
+		if err := trail.Run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if l := stored(t, s); len(l.Entries) != 1 {
+			t.Errorf("%d entries", len(l.Entries))
+		}
+	})
+}
+
+func TestStoreIsCalledForChangesAndNotByIdleNodes(t *testing.T) {
+	fleet(t, 50, func(s *store.Store, trails []*Trail) {
+		for range 3 {
+			trails[0].Record(api.AuditEntry{Action: "apply"})
+		}
+		time.Sleep(time.Hour)
+		if c := s.Counts(); c.Reads != 1 || c.Writes != 1 || c.Total() != 2 {
+			t.Errorf("calls: %+v", c)
+		}
+	})
+}
+
+func TestListStaysWithinItsBounds(t *testing.T) {
+	long := strings.Repeat("é", maxTextBytes)
+	var l list
+	const count = 50
+	for i := range count {
+		e := api.AuditEntry{ID: fmt.Sprint(i), At: time.Unix(int64(i), 0), Outcome: long, Changes: make([]string, 3*maxChanges)}
+		for j := range e.Changes {
+			e.Changes[j] = long
+		}
+		l = l.merge([]api.AuditEntry{bounded(e)})
+	}
+	bytes := 0
+	for _, e := range l.Entries {
+		bytes += size(e)
+	}
+	if bytes > maxListBytes || len(l.Entries) == 0 || len(l.Entries)+int(l.Trimmed) != count {
+		t.Errorf("%d bytes, %d entries, %d trimmed", bytes, len(l.Entries), l.Trimmed)
+	}
+	last := l.Entries[len(l.Entries)-1]
+	if last.ID != fmt.Sprint(count-1) || len(last.Changes) != maxChanges+1 || last.Changes[maxChanges] != "and 100 more" {
+		t.Errorf("the newest entry is %s with %d changes", last.ID, len(last.Changes))
+	}
+	var many []api.AuditEntry
+	for i := range 2 * maxEntries {
+		many = append(many, api.AuditEntry{ID: fmt.Sprint(i)})
+	}
+	if small := (list{}).merge(many); len(small.Entries) != maxEntries {
+		t.Errorf("%d entries, want %d", len(small.Entries), maxEntries)
+	}
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -60,6 +60,7 @@
 	storeReached func() bool
 	audit        audit.Recorder
 	rollouts     *rollouts.Manager
+	trail        *audit.Trail
 	versions     entry.Versions
 	operator     *operator.Server
 	metrics      *expvar.Map
@@ -141,8 +142,8 @@
 	transport := dial.Peers(n.tls.toPeers)
 	n.store = store
 	n.rpc = &rpc.Client{HTTP: &http.Client{Transport: transport}, Key: n.cfg.Peers.Secret, Scheme: n.tls.peerScheme()}
-	n.audit = audit.Log{}
 	n.wireSpread()
+	n.wireAudit()
 	n.wireRollouts()
 	n.wireQuarantine()
 	n.wireKeys()
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -68,8 +68,8 @@
 }
 
 // Audit implements operator.Node.
-func (n *Node) Audit(context.Context) (api.AuditResponse, *api.Error) {
-	return api.AuditResponse{}, nil
+func (n *Node) Audit(ctx context.Context) (api.AuditResponse, *api.Error) {
+	return n.trail.List(ctx)
 }
 
 // Announce implements operator.Node.
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -46,6 +47,8 @@
 	Audit audit.Recorder
 	// Refused counts requests with a wrong token.
 	Refused *expvar.Int
+	// Metrics are the node's counters, shown beside those of the process.
+	Metrics *expvar.Map
 }
 
 // Handler returns the routes of the listener.
@@ -60,7 +63,7 @@
 	mux.HandleFunc("GET "+api.PathAudit, s.audit)
 	mux.HandleFunc("GET "+api.PathStatus, func(w http.ResponseWriter, _ *http.Request) { write(w, s.Node.Status()) })
 	mux.HandleFunc("POST "+api.PathAnnounce, s.announce)
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET "+pathVars, s.vars)
 	mux.HandleFunc("/", notFound)
 	root := http.NewServeMux()
 	pages := console.New(forms{s}, s.Holder, s.Token, s.Refused)
@@ -169,8 +172,33 @@
 	write(w, s.Node.Status())
 }
 
+// notFound answers what no route takes: a known path with another method, or
+// a path that is not known.
 func notFound(w http.ResponseWriter, r *http.Request) {
-	refuse(w, api.Errorf(api.OperatorNotFound, "no page %s %s", r.Method, r.URL.Path))
+	for _, path := range []string{
+		api.PathConfig, api.PathValidate, api.PathHosts, api.PathRollouts, api.PathAudit, api.PathStatus, api.PathAnnounce, pathVars,
+	} {
+		if r.URL.Path == path {
+			refuse(w, api.Errorf(api.OperatorMethod, "%s does not take %s", path, r.Method))
+			return
+		}
+	}
+	refuse(w, api.Errorf(api.OperatorNotFound, "no page %s", r.URL.Path))
+}
+
+// pathVars shows the counters.
+const pathVars = "/debug/vars"
+
+// vars writes the counters of the process, as expvar does, and those of this
+// node, which are not published under a global name since a process may run
+// several nodes.
+func (s *Server) vars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fmt.Fprint(w, "{")
+	expvar.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "%q: %s,\n", kv.Key, kv.Value)
+	})
+	fmt.Fprintf(w, "%q: %s}\n", "daisytide", s.Metrics)
 }
 
 func body(w http.ResponseWriter, r *http.Request) ([]byte, *api.Error) {
