--- a/internal/standin/capacity/tables.go
+++ b/internal/standin/capacity/tables.go
@@ -38,7 +38,8 @@
 		{"a document, processor", "core s", s.ChangeProcessor},
 		{"a document, control bytes", "B", s.ChangeBytes},
 		{"a document, store (fleet)", "calls", s.ChangeStore},
-		{"memory after calls between all nodes", "MB resident", s.Memory},
+		{"memory at rest", "MB resident", s.RestMemory},
+		{"memory that calls with all other nodes add", "MB resident", s.PeerMemory},
 		{"a call, entry and gate together", "core µs", s.CallProcessor},
 		{"in force on the last node, 99 in 100", "ms", b.Converge},
 	} {
