End a shared read of the store with its last caller

Cause: TestRestartWithoutStoreAndPeersServesNothing failed in about one run of 20 under load: a shared read went on without a deadline after its caller had stopped, and slept in the guard's backoff of up to 30 s. Ruled out: the test's own goroutines (the trace shows the guard's flight alone). Change: each read counts its waiters and is cancelled when the last one leaves. Conclusion: a stopped node leaves no call to the store behind.

--- a/internal/conn/platform/guard.go
+++ b/internal/conn/platform/guard.go
@@ -31,16 +31,18 @@
 	limiter *rate.Limiter
 	flights singleflight.Group
 
-	mu      sync.Mutex
-	fails   int
-	until   time.Time
-	reached bool
-	calls   uint64
+	mu sync.Mutex
+	// readings are the reads under way, by flight.
+	readings map[string]*reading
+	fails    int
+	until    time.Time
+	reached  bool
+	calls    uint64
 }
 
 // NewGuard guards store with a rate in calls per second.
 func NewGuard(store Store, perSecond float64) *Guard {
-	return &Guard{store: store, limiter: rate.NewLimiter(rate.Limit(perSecond), guardBurst)}
+	return &Guard{store: store, limiter: rate.NewLimiter(rate.Limit(perSecond), guardBurst), readings: map[string]*reading{}}
 }
 
 // Reached tells whether the last call that ended was answered by the store.
@@ -135,27 +137,64 @@
 	return shared(ctx, g, "list", prefix, g.store.List)
 }
 
-// shared makes a read that others who ask for the same key meanwhile wait
-// for. It goes on when the one who began it gives up, within his deadline.
-func shared[T any](ctx context.Context, g *Guard, op, key string, read func(context.Context, string) (T, error)) (T, error) {
-	flight := g.flights.DoChan(op+" "+key, func() (any, error) {
+// reading is a read under way that several callers may wait for.
+type reading struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	waiters int
+}
+
+// join enters a caller into the read of a key. The read keeps the deadline of
+// the caller who began it, and goes on when that one gives up.
+func (g *Guard) join(ctx context.Context, flight string) *reading {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.readings[flight]
+	if r == nil {
+		r = &reading{}
 		inner := context.WithoutCancel(ctx)
 		if deadline, ok := ctx.Deadline(); ok {
-			var cancel context.CancelFunc
-			inner, cancel = context.WithDeadline(inner, deadline)
-			defer cancel()
+			r.ctx, r.cancel = context.WithDeadline(inner, deadline)
+		} else {
+			r.ctx, r.cancel = context.WithCancel(inner)
 		}
-		return guarded(inner, g, op, key, func() (T, error) { return read(inner, key) })
+		g.readings[flight] = r
+	}
+	r.waiters++
+	return r
+}
+
+// part ends a read once nobody waits for it, so that no read outlives its
+// callers in a backoff or a queue for tokens.
+func (g *Guard) part(flight string, r *reading) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.waiters--
+	if r.waiters > 0 {
+		return
+	}
+	r.cancel()
+	g.flights.Forget(flight)
+	delete(g.readings, flight)
+}
+
+// shared makes a read that others who ask for the same key meanwhile wait for.
+func shared[T any](ctx context.Context, g *Guard, op, key string, read func(context.Context, string) (T, error)) (T, error) {
+	flight := op + " " + key
+	r := g.join(ctx, flight)
+	defer g.part(flight, r)
+	done := g.flights.DoChan(flight, func() (any, error) {
+		return guarded(r.ctx, g, op, key, func() (T, error) { return read(r.ctx, key) })
 	})
 	var none T
 	select {
 	case <-ctx.Done():
 		return none, &Error{Op: op, Key: key, Outcome: OutcomeUnknown, Err: ctx.Err()}
-	case r := <-flight:
-		if r.Err != nil {
-			return none, r.Err
+	case out := <-done:
+		if out.Err != nil {
+			return none, out.Err
 		}
-		return r.Val.(T), nil
+		return out.Val.(T), nil
 	}
 }
 
