Refuse to make a withdrawn version current

A move that was taken back counted as ended, so the next document could send its bad version every call at once. validate.Moves tells ended and done apart: a version becomes current only after its rollout is done. An order that a move has carried out stood twice in the audit trail; the listener records refusals alone now.

Seams: validate.Change and validate.Text take validate.Moves, provider.Done and rollouts.Manager.Done are new.

--- a/cmd/daisytide/documents.go
+++ b/cmd/daisytide/documents.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	if _, faults := validate.Text(text, nil, nil); len(faults) > 0 {
+	if _, faults := validate.Text(text, nil, validate.Moves{}); len(faults) > 0 {
 		return c.failed(c.app.stdout, validate.Refusal(faults))
 	}
 	out := verdict{Valid: true}
@@ -112,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	if _, faults := validate.Text(text, nil, nil); len(faults) > 0 {
+	if _, faults := validate.Text(text, nil, validate.Moves{}); len(faults) > 0 {
 		return c.failed(c.app.stdout, validate.Refusal(faults))
 	}
 	node, err := c.app.node.connect()
--- a/internal/process/node/wire_rollouts.go
+++ b/internal/process/node/wire_rollouts.go
@@ -21,6 +21,7 @@
 	})
 	n.versions = n.rollouts
 	n.provider.Ended = n.rollouts.Ended
+	n.provider.Done = n.rollouts.Done
 	n.spread.Register(n.rollouts)
 	n.holder.OnSwap(n.rollouts.ConfigChanged)
 	n.gateMiddlewares = append(n.gateMiddlewares, n.rollouts.Gate)
--- a/internal/process/operator/apply.go
+++ b/internal/process/operator/apply.go
@@ -83,9 +83,13 @@
 	return out
 }
 
-// Order gives an operator's order to a move and enters it in the audit trail.
+// Order gives an operator's order to a move. A refused one is entered in the
+// audit trail here; the move enters one that it has carried out.
 func (s *Server) Order(o api.RolloutOrder, operator string) *api.Error {
 	err := s.Node.Order(o, operator)
+	if err == nil {
+		return nil
+	}
 	number := s.Holder.Current().Number()
 	entry := api.AuditEntry{
 		At:       time.Now().UTC(),
@@ -93,15 +97,12 @@
 		Action:   "rollout-order",
 		From:     number,
 		To:       number,
-		Outcome:  "done",
+		Outcome:  "refused: " + err.Error(),
 		Changes:  []string{string(o.Action) + " " + o.Service},
 	}
 	if o.Reason != "" {
 		entry.Changes = append(entry.Changes, "reason: "+o.Reason)
 	}
-	if err != nil {
-		entry.Outcome = "refused: " + err.Error()
-	}
 	s.Audit.Record(entry)
 	return err
 }
--- a/internal/process/operator/console/console_test.go
+++ b/internal/process/operator/console/console_test.go
@@ -57,7 +57,7 @@
 	if cur := n.holder.Current(); cur != nil {
 		inForce = cur.Document
 	}
-	doc, faults := validate.Text(text, inForce, nil)
+	doc, faults := validate.Text(text, inForce, validate.Moves{})
 	if len(faults) > 0 {
 		return nil, validate.Refusal(faults)
 	}
--- a/internal/process/provider/apply.go
+++ b/internal/process/provider/apply.go
@@ -28,13 +28,18 @@
 	if cur := p.Holder.Current(); cur != nil {
 		inForce = cur.Document
 	}
-	doc, faults := validate.Text(text, inForce, p.Ended)
+	doc, faults := validate.Text(text, inForce, p.moves())
 	if len(faults) > 0 {
 		return nil, validate.Refusal(faults)
 	}
 	return doc, nil
 }
 
+// moves tells how the moves under the configuration in force stand.
+func (p *Provider) moves() validate.Moves {
+	return validate.Moves{Ended: p.Ended, Done: p.Done}
+}
+
 // attempt is one document on its way to the store.
 type attempt struct {
 	next     *document.Accepted
@@ -78,7 +83,7 @@
 		return p.conflict(prev)
 	}
 	if prevDoc != nil {
-		if faults := validate.Change(prevDoc, doc, p.Ended); len(faults) > 0 {
+		if faults := validate.Change(prevDoc, doc, p.moves()); len(faults) > 0 {
 			document.Locate(text, faults)
 			return p.refused(validate.Refusal(faults))
 		}
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -46,6 +46,8 @@
 	Holder *snapshot.Holder
 	// Ended tells whether the move of a service has ended.
 	Ended func(service string) bool
+	// Done tells whether it is done, and not taken back; nil means never.
+	Done func(service string) bool
 	// Watcher tells whether this node watches the store for its data centre;
 	// nil means always.
 	Watcher func() bool
--- a/internal/process/rollouts/manager.go
+++ b/internal/process/rollouts/manager.go
@@ -221,16 +221,33 @@
 // Ended tells whether the move of a service under the configuration in force
 // has ended.
 func (m *Manager) Ended(service string) bool {
+	state, ok := m.stateOf(service)
+	return !ok || state.Ended()
+}
+
+// Done tells whether the move of a service under the configuration in force
+// is done. It is not when it was taken back, also after it was done.
+func (m *Manager) Done(service string) bool {
+	state, ok := m.stateOf(service)
+	return ok && state.Done != nil && state.Withdrawn == nil
+}
+
+// stateOf returns what is known of a service's move under the configuration
+// in force; ok is false where that has none.
+func (m *Manager) stateOf(service string) (state rollout.State, ok bool) {
 	s := m.cfg.Holder.Current()
 	if s == nil {
-		return true
+		return rollout.State{}, false
 	}
 	in, ok := s.Move(service)
 	if !ok {
-		return true
+		return rollout.State{}, false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	mv := m.moves[rollout.Key{Service: service, Since: in.Since}]
-	return mv != nil && mv.state.Ended()
+	if mv == nil {
+		return rollout.State{}, true
+	}
+	return mv.state, true
 }
--- a/internal/version/validate/change.go
+++ b/internal/version/validate/change.go
@@ -8,30 +8,40 @@
 	"github.com/daisytide/daisytide/internal/version/document"
 )
 
+// Moves tells how the moves stand that the configuration in force began. A nil
+// function answers no for every service.
+type Moves struct {
+	// Ended tells whether the move of a service is done or taken back.
+	Ended func(service string) bool
+	// Done tells whether it is done.
+	Done func(service string) bool
+}
+
+// asked answers by fn, no where it is nil.
+func asked(fn func(string) bool, service string) bool {
+	return fn != nil && fn(service)
+}
+
 // Change returns every fault of replacing inForce, which may be nil, by doc,
-// cut at document.MaxFaults. ended tells whether the move of a service that
-// runs under inForce has ended; nil means that none has.
+// cut at document.MaxFaults.
 //
 // A running move keeps its service and both versions until it has ended or a
 // document without its rollout was accepted, since their upstreams still hold
 // calls. And the current version of a service changes only to the target of a
-// rollout that has ended: any other change would send a version all calls at
-// once, with nothing known of it.
-func Change(inForce, doc *document.Document, ended func(service string) bool) []api.Fault {
+// rollout that is done: any other change would send all calls at once to a
+// version of which nothing is known, or nothing good.
+func Change(inForce, doc *document.Document, moves Moves) []api.Fault {
 	if inForce == nil {
 		return nil
 	}
-	if ended == nil {
-		ended = func(string) bool { return false }
-	}
 	c := newChecker(doc)
 	for i := range inForce.Rollouts {
-		if r := &inForce.Rollouts[i]; !ended(r.Service) {
+		if r := &inForce.Rollouts[i]; !asked(moves.Ended, r.Service) {
 			c.keepsMove(r)
 		}
 	}
 	for i := range inForce.Services {
-		c.noJump(inForce, &inForce.Services[i], ended)
+		c.noJump(inForce, &inForce.Services[i], moves)
 	}
 	return document.Cut(c.faults)
 }
@@ -56,19 +66,19 @@
 	}
 }
 
-// noJump notes a change of a service's current version that no ended rollout
-// leads to.
-func (c *checker) noJump(inForce *document.Document, old *document.Service, ended func(string) bool) {
+// noJump notes a change of a service's current version that no completed
+// rollout leads to.
+func (c *checker) noJump(inForce *document.Document, old *document.Service, moves Moves) {
 	i := c.indexOf(old.Name)
 	if i < 0 || c.doc.Services[i].Current == old.Current {
 		return
 	}
 	current := c.doc.Services[i].Current
 	for j := range inForce.Rollouts {
-		if r := &inForce.Rollouts[j]; r.Service == old.Name && r.To == current && ended(r.Service) {
+		if r := &inForce.Rollouts[j]; r.Service == old.Name && r.To == current && asked(moves.Done, r.Service) {
 			return
 		}
 	}
 	path := fmt.Sprintf("services[%d].current", i)
-	c.note(api.DocumentJump, path, "calls go to %q; a rollout must lead to %q first", old.Current, current)
+	c.note(api.DocumentJump, path, "calls go to %q; a rollout to %q must be done first", old.Current, current)
 }
--- a/internal/version/validate/change_test.go
+++ b/internal/version/validate/change_test.go
@@ -20,22 +20,27 @@
 	moving := documentOf("v1", "v1>v2", "v1", "v2")
 	for name, c := range map[string]struct {
 		inForce, doc *document.Document
-		ended        bool
+		ended        string
 		want         string
 	}{
-		"first document":                      {nil, moving, false, ""},
-		"unrelated change under a move":       {moving, documentOf("v1", "v1>v2", "v1", "v2", "v3"), false, ""},
-		"rollout withdrawn by its operator":   {moving, documentOf("v1", "", "v1", "v2"), false, ""},
-		"service of a running move removed":   {moving, &document.Document{}, false, "services 1014"},
-		"service of an ended move removed":    {moving, &document.Document{}, true, ""},
-		"old version of a running move gone":  {moving, documentOf("v2", "", "v2"), false, "services[0].versions 1014, services[0].current 1019"},
-		"new version of a running move gone":  {moving, documentOf("v1", "", "v1"), false, "services[0].versions 1014"},
-		"move ended and the new one current":  {moving, documentOf("v2", "", "v2"), true, ""},
-		"jump to a version without a rollout": {documentOf("v1", "", "v1", "v2"), documentOf("v2", "", "v1", "v2"), true, "services[0].current 1019"},
-		"jump past the ended rollout":         {moving, documentOf("v3", "", "v2", "v3"), true, "services[0].current 1019"},
+		"first document":                          {nil, moving, "", ""},
+		"unrelated change under a move":           {moving, documentOf("v1", "v1>v2", "v1", "v2", "v3"), "", ""},
+		"rollout withdrawn by its operator":       {moving, documentOf("v1", "", "v1", "v2"), "", ""},
+		"service of a running move removed":       {moving, &document.Document{}, "", "services 1014"},
+		"service of an ended move removed":        {moving, &document.Document{}, "done", ""},
+		"old version of a running move gone":      {moving, documentOf("v2", "", "v2"), "", "services[0].versions 1014, services[0].current 1019"},
+		"new version of a running move gone":      {moving, documentOf("v1", "", "v1"), "", "services[0].versions 1014"},
+		"move ended and the new one current":      {moving, documentOf("v2", "", "v2"), "done", ""},
+		"jump to a version without a rollout":     {documentOf("v1", "", "v1", "v2"), documentOf("v2", "", "v1", "v2"), "done", "services[0].current 1019"},
+		"move taken back and its version current": {moving, documentOf("v2", "", "v1", "v2"), "taken back", "services[0].current 1019"},
+		"move taken back and its version removed": {moving, documentOf("v1", "", "v1"), "taken back", ""},
+		"jump past the ended rollout":             {moving, documentOf("v3", "", "v2", "v3"), "done", "services[0].current 1019"},
 	} {
 		var got []string
-		for _, f := range Change(c.inForce, c.doc, func(string) bool { return c.ended }) {
+		for _, f := range Change(c.inForce, c.doc, Moves{
+			Ended: func(string) bool { return c.ended != "" },
+			Done:  func(string) bool { return c.ended == "done" },
+		}) {
 			got = append(got, fmt.Sprintf("%s %d", f.Path, f.Code))
 		}
 		if strings.Join(got, ", ") != c.want {
--- a/internal/version/validate/validate.go
+++ b/internal/version/validate/validate.go
@@ -14,8 +14,8 @@
 )
 
 // Text decodes a document and checks it alone and against inForce, which may
-// be nil. Faults carry their lines. ended is as for Change.
-func Text(text []byte, inForce *document.Document, ended func(service string) bool) (*document.Document, []api.Fault) {
+// be nil. Faults carry their lines.
+func Text(text []byte, inForce *document.Document, moves Moves) (*document.Document, []api.Fault) {
 	doc, faults, whole := document.Partial(text)
 	switch {
 	case len(faults) > 0 && whole:
@@ -24,7 +24,7 @@
 		faults = Document(doc)
 	}
 	if len(faults) == 0 && inForce != nil {
-		faults = Change(inForce, doc, ended)
+		faults = Change(inForce, doc, moves)
 	}
 	if len(faults) > 0 {
 		document.Locate(text, faults)
