Name every wrong flag of a node at once

go-flags stops at the first wrong flag, and the settings file was not read then. Each flag is parsed alone, after the file, so all faults of both come together.

go test ./internal/process/settings passes.

--- a/cmd/daisytided/main.go
+++ b/cmd/daisytided/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -17,11 +18,16 @@
 	"github.com/daisytide/daisytide/internal/process/settings"
 )
 
-// options of the command line. Settings of the file can be given as flags
-// too, named by section and key, and win over the file.
+// options of the command line that are no settings.
 type options struct {
-	File     string `long:"settings" required:"true" description:"settings file (INI)"`
-	Verbose  int    `long:"verbosity" default:"0" description:"log verbosity, 0 to 4"`
+	File    string `long:"settings" required:"true" description:"settings file (INI)"`
+	Verbose int    `long:"verbosity" default:"0" description:"log verbosity, 0 to 4"`
+}
+
+// help lists the settings too: each can be given as a flag, named by section
+// and key, and wins over the file.
+type help struct {
+	options
 	Settings settings.Settings
 }
 
@@ -32,28 +38,18 @@
 )
 
 func main() {
+	args := os.Args[1:]
+	if slices.Contains(args, "--help") || slices.Contains(args, "-h") {
+		_, _ = flags.NewParser(&help{}, flags.Default).ParseArgs([]string{"--help"})
+		return
+	}
 	var o options
-	if _, err := flags.NewParser(&o, flags.Default).Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
+	overrides, err := flags.NewParser(&o, flags.PrintErrors|flags.IgnoreUnknown).ParseArgs(args)
+	if err != nil {
 		os.Exit(exitUsage)
 	}
 	startLog(o.Verbose)
-	os.Exit(run(o, overrides(os.Args[1:])))
-}
-
-// overrides returns the arguments that belong to the settings.
-func overrides(args []string) []string {
-	var own struct {
-		File    string `long:"settings"`
-		Verbose int    `long:"verbosity"`
-	}
-	rest, err := flags.NewParser(&own, flags.IgnoreUnknown).ParseArgs(args)
-	if err != nil {
-		return args
-	}
-	return rest
+	os.Exit(run(o, overrides))
 }
 
 func startLog(verbosity int) {
--- a/internal/process/settings/load.go
+++ b/internal/process/settings/load.go
@@ -164,17 +164,36 @@
 	return api.SettingsBadValue, ini.Message
 }
 
-// flags lays the command line's flags over the file, which also sets the
-// defaults of what neither names.
+// flags lays the command line's flags over the file, each alone so that one
+// wrong flag hides no other, and sets the defaults of what neither names.
 func (r *reader) flags(overrides []string) {
-	rest, err := r.parser.ParseArgs(overrides)
-	switch {
-	case err != nil:
-		r.note(api.SettingsBadValue, 0, "flags", err.Error())
-		_, _ = r.parser.ParseArgs(nil)
-	case len(rest) > 0:
-		r.note(api.SettingsUnknownKey, 0, "flags", "unexpected "+strings.Join(rest, " "))
+	for len(overrides) > 0 {
+		var one []string
+		one, overrides = nextFlag(overrides)
+		path, _, _ := strings.Cut(strings.TrimLeft(one[0], "-"), "=")
+		rest, err := r.parser.ParseArgs(one)
+		var wrong *flags.Error
+		switch {
+		case errors.As(err, &wrong) && wrong.Type == flags.ErrUnknownFlag:
+			r.note(api.SettingsUnknownKey, 0, path, "no such flag")
+		case err != nil:
+			r.note(api.SettingsBadValue, 0, path, err.Error())
+		case len(rest) > 0:
+			r.note(api.SettingsUnknownKey, 0, path, "not a flag")
+		default:
+			r.places[path] = 0
+		}
+	}
+	_, _ = r.parser.ParseArgs(nil)
+}
+
+// nextFlag takes a flag with its value off the front of arguments.
+func nextFlag(args []string) (one, rest []string) {
+	n := 1
+	if !strings.Contains(args[0], "=") && len(args) > 1 && !strings.HasPrefix(args[1], "-") {
+		n = 2
 	}
+	return args[:n], args[n:]
 }
 
 // unless leaves out the faults of keys that are already found faulty.
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -74,8 +74,13 @@
 	if s.Store.Timeout != 2*time.Second || s.Node.Rack != "q" || s.Store.Rate != 2 || s.Upstream.StopGrace != 30*time.Second {
 		t.Errorf("%+v", s)
 	}
-	if _, faults := Parse(good, "--store.age=3", "word"); len(faults) != 1 {
-		t.Errorf("wrong flags: %v", faults)
+	_, faults = Parse(good, "--store.age=3", "--store.timeout", "fast", "--store.rate=0", "--callers.listen", "x", "word")
+	var got []string
+	for _, f := range faults {
+		got = append(got, fmt.Sprintf("%d %s %d", f.Line, f.Path, f.Code))
+	}
+	if want := "0 store.age 2002, 0 store.timeout 2003, 0 word 2002, 0 callers.listen 2003, 0 store.rate 2003"; strings.Join(got, ", ") != want {
+		t.Errorf("wrong flags: got %q, want %q (%v)", got, want, faults)
 	}
 }
 
