--- a/internal/process/node/wire_keys.go
+++ b/internal/process/node/wire_keys.go
@@ -27,6 +27,7 @@
 	n.entryMiddlewares = append(n.entryMiddlewares, entry.Middleware)
 	n.peerMux.Handle(rpc.Prefix+once.MethodFence, rpc.Handle(keys.Fence))
 	n.peerMux.Handle(rpc.Prefix+once.MethodLook, rpc.Handle(keys.Look))
+	n.peerMux.Handle(rpc.Prefix+once.MethodClaim, rpc.Handle(keys.Claim))
 	n.peerMux.Handle(rpc.Prefix+once.MethodJoin, rpc.Handle(keys.Join))
 	n.peerMux.Handle(rpc.Prefix+once.MethodTake, rpc.Handle(keys.Take))
 }
--- a/internal/request/once/drive_test.go
+++ b/internal/request/once/drive_test.go
@@ -47,6 +47,7 @@
 	gates map[string]*simGate
 	runs  map[string]int
 	tally map[string]int
+	sends map[string]int
 }
 
 type simGate struct {
@@ -118,6 +119,8 @@
 		*out.(*Reply), err = g.keys.Fence(context.Background(), q)
 	case MethodLook:
 		*out.(*Reply), err = g.keys.Look(context.Background(), q)
+	case MethodClaim:
+		*out.(*Claimed), err = g.keys.Claim(context.Background(), in.(Claim))
 	case MethodJoin:
 		*out.(*Joined), err = g.keys.Join(context.Background(), in.(Join))
 	}
@@ -127,19 +130,28 @@
 	return err
 }
 
+// sending numbers what is sent with a key, below the callers' numbers.
+func (w *world) sending(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sends[key]++
+	return w.sends[key]
+}
+
 // run is the upstream: it dies before, during or after some runs.
 func (w *world) run(_ context.Context, rw http.ResponseWriter, _ *http.Request, c *call.Call) call.Result {
-	if w.chance(0.01, "before", c.Key, c.Attempt) {
+	n := w.sending(c.Key)
+	if w.chance(0.01, "before", c.Key, n) {
 		return call.Refuse(api.CallNotReached, nil)
 	}
 	time.Sleep(driveRunTime)
-	if w.chance(0.005, "during", c.Key, c.Attempt) {
+	if w.chance(0.005, "during", c.Key, n) {
 		return told(api.CallCut)
 	}
 	w.mu.Lock()
 	w.runs[c.Key]++
 	w.mu.Unlock()
-	if w.chance(0.01, "after", c.Key, c.Attempt) {
+	if w.chance(0.01, "after", c.Key, n) {
 		return told(api.CallCut)
 	}
 	_, _ = rw.Write([]byte("credited " + c.Key))
@@ -151,11 +163,12 @@
 func (w *world) send(ctx context.Context, rw http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
 	res := call.Refuse(api.CallNoUpstream, nil)
 	live := w.live("")
-	for try := range min(3, len(live)) {
-		g := w.gate(live[(int(xxhash.Sum64String(c.Key)%97)+c.Attempt+try)%len(live)])
+	for range min(3, len(live)) {
+		n := w.sending(c.Key)
+		g := w.gate(live[(int(xxhash.Sum64String(c.Key)%97)+n)%len(live)])
 		at := *c
 		res = g.serve(ctx, rw, r, &at)
-		if w.chance(0.02, "answer", c.Key, c.Attempt, try) {
+		if w.chance(0.02, "answer", c.Key, n) {
 			return told(api.CallCut)
 		}
 		if res.Ran != api.RanNo {
@@ -198,37 +211,51 @@
 	if !numbered {
 		kind = "unnumbered"
 	}
+	number := 0
+	if numbered {
+		number = 1
+	}
 	for n := 1; n <= driveTries; n++ {
-		number := n
-		if !numbered {
-			number = 0
-		}
 		if n == 1 && w.chance(0.01, "late", key) {
+			late := number
 			go func() {
 				time.Sleep(time.Duration(xxhash.Sum64String(key) % uint64(driveLateness)))
-				w.attempt(key, i, number)
+				w.attempt(key, i, late)
 			}()
+			number = next(number)
 			continue
 		}
 		if n > 1 && w.chance(0.1, "twice", key, n) {
-			go w.attempt(key, i+n+1, number)
+			go w.attempt(key, i+n+1, next(number))
 		}
-		switch code := w.attempt(key, i+n, number); {
+		code := w.attempt(key, i+n, number)
+		switch {
 		case code == api.OK:
 			w.count(kind + " answered")
 			return
 		case !w.plain && !api.Info(code).Repeat && code != api.CallCut:
 			w.count(fmt.Sprint(kind, " ", code))
 			return
+		case api.Info(code).Ran != api.RanNo || code == api.CallFenced:
+			number = next(number)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	w.count(kind + " gave up")
 }
 
+// next numbers the attempt after one that may have run; one that did not run
+// is sent again under its number.
+func next(number int) int {
+	if number == 0 {
+		return 0
+	}
+	return number + 1
+}
+
 // drive runs the calls and returns the most runs of one key.
 func drive(t *testing.T, calls int, seed uint64, plain, storeDown bool) (w *world, worst, doubled int) {
-	w = &world{seed: seed, plain: plain, store: store.New(seed), gates: map[string]*simGate{}, runs: map[string]int{}, tally: map[string]int{}}
+	w = &world{seed: seed, plain: plain, store: store.New(seed), gates: map[string]*simGate{}, runs: map[string]int{}, tally: map[string]int{}, sends: map[string]int{}}
 	for range driveGates {
 		w.entries = append(w.entries, NewEntry(w.store, w, w.live))
 	}
--- a/internal/request/once/entry.go
+++ b/internal/request/once/entry.go
@@ -34,6 +34,7 @@
 	Metrics *expvar.Map
 
 	rosters rosters
+	views   views
 }
 
 // NewEntry returns an entry that reads rosters from store.
@@ -46,13 +47,14 @@
 }
 
 // Middleware implements call.Middleware at the entry. A call without an
-// attempt number may be a repeat, so it is taken for one.
+// attempt number may be a repeat: the home of its key knows.
 func (e *Entry) Middleware(next call.Handler) call.Handler {
 	return func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
 		if !Guarded(c) {
 			return next(ctx, w, r, c)
 		}
-		if r.Header.Get(call.HeaderAttempt) != "" && c.Attempt == 1 {
+		numbered := r.Header.Get(call.HeaderAttempt) != ""
+		if numbered && c.Attempt == 1 || !numbered && e.first(ctx, c) {
 			return next(ctx, w, r, c)
 		}
 		ballot := Ballot{Attempt: uint32(c.Attempt), Stamp: uint64(time.Now().UnixMilli()), ID: rand.Uint64()}
@@ -107,6 +109,7 @@
 			klog.V(1).Infof(logPrefix+"no table of gates of %s: %v", c.Service, err)
 			return Collect(0)
 		}
+		e.views.offer(c.Service, roster)
 		col = e.fence(ctx, r, c, b, roster)
 		if col.Verdict() != Reread {
 			return col
--- a/internal/request/once/gate.go
+++ b/internal/request/once/gate.go
@@ -17,6 +17,9 @@
 // pageKeys is how many fenced keys one Joined carries.
 const pageKeys = 4096
 
+// maxMoving is how many claims one Joined carries.
+const maxMoving = 60_000
+
 // Keys is what one gate knows of keyed calls, per service.
 type Keys struct {
 	// Self is this incarnation.
@@ -41,6 +44,22 @@
 	leaving bool
 	// oldest is the lowest roster revision by which fences are granted.
 	oldest uint64
+	// view is the newest roster that the gate knows; heard are the gates that
+	// know of this one.
+	view  Roster
+	heard map[Gate]bool
+
+	claims claims
+	// stale holds a token when somebody knows a newer roster than view.
+	stale chan struct{}
+}
+
+// refresh has the keeper read the roster.
+func (s *service) refresh() {
+	select {
+	case s.stale <- struct{}{}:
+	default:
+	}
 }
 
 // NewKeys returns a gate that knows nothing.
@@ -61,7 +80,8 @@
 	defer k.mu.Unlock()
 	s := k.services[name]
 	if s == nil {
-		s = &service{book: NewBook(k.Limits, now)}
+		s = &service{book: NewBook(k.Limits, now), heard: map[Gate]bool{}, stale: make(chan struct{}, 1)}
+		s.claims.window = k.Limits.Window
 		k.services[name] = s
 	}
 	return s
@@ -210,19 +230,66 @@
 }
 
 // Join answers MethodJoin: from now on no fence of a roster without the
-// joining gate is granted, and it is told every fence granted before.
+// joining gate is granted, and no key whose home it is is numbered here. It is
+// told every fence granted before, and every such key numbered before.
 func (k *Keys) Join(_ context.Context, j Join) (Joined, error) {
 	s := k.find(j.Service)
 	if s == nil || j.Gate != k.Self.Instance {
 		return Joined{}, api.Errorf(api.PeerNotKnown, "no such gate of %s", j.Service)
 	}
+	roster := Roster{Gates: j.Gates, Revision: j.Revision}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.adopt(roster)
+	s.oldest = max(s.oldest, j.Revision)
+	moving := s.claims.of(roster, j.Joining)
+	if len(moving) > maxMoving {
+		return Joined{}, api.Errorf(api.CallShed, "too many keys to hand over")
+	}
 	if !s.ready || s.leaving {
-		return Joined{}, api.Errorf(api.CallKeyNotReady, "not ready for %s", j.Service)
+		return Joined{Claims: moving}, nil
 	}
-	s.oldest = max(s.oldest, j.Revision)
-	return page(s.book.fenced(time.Now()), j.After), nil
+	out := page(s.book.fenced(time.Now()), j.After)
+	out.Ready = true
+	out.Claims = moving
+	return out, nil
+}
+
+// adopt takes a newer roster for the gate's view; the caller holds mu.
+func (s *service) adopt(r Roster) {
+	if r.Revision > s.view.Revision {
+		s.view = r
+	}
+}
+
+// Claim answers MethodClaim.
+func (k *Keys) Claim(_ context.Context, c Claim) (Claimed, error) {
+	s := k.find(c.Service)
+	if s == nil {
+		return Claimed{}, api.Errorf(api.PeerNotKnown, "no gate of %s", c.Service)
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if !s.ready || s.leaving {
+		return Claimed{}, nil
+	}
+	if c.Revision > s.view.Revision {
+		s.refresh()
+	}
+	key := hashKey(c.Key)
+	if c.Gate != 0 && c.Gate != k.Self.Instance {
+		return Claimed{Gates: s.view.Gates, Revision: s.view.Revision}, nil
+	}
+	if home, ok := s.view.Home(key); !ok || home != k.Self {
+		return Claimed{Gates: s.view.Gates, Revision: s.view.Revision}, nil
+	}
+	if !mayNumber(s.view, k.Self, func(g Gate) bool { return s.heard[g] }, key) {
+		return Claimed{}, nil
+	}
+	if s.claims.first(key, k.Limits.Records, time.Now()) {
+		return Claimed{First: true}, nil
+	}
+	return Claimed{Later: true}, nil
 }
 
 // fenced lists the records that a joining gate must know.
--- a/internal/request/once/keeper.go
+++ b/internal/request/once/keeper.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -19,7 +20,9 @@
 	backoffMost  = 10 * time.Second
 )
 
-var errFull = errors.New("no room for more records")
+// viewEvery is the mean time between two readings of a roster in which
+// gates stand that could not be asked.
+const viewEvery = time.Minute
 
 // joinTimeout bounds one question of a joining gate.
 const joinTimeout = time.Second
@@ -71,25 +74,98 @@
 	}
 }
 
-// keep brings one service from entering the roster to ready, and clears the
-// dead incarnations of this address away when the window has passed.
+// keep brings one service from entering the roster to ready. Then it keeps the
+// gate's view of the roster until ctx ends.
 func (k *Keeper) keep(ctx context.Context, name string, s *service) {
 	roster, ok := k.enter(ctx, name)
 	if !ok {
 		return
 	}
-	entered := time.Now()
-	if !k.learn(ctx, name, s, roster, entered) {
-		return
-	}
 	s.mu.Lock()
-	s.ready = true
+	s.adopt(roster)
 	s.mu.Unlock()
-	klog.Infof(logPrefix+"ready for keyed calls of %s", name)
-	if !sleep(ctx, time.Until(entered.Add(k.Keys.Limits.Window))) {
+	window := time.Now().Add(k.Keys.Limits.Window)
+	k.prepare(ctx, name, s, roster, window)
+	if !sleep(ctx, time.Until(window)) {
 		return
 	}
-	k.clear(ctx, name)
+	k.clear(ctx, name, s)
+	for ctx.Err() == nil {
+		k.introduce(ctx, name, s, roster)
+		wait := time.NewTimer(viewEvery/2 + rand.N(viewEvery))
+		select {
+		case <-ctx.Done():
+		case <-s.stale:
+			k.clear(ctx, name, s)
+		case <-wait.C:
+			if len(s.silent(k.Keys.Self)) > 0 {
+				k.clear(ctx, name, s)
+			}
+		}
+		wait.Stop()
+	}
+}
+
+// prepare introduces the gate until it is ready and every gate knows of it, or
+// the window has passed since it entered the roster, and with it whatever was
+// fenced before. The first gate of a roster has nothing to learn.
+func (k *Keeper) prepare(ctx context.Context, name string, s *service, roster Roster, window time.Time) {
+	ready := len(roster.Gates) == 1
+	backoff := backoffFirst
+	for ctx.Err() == nil {
+		ready = k.introduce(ctx, name, s, roster) || ready || !time.Now().Before(window)
+		if ready {
+			s.getReady(name)
+		}
+		if ready && len(s.silent(k.Keys.Self)) == 0 || !time.Now().Before(window) {
+			return
+		}
+		sleep(ctx, min(rand.N(backoff), time.Until(window)))
+		backoff = min(2*backoff, backoffMost)
+	}
+}
+
+// getReady lets keyed calls through.
+func (s *service) getReady(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ready {
+		s.ready = true
+		klog.Infof(logPrefix+"ready for keyed calls of %s", name)
+	}
+}
+
+// silent lists the gates that entered before self and are still to be asked:
+// all of them until this gate is ready, then those that don't know of it.
+func (s *service) silent(self Gate) []Gate {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []Gate
+	for _, g := range s.view.Gates {
+		if g == self {
+			break
+		}
+		if !s.ready || !s.heard[g] {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// introduce tells the gates that don't know of this one. It returns true when
+// one that is ready has told its fences.
+func (k *Keeper) introduce(ctx context.Context, name string, s *service, roster Roster) bool {
+	var told sync.WaitGroup
+	var ready atomic.Bool
+	for _, g := range s.silent(k.Keys.Self) {
+		told.Go(func() {
+			if k.join(ctx, name, s, roster, g) {
+				ready.Store(true)
+			}
+		})
+	}
+	told.Wait()
+	return ready.Load()
 }
 
 // enter writes the gate into the roster, and returns the one that has it.
@@ -108,63 +184,54 @@
 	return out, ok
 }
 
-// learn asks a ready gate of the roster for its fences. Where there is none,
-// it waits until the window has passed since the gate entered the roster:
-// whatever was fenced before that is past by then. The first gate of a roster
-// has nothing to learn.
-func (k *Keeper) learn(ctx context.Context, name string, s *service, roster Roster, entered time.Time) bool {
-	others := roster.Without(k.Keys.Self).Gates
-	backoff := backoffFirst
-	for len(others) > 0 && time.Since(entered) < k.Keys.Limits.Window {
-		for _, i := range rand.Perm(len(others)) {
-			if err := k.learnFrom(ctx, name, s, roster.Revision, others[i]); err == nil {
-				return true
-			}
-		}
-		if !sleep(ctx, rand.N(backoff)) {
-			return false
-		}
-		backoff = min(2*backoff, backoffMost)
-	}
-	return ctx.Err() == nil
-}
-
-func (k *Keeper) learnFrom(ctx context.Context, name string, s *service, revision uint64, g Gate) error {
+// join introduces this gate to one other, which is asked again until it is
+// ready itself. It returns true when that gate has told all its fences.
+func (k *Keeper) join(ctx context.Context, name string, s *service, roster Roster, g Gate) bool {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	question := Join{Service: name, Gate: g.Instance, Revision: revision}
+	question := Join{Service: name, Gate: g.Instance, Joining: k.Keys.Self, Gates: roster.Gates, Revision: roster.Revision}
 	for {
 		var page Joined
 		if err := k.Caller.Call(ctx, g.Address, MethodJoin, question, &page); err != nil {
-			return err
+			klog.V(1).Infof(logPrefix+"join %s: %v", name, err)
+			return false
 		}
+		s.claims.add(page.Claims, time.Now())
 		for _, known := range page.Known {
 			if !s.book.Merge(known, time.Now()) {
-				return errFull
+				return false
 			}
 			question.After = known.Key
 		}
 		if !page.More {
-			return nil
+			s.mu.Lock()
+			s.heard[g] = true
+			s.mu.Unlock()
+			return page.Ready
 		}
 	}
 }
 
 // clear takes the older incarnations of this address out of the roster. They
 // were dead before this one listened here, and the window has passed since.
-func (k *Keeper) clear(ctx context.Context, name string) {
-	retry(ctx, func() error {
-		_, err := changeRoster(ctx, k.Store, name, func(r Roster) Roster {
-			var gone []Gate
-			for _, g := range r.Gates {
-				if g.Address == k.Keys.Self.Address && g != k.Keys.Self {
-					gone = append(gone, g)
-				}
+// The gate goes by the roster that it reads.
+func (k *Keeper) clear(ctx context.Context, name string, s *service) {
+	roster, err := changeRoster(ctx, k.Store, name, func(r Roster) Roster {
+		var gone []Gate
+		for _, g := range r.Gates {
+			if g.Address == k.Keys.Self.Address && g != k.Keys.Self {
+				gone = append(gone, g)
 			}
-			return r.Without(gone...)
-		})
-		return err
+		}
+		return r.Without(gone...)
 	})
+	if err != nil {
+		klog.V(1).Infof(logPrefix+"table of gates: %v", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adopt(roster)
 }
 
 // retry calls fn until it succeeds; false when ctx ended.
--- a/internal/request/once/messages.go
+++ b/internal/request/once/messages.go
@@ -6,6 +6,7 @@
 	MethodLook  = "once-look"
 	MethodJoin  = "once-join"
 	MethodTake  = "once-take"
+	MethodClaim = "once-claim"
 )
 
 // Question asks a gate for its record of a key, or for a fence.
@@ -20,21 +21,50 @@
 	Revision uint64 `cbor:"6,keyasint,omitempty"`
 }
 
-// Join is what a joining gate asks one that is ready.
+// Join is what a joining gate tells each gate that entered before it.
 type Join struct {
 	Service string `cbor:"1,keyasint"`
 	Gate    uint64 `cbor:"2,keyasint"`
-	// Revision is that of the roster in which the joining gate stands first.
-	Revision uint64 `cbor:"3,keyasint"`
+	// Joining is the asker; Gates and Revision are the first roster with it.
+	Joining  Gate   `cbor:"3,keyasint"`
+	Gates    []Gate `cbor:"4,keyasint"`
+	Revision uint64 `cbor:"5,keyasint"`
 	// After is the last key that earlier pages brought.
-	After string `cbor:"4,keyasint,omitempty"`
+	After string `cbor:"6,keyasint,omitempty"`
 }
 
-// Joined answers a Join with the keys that were fenced.
+// Joined answers a Join.
 type Joined struct {
-	Known []Known `cbor:"1,keyasint"`
+	// Ready tells that Known is all that a joining gate must know of fences. A
+	// gate that is not ready itself can't tell.
+	Ready bool `cbor:"1,keyasint,omitempty"`
+	// Known are the keys that were fenced.
+	Known []Known `cbor:"2,keyasint,omitempty"`
 	// More tells that there are keys after the last.
-	More bool `cbor:"2,keyasint,omitempty"`
+	More bool `cbor:"3,keyasint,omitempty"`
+	// Claims are the keys that move to the joining gate.
+	Claims []uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Claim asks a key's home for the number of an attempt.
+type Claim struct {
+	Service string `cbor:"1,keyasint"`
+	Key     string `cbor:"2,keyasint"`
+	// Gate is the home by the asker's roster, 0 where it has none; Revision is
+	// that roster's.
+	Gate     uint64 `cbor:"3,keyasint,omitempty"`
+	Revision uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Claimed answers a Claim.
+type Claimed struct {
+	// First: no other attempt with the key is or will be told so. Later: one
+	// was. With neither the gate can't be sure.
+	First bool `cbor:"1,keyasint,omitempty"`
+	Later bool `cbor:"2,keyasint,omitempty"`
+	// Gates and Revision are the gate's roster where it is not the home.
+	Gates    []Gate `cbor:"3,keyasint,omitempty"`
+	Revision uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Take hands a leaving gate's records to one that stays.
--- a/internal/standin/cluster/keys_test.go
+++ b/internal/standin/cluster/keys_test.go
@@ -98,23 +98,26 @@
 
 func TestKeyedCallRunsOnceThroughEveryEntry(t *testing.T) {
 	c := ledgerCluster(t, 4)
-	first := post(t, c.Hosts[0], "/credit/7", "k1", 1, "20 TTD")
-	if first.status != http.StatusOK || first.saved {
-		t.Fatalf("first attempt: %+v", first)
-	}
-	for i, h := range c.Hosts {
-		for _, attempt := range []int{i + 2, 0} {
-			again := post(t, h, "/credit/7", "k1", attempt, "20 TTD")
+	for key, number := range map[string]func(i int) int{
+		"numbered":   func(i int) int { return i + 2 },
+		"unnumbered": func(int) int { return 0 },
+	} {
+		first := post(t, c.Hosts[0], "/credit/7", key, number(-1), "20 TTD")
+		if first.status != http.StatusOK || first.saved {
+			t.Fatalf("%s: first attempt: %+v", key, first)
+		}
+		for i, h := range c.Hosts {
+			again := post(t, h, "/credit/7", key, number(i), "20 TTD")
 			if again.status != http.StatusOK || !again.saved || again.body != first.body {
-				t.Errorf("attempt %d: %+v, want the answer %q", attempt, again, first.body)
+				t.Errorf("%s: attempt %d: %+v, want the answer %q", key, i+2, again, first.body)
 			}
 		}
-	}
-	if clash := post(t, c.Hosts[1], "/credit/8", "k1", 2, "20 TTD"); clash.code != api.CallKeyClash {
-		t.Errorf("another request with the key: %+v", clash)
-	}
-	if n := runsOf(c, "k1"); n != 1 {
-		t.Errorf("k1 ran %d times", n)
+		if clash := post(t, c.Hosts[1], "/credit/8", key, number(9), "20 TTD"); clash.code != api.CallKeyClash {
+			t.Errorf("%s: another request with the key: %+v", key, clash)
+		}
+		if n := runsOf(c, key); n != 1 {
+			t.Errorf("%s: ran %d times", key, n)
+		}
 	}
 }
 
@@ -147,7 +150,11 @@
 	if r := post(t, c.Hosts[1], "/credit/7", "k4", 2, "x"); r.code != api.CallOutcomeUnknown {
 		t.Errorf("repeat of a call that no gate knows: %+v", r)
 	}
-	if n := runsOf(c, "k3") + runsOf(c, "k4"); n != 1 {
-		t.Errorf("%d runs, want 1", n)
+	unnumbered := post(t, c.Hosts[2], "/credit/7", "k5", 0, "x")
+	if again := post(t, c.Hosts[1], "/credit/7", "k5", 0, "x"); unnumbered.status != http.StatusOK || !again.saved {
+		t.Errorf("a call without numbers and its repeat: %+v, %+v", unnumbered, again)
+	}
+	if n := runsOf(c, "k3") + runsOf(c, "k4") + runsOf(c, "k5"); n != 2 {
+		t.Errorf("%d runs, want 2", n)
 	}
 }
