--- a/internal/request/entry/failure_test.go
+++ b/internal/request/entry/failure_test.go
@@ -234,3 +234,20 @@
 		t.Errorf("%d calls to the leaving node, %d to the other", a, b)
 	}
 }
+
+func TestLeavingEntryAsksItsCallersToReconnectElsewhere(t *testing.T) {
+	g := newRig(t, 1, func(_ *host, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	for _, leaving := range []bool{false, true} {
+		if leaving {
+			g.entry.Leave()
+		}
+		resp, err := http.Get(g.callers.URL + "/look")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.Close != leaving {
+			t.Errorf("leaving %v, the answer closes its connection: %v", leaving, resp.Close)
+		}
+	}
+}
--- a/internal/request/forward/header.go
+++ b/internal/request/forward/header.go
@@ -6,26 +6,35 @@
 	"strings"
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// ofConnection tells that a header belongs to one connection and is not
+// passed on.
+func ofConnection(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	default:
+		return false
+	}
 }
 
 // CopyHeader copies all but the headers of one connection, and those that the
-// Connection header names. The values are shared.
+// Connection header names. What dst has of its own connection stays. The
+// values are shared.
 func CopyHeader(dst, src http.Header) {
 	for k, v := range src {
-		dst[k] = v
+		if !ofConnection(k) {
+			dst[k] = v
+		}
 	}
 	for _, line := range src["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
-			delete(dst, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
+			if !ofConnection(name) {
+				delete(dst, name)
+			}
 		}
 	}
-	for _, k := range hopHeaders {
-		delete(dst, k)
-	}
 }
 
 // replayHeaders make net/http send a request again by itself when a reused
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -132,10 +132,22 @@
 // CallerBase is the URL of the host's caller listener.
 func (h *Host) CallerBase() string { return "http://" + h.Node.CallersAddress() }
 
-// Stop ends one node as SIGTERM does and waits for it.
+// Stop ends one node as SIGTERM does and waits for it; again is harmless.
 func (h *Host) Stop() error {
 	h.cancel()
-	return <-h.done
+	err := <-h.done
+	h.done <- err
+	return err
+}
+
+// Add starts one more host, like those of Start.
+func (c *Cluster) Add(ctx context.Context) (*Host, error) {
+	h, err := c.startHost(ctx, len(c.Hosts))
+	if err != nil {
+		return nil, err
+	}
+	c.Hosts = append(c.Hosts, h)
+	return h, nil
 }
 
 // Stop ends all nodes and the store.
