--- a/internal/standin/cluster/load_test.go
+++ b/internal/standin/cluster/load_test.go
@@ -88,6 +88,7 @@
 	path   string
 	status int
 	ran    string
+	code   string
 	// cut tells that there was no whole answer.
 	cut bool
 	// refused tells that the listener took no connection.
@@ -132,7 +133,8 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	inside, _ := strconv.ParseInt(resp.Header.Get(upstream.HeaderTook), 10, 64)
 	return ending{
-		path: path, status: resp.StatusCode, ran: resp.Header.Get("Daisytide-Run"), cut: err != nil,
+		path: path, status: resp.StatusCode, ran: resp.Header.Get("Daisytide-Run"),
+		code: resp.Header.Get("Daisytide-Code"), cut: err != nil,
 		took: time.Since(began), inside: time.Duration(inside),
 	}
 }
--- a/internal/standin/cluster/stop_test.go
+++ b/internal/standin/cluster/stop_test.go
@@ -120,6 +120,9 @@
 		if _, err := c.Add(ctx); err != nil {
 			t.Fatal(err)
 		}
+		if err := c.AwaitNumber(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
 		l.entries.set(urls(c.Hosts[i:], (*Host).CallerBase))
 		l.await(each)
 		if err := c.Hosts[i].Stop(); err != nil {
