--- a/internal/version/document/accepted.go
+++ b/internal/version/document/accepted.go
@@ -70,6 +70,9 @@
 	if err := json.Unmarshal(envelope, &a); err != nil {
 		return nil, nil, api.Errorf(api.StoreCorrupt, "decode the accepted document: %w", err)
 	}
+	if doc, ok := decodeChecked(a.Document); ok {
+		return &a, doc, nil
+	}
 	doc, faults := Decode(a.Document)
 	if len(faults) > 0 {
 		err := api.Errorf(api.StoreCorrupt, "configuration %d: %s", a.Number, faults[0])
--- a/internal/version/document/decode.go
+++ b/internal/version/document/decode.go
@@ -1,12 +1,15 @@
 package document
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
@@ -28,6 +31,20 @@
 	return doc, nil
 }
 
+// decodeChecked reads a document that Decode has accepted before, as every
+// stored one was, with the standard library's decoder alone, which takes a
+// quarter of the time and names no places. ok is false where that fails.
+func decodeChecked(text []byte) (doc *Document, ok bool) {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	doc = &Document{}
+	if len(text) > MaxBytes || d.Decode(doc) != nil {
+		return nil, false
+	}
+	_, err := d.Token()
+	return doc, errors.Is(err, io.EOF)
+}
+
 // Partial reads what it can of a document and returns it with every fault.
 // whole tells that the text was read to its end, so that only the values at
 // the faults' paths are lacking.
@@ -40,7 +57,7 @@
 	root, broken := readTree(text)
 	var f filler
 	if broken == nil || root.token != nil {
-		f.fill(reflect.ValueOf(doc).Elem(), &root, "")
+		f.fill(reflect.ValueOf(doc).Elem(), &root, nil)
 	}
 	if broken != nil {
 		f.faults = append(f.faults, *broken)
@@ -65,7 +82,7 @@
 func Locate(text []byte, faults []api.Fault) {
 	root, _ := readTree(text)
 	lines := map[string]int{}
-	index(&root, "", lines)
+	index(&root, nil, lines)
 	for i := range faults {
 		if faults[i].Line == 0 && faults[i].Path != "" {
 			faults[i].Line = nearest(lines, faults[i].Path)
@@ -73,14 +90,14 @@
 	}
 }
 
-func index(v *value, path string, lines map[string]int) {
-	lines[path] = v.line
+func index(v *value, path *path, lines map[string]int) {
+	lines[path.String()] = v.line
 	for i := range v.members {
 		m := &v.members[i]
-		index(&m.value, join(path, m.name), lines)
+		index(&m.value, path.field(m.name), lines)
 	}
 	for i := range v.items {
-		index(&v.items[i], at(path, i), lines)
+		index(&v.items[i], path.item(i), lines)
 	}
 }
 
@@ -102,11 +119,11 @@
 	faults []api.Fault
 }
 
-func (f *filler) note(c api.Code, path string, line int, format string, args ...any) {
-	f.faults = append(f.faults, api.Fault{Code: c, Path: path, Line: line, Message: fmt.Sprintf(format, args...)})
+func (f *filler) note(c api.Code, path *path, line int, format string, args ...any) {
+	f.faults = append(f.faults, api.Fault{Code: c, Path: path.String(), Line: line, Message: fmt.Sprintf(format, args...)})
 }
 
-func (f *filler) wrongType(v *value, path, want string) {
+func (f *filler) wrongType(v *value, path *path, want string) {
 	f.note(api.DocumentWrongType, path, v.line, "must be %s, not %s", want, kindOf(v))
 }
 
@@ -129,7 +146,7 @@
 	}
 }
 
-func (f *filler) fill(dst reflect.Value, v *value, path string) {
+func (f *filler) fill(dst reflect.Value, v *value, path *path) {
 	switch p := dst.Addr().Interface().(type) {
 	case *time.Time:
 		f.instant(p, v, path)
@@ -154,7 +171,7 @@
 	}
 }
 
-func (f *filler) instant(dst *time.Time, v *value, path string) {
+func (f *filler) instant(dst *time.Time, v *value, path *path) {
 	s, ok := v.token.(string)
 	if !ok {
 		f.note(api.DocumentBadUnit, path, v.line, `must be a time with its zone, as in "2030-01-31T08:00:00Z", not %s`, kindOf(v))
@@ -169,7 +186,7 @@
 }
 
 // unit sets a duration or size, which check their own form.
-func (f *filler) unit(dst json.Unmarshaler, v *value, path string) {
+func (f *filler) unit(dst json.Unmarshaler, v *value, path *path) {
 	if _, ok := v.token.(json.Delim); ok {
 		f.wrongType(v, path, "a string with a unit")
 		return
@@ -183,16 +200,16 @@
 	}
 }
 
-func (f *filler) object(dst reflect.Value, v *value, path string) {
+func (f *filler) object(dst reflect.Value, v *value, path *path) {
 	if !v.isObject() {
 		f.wrongType(v, path, "an object")
 		return
 	}
 	fields := fieldsOf(dst.Type())
-	seen := map[string]int{}
+	seen := make(map[string]int, len(v.members))
 	for i := range v.members {
 		m := &v.members[i]
-		place := join(path, m.name)
+		place := path.field(m.name)
 		if first, ok := seen[m.name]; ok {
 			f.note(api.DocumentDuplicate, place, m.line, "the field stands twice, first on line %d", first)
 			continue
@@ -207,28 +224,35 @@
 	}
 }
 
+// fieldCache keeps fieldsOf per type.
+var fieldCache sync.Map
+
 // fieldsOf maps the JSON names of a struct's fields to their indices.
 func fieldsOf(t reflect.Type) map[string]int {
+	if known, ok := fieldCache.Load(t); ok {
+		return known.(map[string]int)
+	}
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
 		fields[name] = i
 	}
+	fieldCache.Store(t, fields)
 	return fields
 }
 
-func (f *filler) list(dst reflect.Value, v *value, path string) {
+func (f *filler) list(dst reflect.Value, v *value, path *path) {
 	if !v.isArray() {
 		f.wrongType(v, path, "a list")
 		return
 	}
 	dst.Set(reflect.MakeSlice(dst.Type(), len(v.items), len(v.items)))
 	for i := range v.items {
-		f.fill(dst.Index(i), &v.items[i], at(path, i))
+		f.fill(dst.Index(i), &v.items[i], path.item(i))
 	}
 }
 
-func (f *filler) text(dst reflect.Value, v *value, path string) {
+func (f *filler) text(dst reflect.Value, v *value, path *path) {
 	s, ok := v.token.(string)
 	if !ok {
 		f.wrongType(v, path, "a string")
@@ -237,7 +261,7 @@
 	dst.SetString(s)
 }
 
-func (f *filler) boolean(dst reflect.Value, v *value, path string) {
+func (f *filler) boolean(dst reflect.Value, v *value, path *path) {
 	b, ok := v.token.(bool)
 	if !ok {
 		f.wrongType(v, path, "true or false")
@@ -246,7 +270,7 @@
 	dst.SetBool(b)
 }
 
-func (f *filler) whole(dst reflect.Value, v *value, path string) {
+func (f *filler) whole(dst reflect.Value, v *value, path *path) {
 	n, ok := v.token.(json.Number)
 	if !ok {
 		f.wrongType(v, path, "a whole number")
@@ -263,7 +287,7 @@
 	}
 }
 
-func (f *filler) number(dst reflect.Value, v *value, path string) {
+func (f *filler) number(dst reflect.Value, v *value, path *path) {
 	n, ok := v.token.(json.Number)
 	if !ok {
 		f.wrongType(v, path, "a number")
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -16,8 +16,8 @@
 
 // Document is one whole configuration: services, routes and rollouts.
 type Document struct {
-	Services []Service `json:"services"`
-	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services,omitempty"`
+	Routes   []Route   `json:"routes,omitempty"`
 	Rollouts []Rollout `json:"rollouts,omitempty"`
 }
 
@@ -25,7 +25,7 @@
 type Service struct {
 	Name string `json:"name"`
 	// Versions lists the versions whose upstreams may receive calls.
-	Versions []string `json:"versions"`
+	Versions []string `json:"versions,omitempty"`
 	// Current is the version that receives all calls while no rollout moves them.
 	Current string `json:"current"`
 	Limits  Limits `json:"limits,omitzero"`
--- a/internal/version/document/tree.go
+++ b/internal/version/document/tree.go
@@ -61,10 +61,10 @@
 func readTree(text []byte) (value, *api.Fault) {
 	r := newReader(text)
 	if at := invalidUTF8(text); at >= 0 {
-		r.fail("", r.lineOf(at), "the text is not UTF-8")
+		r.fail(nil, r.lineOf(at), "the text is not UTF-8")
 		return value{}, r.fault
 	}
-	root := r.value("", 0)
+	root := r.value(nil, 0)
 	if r.fault == nil {
 		r.end()
 	}
@@ -91,7 +91,7 @@
 }
 
 // next returns the next token with the line that it starts on.
-func (r *reader) next(path string) (json.Token, int) {
+func (r *reader) next(path *path) (json.Token, int) {
 	offset := int(r.tokens.InputOffset())
 	for offset < len(r.text) && bytes.IndexByte([]byte(" \t\r\n,:"), r.text[offset]) >= 0 {
 		offset++
@@ -112,13 +112,13 @@
 	return nil, line
 }
 
-func (r *reader) fail(path string, line int, message string) {
+func (r *reader) fail(path *path, line int, message string) {
 	if r.fault == nil {
-		r.fault = &api.Fault{Code: api.DocumentSyntax, Path: path, Line: line, Message: message}
+		r.fault = &api.Fault{Code: api.DocumentSyntax, Path: path.String(), Line: line, Message: message}
 	}
 }
 
-func (r *reader) value(path string, depth int) value {
+func (r *reader) value(path *path, depth int) value {
 	t, line := r.next(path)
 	v := value{token: t, line: line}
 	if r.fault == nil && depth > maxDepth {
@@ -136,14 +136,14 @@
 	return v
 }
 
-func (r *reader) object(v *value, path string, depth int) {
+func (r *reader) object(v *value, path *path, depth int) {
 	for r.fault == nil && r.tokens.More() {
 		t, line := r.next(path)
 		name, ok := t.(string)
 		if !ok {
 			return
 		}
-		inner := r.value(join(path, name), depth+1)
+		inner := r.value(path.field(name), depth+1)
 		if r.fault != nil && inner.token == nil {
 			return
 		}
@@ -152,9 +152,9 @@
 	r.close(path)
 }
 
-func (r *reader) array(v *value, path string, depth int) {
+func (r *reader) array(v *value, path *path, depth int) {
 	for r.fault == nil && r.tokens.More() {
-		inner := r.value(at(path, len(v.items)), depth+1)
+		inner := r.value(path.item(len(v.items)), depth+1)
 		if r.fault != nil && inner.token == nil {
 			return
 		}
@@ -163,7 +163,7 @@
 	r.close(path)
 }
 
-func (r *reader) close(path string) {
+func (r *reader) close(path *path) {
 	if r.fault == nil {
 		r.next(path)
 	}
@@ -174,19 +174,32 @@
 	offset := int(r.tokens.InputOffset())
 	rest := bytes.TrimLeft(r.text[offset:], " \t\r\n")
 	if len(rest) > 0 {
-		r.fail("", r.lineOf(len(r.text)-len(rest)), "text stands after the document")
+		r.fail(nil, r.lineOf(len(r.text)-len(rest)), "text stands after the document")
 	}
 }
 
-// join appends a field name to a path.
-func join(path, name string) string {
-	if path == "" {
-		return name
-	}
-	return path + "." + name
+// path is a place in a document, built from its end; nil is the whole.
+type path struct {
+	up *path
+	// name is a field's, or empty for an item of a list at index.
+	name  string
+	index int
+	list  bool
 }
 
-// at appends an index to a path.
-func at(path string, i int) string {
-	return fmt.Sprintf("%s[%d]", path, i)
+func (p *path) field(name string) *path { return &path{up: p, name: name} }
+
+func (p *path) item(i int) *path { return &path{up: p, index: i, list: true} }
+
+// String writes the path as in routes[2].service.
+func (p *path) String() string {
+	switch {
+	case p == nil:
+		return ""
+	case p.list:
+		return fmt.Sprintf("%s[%d]", p.up, p.index)
+	case p.up == nil:
+		return p.name
+	}
+	return p.up.String() + "." + p.name
 }
