Check every page of the console for its structure

No browser is installed here, so a test reads each page, with and without faults: well-formed, one main and heading, every field labelled, every description present, no script.

--- /dev/null
+++ b/internal/process/operator/console/structure_test.go
@@ -0,0 +1,154 @@
+package console_test
+
+import (
+	"encoding/xml"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+// structure reads a page and notes what a reader with a screen reader or a
+// keyboard would miss.
+func structure(page string) []string {
+	d := xml.NewDecoder(strings.NewReader(page))
+	d.Strict = false
+	d.AutoClose = xml.HTMLAutoClose
+	d.Entity = xml.HTMLEntity
+	var found []string
+	ids, labels, described := map[string]int{}, map[string]bool{}, []string{}
+	var fields []string
+	counts := map[string]int{}
+	var open []string
+	for {
+		t, err := d.RawToken()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return append(found, err.Error())
+		}
+		switch t := t.(type) {
+		case xml.StartElement:
+			a := map[string]string{}
+			for _, attr := range t.Attr {
+				a[attr.Name.Local] = attr.Value
+			}
+			name := t.Name.Local
+			counts[name]++
+			if id := a["id"]; id != "" {
+				ids[id]++
+			}
+			switch {
+			case name == "label":
+				labels[a["for"]] = true
+			case name == "select", name == "input" && a["type"] != "hidden":
+				fields = append(fields, a["id"])
+			case name == "th" && a["scope"] == "":
+				found = append(found, "a heading of a table without scope")
+			case name == "html" && a["lang"] == "":
+				found = append(found, "no language")
+			case name == "script", a["onclick"] != "", a["src"] != "":
+				found = append(found, "a script or something loaded")
+			}
+			if a["aria-describedby"] != "" {
+				described = append(described, a["aria-describedby"])
+			}
+			if !void(name) {
+				open = append(open, name)
+			}
+		case xml.EndElement:
+			if len(open) == 0 || open[len(open)-1] != t.Name.Local {
+				return append(found, "wrong end of "+t.Name.Local)
+			}
+			open = open[:len(open)-1]
+		}
+	}
+	for id, n := range ids {
+		if n > 1 {
+			found = append(found, "two elements with the id "+id)
+		}
+	}
+	for _, id := range described {
+		if ids[id] == 0 {
+			found = append(found, "nothing describes as "+id)
+		}
+	}
+	for _, id := range fields {
+		if id == "" || !labels[id] {
+			found = append(found, "a field without a label: "+id)
+		}
+	}
+	for _, one := range []string{"html", "title", "main", "h1"} {
+		if counts[one] != 1 {
+			found = append(found, "not one "+one)
+		}
+	}
+	if len(open) > 0 {
+		found = append(found, "left open: "+strings.Join(open, " "))
+	}
+	return found
+}
+
+// void tells whether an element has no end.
+func void(name string) bool {
+	return name == "input" || name == "meta" || name == "br"
+}
+
+func TestEveryPageIsWellFormedAndLabelled(t *testing.T) {
+	node, server := serve(t)
+	pages := map[string]string{}
+	b := open(t, server.URL)
+	keep := func(name string) { pages[name] = b.page }
+	b.get(pathSignIn)
+	keep("sign-in")
+	b = signIn(t, server.URL, "ann")
+	keep("empty overview")
+	b.get(pathSession)
+	b.press("add-services")
+	keep("empty item")
+	b.press(doSave, "name", "Bad <Name>", "versions", "v 1", "current", "v1", "limits.slots", "ten")
+	keep("item with faults")
+	b.press("lists")
+	b.press("add-routes")
+	b.press(doSave, "name", "Bad")
+	b.press("lists")
+	b.press("add-rollouts")
+	b.press("lists")
+	keep("session with faults")
+	b.press(doReview)
+	keep("refused review")
+	other := signIn(t, server.URL, "ben")
+	other.get(pathSession)
+	other.addService("one")
+	b.get(pathSession)
+	b.addService("two")
+	b.press(doReview)
+	keep("review")
+	node.lost = 1
+	b.press(doApply)
+	keep("unknown")
+	b.press(doApply)
+	node.moves = []api.Rollout{{Service: "two", State: "moving", Why: "a < b & c"}}
+	b.get(pathFollow + "?number=1")
+	keep("follow")
+	b.get("/console")
+	keep("overview")
+	b.get(pathHosts)
+	keep("hosts")
+	b.get(pathAudit)
+	keep("audit")
+	b.get("/console/lacking")
+	keep("refusal")
+	other.press(doReview)
+	other.want(http.StatusConflict, pathSession)
+	pages["conflict"] = other.page
+	for name, page := range pages {
+		if found := structure(page); len(found) > 0 {
+			t.Errorf("%s: %q", name, found)
+		}
+	}
+}
