Measure what killed and returning hosts cost

Change: after the other phases the measurement kills one process and a whole data centre, waits until all others have dropped them, and brings them back.

--- a/internal/standin/capacity/fleet.go
+++ b/internal/standin/capacity/fleet.go
@@ -97,19 +97,11 @@
 
 func (f *fleet) startHost(ctx context.Context, i, n int) error {
 	h := &host{index: i}
-	path := filepath.Join(f.dir, fmt.Sprintf("host-%d.ini", i))
-	if err := os.WriteFile(path, []byte(f.settings(h, n)), 0o600); err != nil {
+	if err := os.WriteFile(f.file(h, "ini"), []byte(f.settings(h, n)), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
-	log, err := os.Create(filepath.Join(f.dir, fmt.Sprintf("host-%d.log", i)))
-	if err != nil {
-		return fmt.Errorf("open the log: %w", err)
-	}
-	defer log.Close()
-	h.cmd = exec.CommandContext(ctx, f.binary, "--settings", path)
-	h.cmd.Stderr = log
-	if err := h.cmd.Start(); err != nil {
-		return fmt.Errorf("start a node: %w", err)
+	if err := f.startProcess(ctx, h); err != nil {
+		return err
 	}
 	h.operator = &client.Client{
 		Base:     "http://" + h.address(portOperators),
@@ -128,6 +120,26 @@
 	return h.upstream.Start(h.address(portUpstream))
 }
 
+// file names a file of a host in the fleet's folder.
+func (f *fleet) file(h *host, ending string) string {
+	return filepath.Join(f.dir, fmt.Sprintf("host-%d.%s", h.index, ending))
+}
+
+// startProcess starts the daisytided of a host.
+func (f *fleet) startProcess(ctx context.Context, h *host) error {
+	log, err := os.OpenFile(f.file(h, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("open the log: %w", err)
+	}
+	defer log.Close()
+	h.cmd = exec.CommandContext(ctx, f.binary, "--settings", f.file(h, "ini"))
+	h.cmd.Stderr = log
+	if err := h.cmd.Start(); err != nil {
+		return fmt.Errorf("start a node: %w", err)
+	}
+	return nil
+}
+
 func (f *fleet) settings(h *host, n int) string {
 	dc := h.index % dataCentres
 	var seeds []string
--- a/internal/standin/capacity/phases.go
+++ b/internal/standin/capacity/phases.go
@@ -38,6 +38,7 @@
 	// CallCount and CallsFailed are of the phase of calls.
 	CallCount   uint64
 	CallsFailed uint64
+	Faults      Faults
 }
 
 // measure runs all phases on a fleet of n processes.
@@ -79,6 +80,11 @@
 		fmt.Fprintf(out, "%d nodes, %s: %.2f%% of a core, %.0f B/s, %.1f MB, %.2f store calls/s\n",
 			n, p.name, p.into.ProcessorShare, p.into.BytesPerSecond, p.into.ResidentMB, p.into.StoreCalls)
 	}
+	m.Faults, err = f.faults(ctx)
+	if err != nil {
+		return m, fmt.Errorf("faults: %w", err)
+	}
+	fmt.Fprintf(out, "%d nodes, faults: %+v\n", n, m.Faults)
 	return m, nil
 }
 
--- a/internal/standin/capacity/run.go
+++ b/internal/standin/capacity/run.go
@@ -52,6 +52,7 @@
 	}
 	slopes := fitAll(all)
 	printMeasured(o.Tables, all)
+	printFaults(o.Tables, all)
 	printSlopes(o.Tables, slopes, b)
 	printBench(o.Tables, b.Results)
 	printRows(o.Tables, slopes.rows(b))
--- a/internal/standin/capacity/sample.go
+++ b/internal/standin/capacity/sample.go
@@ -58,14 +58,20 @@
 		if err != nil {
 			return s, err
 		}
-		s.controlBytes += float64(v.Daisytide.LinkSent + v.Daisytide.LinkReceived + v.Daisytide.Questions)
-		s.controlBytes += 2 * frameOverheadBytes * float64(v.Daisytide.Messages)
+		s.controlBytes += v.controlBytes()
 		s.heapMB += float64(v.Memory.HeapAlloc) / 1e6 / n
 		s.links += float64(v.Daisytide.Links) / n
 	}
 	return s, nil
 }
 
+// controlBytes are those of links and questions, with the headers of as many
+// messages received as were sent.
+func (v vars) controlBytes() float64 {
+	payload := float64(v.Daisytide.LinkSent + v.Daisytide.LinkReceived + v.Daisytide.Questions)
+	return payload + 2*frameOverheadBytes*float64(v.Daisytide.Messages)
+}
+
 // processorTicks reads the user and system time of a process.
 func processorTicks(pid int) (uint64, error) {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/internal/standin/capacity/tables.go
+++ b/internal/standin/capacity/tables.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// printFaults writes what failures and returns of hosts cost.
+func printFaults(w io.Writer, all []Measured) {
+	fmt.Fprintln(w, "\n| nodes | one killed, dropped by all after s | replaced, in force after s | bytes of the joiner | data centre killed, dropped after s | its return, in force after s | store calls meanwhile |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
+	for _, m := range all {
+		f := m.Faults
+		fmt.Fprintf(w, "| %d | %.1f | %.1f | %.0f | %.1f | %.1f | %.0f |\n", m.Nodes,
+			f.GoneSeconds, f.JoinSeconds, f.JoinBytes, f.CentreGoneSeconds, f.HerdSeconds, f.HerdStoreCalls)
+	}
+}
+
 // printRows writes the closing table.
 func printRows(w io.Writer, rows []Row) {
 	fmt.Fprintln(w, "\n| target | bound | worked out | with spread | room | measured by |")
