Judge a new version by sequential tests with the old one as control

Cause: the first rule believed a sum over its threshold after three runs of the old version, and a gate's word without any. Played moves showed good versions taken back in general slowdowns and when both versions failed.

Change: CUSUM of two alternatives per route for failures and slow runs; proof needs the old version's runs beside the bad ones to show that it is as good as before, else the new version is cleared or the move waits at a lowered share. Failures are reported and looked at as they come. A faint doubt delays a step but not past the deadline.

--- /dev/null
+++ b/internal/process/rollouts/fleet_test.go
@@ -0,0 +1,325 @@
+package rollouts
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+	"github.com/daisytide/daisytide/internal/version/verdict"
+)
+
+const service = "status-desk"
+
+// moveLength is the time from start to deadline in these tests.
+const moveLength = 2 * time.Minute
+
+// fleet is a few managers that reach each other through fakes.
+type fleet struct {
+	t       *testing.T
+	store   *store.Store
+	members *member.Table
+	nodes   []*fakeNode
+	holder  *snapshot.Holder
+	doc     *document.Document
+	// answers gives the result of a call to a version.
+	answers func(version string) call.Result
+	// ran counts the calls that upstreams ran, by version.
+	ran map[string]int
+
+	mu    sync.Mutex
+	audit []api.AuditEntry
+	bytes int
+}
+
+// fakeNode is one manager with what it runs on.
+type fakeNode struct {
+	*Manager
+	fleet  *fleet
+	record member.Record
+	dead   bool
+	stop   context.CancelFunc
+}
+
+var errDead = errors.New("the node is dead")
+
+// Publish implements spread.Publisher: every live node hears it.
+func (n *fakeNode) Publish(_ string, item []byte) {
+	for _, o := range n.fleet.nodes {
+		if o != n && !o.dead && !n.dead {
+			if _, err := o.Merge(item); err != nil {
+				n.fleet.t.Error(err)
+			}
+		}
+	}
+}
+
+// Call implements rpc.Caller over the wire's encoding.
+func (n *fakeNode) Call(ctx context.Context, address, method string, in, out any) error {
+	to := n.fleet.node(address)
+	if to == nil || to.dead || n.dead {
+		return errDead
+	}
+	body, err := wire.Marshal(in)
+	if err != nil {
+		return err
+	}
+	n.fleet.mu.Lock()
+	n.fleet.bytes += len(body)
+	n.fleet.mu.Unlock()
+	var answer any
+	switch method {
+	case ReportMethod:
+		var r verdict.Report
+		if err := wire.Unmarshal(body, &r); err != nil {
+			return err
+		}
+		answer, err = to.HandleReport(ctx, r)
+	case EvidenceMethod:
+		var q EvidenceQuestion
+		if err := wire.Unmarshal(body, &q); err != nil {
+			return err
+		}
+		answer, err = to.HandleEvidence(ctx, q)
+	}
+	if err != nil {
+		return err
+	}
+	if body, err = wire.Marshal(answer); err != nil {
+		return err
+	}
+	return wire.Unmarshal(body, out)
+}
+
+// Record implements audit.Recorder.
+func (f *fleet) Record(e api.AuditEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.audit = append(f.audit, e)
+}
+
+func (f *fleet) audited(action string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.audit {
+		if e.Action == action {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) node(address string) *fakeNode {
+	for _, n := range f.nodes {
+		if n.record.Address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+// newFleet starts n nodes of each version.
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{
+		t: t, store: store.New(1), members: member.NewTable(), holder: &snapshot.Holder{}, ran: map[string]int{},
+		answers: func(string) call.Result {
+			return call.Result{Code: api.OK, Ran: api.RanYes, Status: http.StatusOK}
+		},
+	}
+	for i := range 2 * n {
+		f.addNode(i, []string{"v1", "v2"}[i%2])
+	}
+	f.apply()
+	f.start()
+	return f
+}
+
+func (f *fleet) addNode(i int, version string) {
+	n := &fakeNode{fleet: f, record: member.Record{
+		Address: fmt.Sprintf("10.0.0.%d:7001", i), DataCentre: "dc-0", Incarnation: 1, State: member.Alive,
+		Service: service, Version: version, Upstream: api.UpstreamReady, Slots: 10,
+	}}
+	f.members.Merge(n.record)
+	f.nodes = append(f.nodes, n)
+	f.renew(n)
+}
+
+// renew gives a node a manager without memory, as after a restart.
+func (f *fleet) renew(n *fakeNode) {
+	n.dead = false
+	n.Manager = NewManager(Config{
+		Self:    func() member.Record { return n.record },
+		Members: f.members, Holder: f.holder, Peers: n, Store: f.store, Audit: f, Publisher: n,
+	})
+}
+
+// start runs every manager until the test ends.
+func (f *fleet) start() {
+	for _, n := range f.nodes {
+		ctx, cancel := context.WithCancel(f.t.Context())
+		n.stop = cancel
+		go func() { _ = n.Run(ctx) }()
+	}
+}
+
+// stop ends every manager.
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+}
+
+func (f *fleet) kill(n *fakeNode) {
+	n.dead = true
+	n.stop()
+	n.record.State = member.Gone
+	f.members.Merge(n.record)
+}
+
+// apply puts a document with the rollouts in force on every node.
+func (f *fleet) apply(rollouts ...document.Rollout) {
+	doc := &document.Document{
+		Services: []document.Service{{Name: service, Versions: []string{"v1", "v2", "v3"}, Current: "v1"}},
+		Routes: []document.Route{{
+			Name: "status", Match: document.Match{Prefix: "/status"}, Service: service, Idempotent: true,
+			TimeLimit: document.Duration(2 * time.Second), Caller: document.Buyer,
+		}},
+		Rollouts: rollouts,
+	}
+	text, err := json.Marshal(doc)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var prev *document.Accepted
+	if s := f.holder.Current(); s != nil {
+		prev = s.Accepted
+	}
+	envelope, err := document.Next(prev, f.doc, text, doc, "session", "asha", time.Now()).Envelope()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s, err := snapshot.Build(envelope)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.doc = doc
+	f.holder.Offer(s)
+	for _, n := range f.nodes {
+		n.ConfigChanged(s)
+	}
+}
+
+// moveTo is a rollout that starts in ten seconds.
+func moveTo(version string) document.Rollout {
+	start := time.Now().Add(10 * time.Second)
+	return document.Rollout{
+		Service: service, From: "v1", To: version, Start: start, Deadline: start.Add(moveLength), FirstShare: 5,
+	}
+}
+
+// callsPerSecond is the load of these tests.
+const callsPerSecond = 100
+
+// load sends calls for a time, as entries would: every node is an entry.
+func (f *fleet) load(d time.Duration) {
+	for i := range int(d.Seconds() * callsPerSecond) {
+		f.call(f.nodes[i%len(f.nodes)], i)
+		time.Sleep(time.Second / callsPerSecond)
+	}
+}
+
+func (f *fleet) call(entry *fakeNode, i int) {
+	if entry.dead {
+		return
+	}
+	s := f.holder.Current()
+	for range 2 {
+		u := float64(i*7919%callsPerSecond) / callsPerSecond
+		version := entry.Version(s, service, u)
+		res := f.atGate(i, version)
+		if res.Code != api.CallWithdrawn {
+			return
+		}
+		entry.Refused(s, service, version)
+	}
+}
+
+// atGate runs a call at the gate of a node of a version.
+func (f *fleet) atGate(i int, version string) call.Result {
+	for k := range f.nodes {
+		n := f.nodes[(i+k)%len(f.nodes)]
+		if n.dead || n.record.Version != version {
+			continue
+		}
+		handler := n.Gate(func(context.Context, http.ResponseWriter, *http.Request, *call.Call) call.Result {
+			f.ran[version]++
+			return f.answers(version)
+		})
+		c := &call.Call{Service: service, Version: version, Route: "status"}
+		return handler(f.t.Context(), httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/status", nil), c)
+	}
+	return call.Refuse(api.CallNoUpstream, nil)
+}
+
+// fail makes a version fail every call.
+func (f *fleet) fail(bad string) {
+	f.answers = func(version string) call.Result {
+		if version == bad {
+			return call.Result{Code: api.OK, Ran: api.RanYes, Status: http.StatusInternalServerError}
+		}
+		return call.Result{Code: api.OK, Ran: api.RanYes, Status: http.StatusOK}
+	}
+}
+
+// row is the move as a node shows it to operators.
+func (n *fakeNode) row() api.Rollout {
+	rows := n.Rollouts(context.Background()).Rollouts
+	if len(rows) == 0 {
+		return api.Rollout{}
+	}
+	return rows[0]
+}
+
+// everywhere checks the move's state on every live node.
+func (f *fleet) everywhere(state string) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		if n.dead {
+			continue
+		}
+		if r := n.row(); r.State != state {
+			f.t.Errorf("%s: %s at %g%%, step %d: %s; want %s", n.record.Address, r.State, r.Share, r.Step, r.Why, state)
+		}
+	}
+}
+
+// ends reads the records in the store.
+func (f *fleet) ends() []End {
+	f.t.Helper()
+	entries, err := f.store.List(context.Background(), "daisytide/moves/")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var out []End
+	for _, e := range entries {
+		var end End
+		if err := json.Unmarshal(e.Value, &end); err != nil {
+			f.t.Fatal(err)
+		}
+		out = append(out, end)
+	}
+	return out
+}
--- a/internal/process/rollouts/gate.go
+++ b/internal/process/rollouts/gate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
@@ -23,6 +24,9 @@
 	// born sets the counts apart from those of an earlier counter.
 	born uint64
 
+	// failures is the number of failures last reported.
+	failures atomic.Uint64
+
 	mu sync.Mutex
 	// reported is when the judges were last told.
 	reported time.Time
--- a/internal/process/rollouts/report.go
+++ b/internal/process/rollouts/report.go
@@ -85,8 +85,9 @@
 	if c == nil {
 		return
 	}
-	plain := c.recorder.Scan(now)
-	if !c.due(plain, now) {
+	plain, route := c.recorder.Scan(now)
+	failed := c.newFailures()
+	if !c.due(plain, now) && !failed {
 		return
 	}
 	if plain != "" && c.alone(now) {
@@ -95,7 +96,7 @@
 	self := m.cfg.Self().Address
 	r := verdict.Report{
 		Service: c.key.Service, Since: c.key.Since, Writer: self, Incarnation: c.born,
-		Version: c.version, Routes: c.recorder.Counts(), Plain: plain,
+		Version: c.version, Routes: c.recorder.Counts(), Plain: plain, PlainRoute: route,
 	}
 	for _, address := range m.judges(c.key, now) {
 		if address == self {
@@ -130,6 +131,13 @@
 	return true
 }
 
+// newFailures tells whether calls have failed since it was last asked; those
+// are reported at once.
+func (c *counter) newFailures() bool {
+	n := c.recorder.Failures()
+	return c.failures.Swap(n) != n
+}
+
 // alone tells whether no judge has answered since the upstream failed plainly.
 func (c *counter) alone(now time.Time) bool {
 	c.mu.Lock()
--- a/internal/version/rollout/next.go
+++ b/internal/version/rollout/next.go
@@ -12,6 +12,9 @@
 	// Doubt says what speaks against the new version without proof yet; it
 	// holds the next step.
 	Doubt string
+	// Grave tells that the doubt is close to proof: it keeps the move from
+	// being completed even when its time is up.
+	Grave bool
 	// Enough tells that the evidence of this step is in.
 	Enough bool
 	// Evidence is a short account of the calls seen at this step.
@@ -58,7 +61,7 @@
 	switch {
 	case s.Step.Number == 0:
 		return advance(p, s, f, now), true
-	case f.Doubt != "":
+	case f.Doubt != "" && (f.Grave || now.Before(p.latest(s.Step.Number))):
 		return expire(p, s, f, now)
 	case !f.Enough && now.Before(p.patienceEnd(s)):
 		return s, false
@@ -130,7 +133,7 @@
 // expire takes a move back whose deadline passes while evidence stands
 // against it: it can be neither completed nor left half moved.
 func expire(p Plan, s State, f Findings, now time.Time) (State, bool) {
-	if now.Before(p.Rollout.Deadline) || f.Old == 0 {
+	if now.Before(p.Rollout.Deadline) || f.Old == 0 || !f.Grave {
 		return s, false
 	}
 	s.Withdrawn = &Mark{AtMillis: now.UnixMilli(), Why: "the deadline passed in doubt: " + f.Doubt}
--- a/internal/version/verdict/counts.go
+++ b/internal/version/verdict/counts.go
@@ -119,6 +119,8 @@
 	// Plain says what the gate has seen fail beyond doubt; empty where
 	// nothing has.
 	Plain string `cbor:"7,keyasint,omitempty"`
+	// PlainRoute is the route that Plain speaks of.
+	PlainRoute string `cbor:"8,keyasint,omitempty"`
 }
 
 // Edge is the duration of one route above which a run counts as slow.
--- a/internal/version/verdict/recorder.go
+++ b/internal/version/verdict/recorder.go
@@ -1,8 +1,9 @@
 package verdict
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 )
@@ -56,7 +57,9 @@
 type Recorder struct {
 	mu     sync.RWMutex
 	routes map[string]*routeRecorder
-	ready  time.Time
+	// list holds the routes by name; it is replaced, never changed.
+	list  []*routeRecorder
+	ready time.Time
 }
 
 type routeRecorder struct {
@@ -91,6 +94,8 @@
 	if rr = r.routes[name]; rr == nil {
 		rr = &routeRecorder{name: name}
 		r.routes[name] = rr
+		r.list = append(slices.Clone(r.list), rr)
+		slices.SortFunc(r.list, func(a, b *routeRecorder) int { return cmp.Compare(a.name, b.name) })
 	}
 	return rr
 }
@@ -163,14 +168,15 @@
 }
 
 // Scan counts calls that are in progress for too long as slow runs, each
-// once, and returns what is plain on this upstream; empty where nothing is.
-func (r *Recorder) Scan(now time.Time) string {
+// once, and returns what is plain on this upstream and on which route; empty
+// where nothing is.
+func (r *Recorder) Scan(now time.Time) (plain, route string) {
 	for _, rr := range r.sorted() {
-		if plain := rr.scan(now); plain != "" {
-			return plain
+		if p := rr.scan(now); p != "" {
+			plain, route = p, rr.name
 		}
 	}
-	return ""
+	return plain, route
 }
 
 func (rr *routeRecorder) scan(now time.Time) string {
@@ -204,6 +210,17 @@
 	return ""
 }
 
+// Failures returns the number of failures on all routes.
+func (r *Recorder) Failures() uint64 {
+	var n uint64
+	for _, rr := range r.sorted() {
+		rr.mu.Lock()
+		n += rr.counts.Failures
+		rr.mu.Unlock()
+	}
+	return n
+}
+
 // Plain tells, cheaply enough for every call, whether a route has failed so
 // often in a row that nothing more should be sent.
 func (r *Recorder) Plain(route string) bool {
@@ -233,13 +250,9 @@
 	return out
 }
 
+// sorted returns the routes by name.
 func (r *Recorder) sorted() []*routeRecorder {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	out := make([]*routeRecorder, 0, len(r.routes))
-	for _, rr := range r.routes {
-		out = append(out, rr)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
-	return out
+	return r.list
 }
--- a/internal/version/verdict/rule.go
+++ b/internal/version/verdict/rule.go
@@ -20,12 +20,27 @@
 
 // Sample is what one slot of time has shown for one test of one route.
 type Sample struct {
-	// New and Old are the runs of the slot; Old takes in its neighbours too,
-	// since reports of different gates arrive up to a slot apart.
+	// New are the new version's runs of the slot. Old are the old version's of
+	// the slot before, the slot and the one after, since reports of different
+	// gates arrive up to a slot apart.
 	New Tally
-	Old Tally
+	Old [oldOverlap]Tally
 	// Base is the old version's record before, older runs weighing less.
 	Base Tally
+	// Prior is the rate of bad runs to expect while little is known.
+	Prior float64
+	// Recent is the number of the new version's runs of late. The more there
+	// are, the more often chance alone brings a suspicion about.
+	Recent float64
+}
+
+// beside returns the old version's runs around the slot.
+func (s Sample) beside() Tally {
+	var all Tally
+	for _, o := range s.Old {
+		all.add(o)
+	}
+	return all
 }
 
 // Rule decides on one test (failures or slow runs) of one route from a row of
@@ -34,21 +49,25 @@
 	// Step takes the next sample and returns the score: 1 and above is proof
 	// against the new version, above doubtScore is doubt.
 	Step(s Sample) float64
+	// Peek returns the score that s would give, and leaves the rule as it is.
+	Peek(s Sample) float64
 }
 
 // NewRule makes the rule of one test.
 type NewRule func() Rule
 
-// doubtScore is the score that holds the next step.
-const doubtScore = 0.5
+// Scores below proof: doubtScore holds the next step, graveScore keeps a move
+// from being completed.
+const (
+	doubtScore = 0.5
+	graveScore = 0.8
+)
 
-// Prior of a route's rate of bad runs while little is known, and its weight
-// in runs.
+// Weights in runs of what a rate is drawn towards: the prior rate for the
+// base, the base for one slot.
 const (
-	priorRate   = 0.005
 	priorWeight = 50
 	slotWeight  = 20
-	burstWeight = 3
 )
 
 // Alternatives that are tested against the old version's rate.
@@ -64,44 +83,64 @@
 	maxRate     = 0.95
 )
 
-// minControl is the number of runs of the old version that must stand beside
-// a suspicion before it is proof.
-const minControl = 3
+// Weight of evidence, as a log-likelihood ratio, that the old version is as
+// good as ever beside a suspicion, and that it is as bad.
+const (
+	controlProof = 7
+	controlAgain = -3
+)
 
 // Cusum adds up, slot by slot, the log-likelihood ratio of the new version's
 // runs under a worse rate against the old version's rate of the same time,
 // and starts anew at zero, so that good calls of the past do not hide a fault
 // that comes late. It follows two alternatives, plainly and somewhat worse.
 //
-// A sum over the threshold is proof only when the old version's runs since the
-// sum left zero do not explain it: in a general slowdown they are as slow.
+// A sum over the threshold is proof only when the old version's runs beside
+// the bad ones show that it is as good as before: in a general slowdown they
+// are as slow. Runs of the old version from before a slowdown must not count,
+// so only the slots with more bad runs than usual, and their neighbours, do.
 type Cusum struct {
-	threshold float64
-	sums      [2]excursion
+	margin float64
+	sums   [2]excursion
 }
 
 // excursion is a sum above zero with the runs that led to it.
 type excursion struct {
 	sum float64
 	new Tally
-	old Tally
+	// control are the old version's runs beside the bad ones.
+	control Tally
+	// covered is how many of the next slot's neighbours control holds already.
+	covered int
 }
 
-// NewCusum returns a rule that asks for a log-likelihood ratio of threshold.
-func NewCusum(threshold float64) *Cusum { return &Cusum{threshold: threshold} }
+// NewCusum returns a rule whose threshold, a log-likelihood ratio, is margin
+// above the logarithm of the new version's recent runs, so that a wrong
+// withdrawal is as unlikely on a busy route as on a quiet one.
+func NewCusum(margin float64) *Cusum { return &Cusum{margin: margin} }
+
+// minRecent is the number of recent runs that a threshold reckons with at least.
+const minRecent = 50
+
+// Peek implements Rule.
+func (c *Cusum) Peek(s Sample) float64 {
+	trial := *c
+	return trial.Step(s)
+}
 
 // Step implements Rule.
 func (c *Cusum) Step(s Sample) float64 {
-	base := s.Base.smoothed(priorRate, priorWeight)
-	p0 := max(base, s.Old.smoothed(base, slotWeight))
+	base := s.Base.smoothed(s.Prior, priorWeight)
+	p0 := max(base, s.beside().smoothed(base, slotWeight))
 	p0 = min(p0*slackFactor+slackRise, maxRate)
 	worse := [2]float64{
 		min(max(plainRate, 2*p0), maxRate),
 		min(max(worseFactor*p0, p0+worseRise), maxRate),
 	}
+	threshold := c.margin + math.Log(max(s.Recent, minRecent))
 	score := 0.0
 	for i := range c.sums {
-		score = max(score, c.sums[i].step(s, p0, worse[i], base, c.threshold))
+		score = max(score, c.sums[i].step(s, p0, worse[i], base, threshold))
 	}
 	return score
 }
@@ -113,38 +152,48 @@
 		return 0
 	}
 	e.new.add(s.New)
-	e.old.add(s.Old)
+	e.beside(s, p0)
 	score := e.sum / threshold
 	if score < 1 {
 		return score
 	}
-	return e.confirm(base, threshold)
+	return e.confirm(base)
 }
 
-// confirm weighs the whole excursion against the old version's runs in it.
-// Old counts each run up to three times, as slots overlap; that is undone.
-func (e *excursion) confirm(base, threshold float64) float64 {
-	old := Tally{Runs: e.old.Runs / oldOverlap, Bad: e.old.Bad / oldOverlap}
-	if old.Runs < minControl {
-		return (1 + doubtScore) / 2
+// beside adds the old version's runs around a slot with more bad runs than
+// usual, each slot once.
+func (e *excursion) beside(s Sample, p0 float64) {
+	e.covered = max(e.covered-1, 0)
+	if s.New.Bad <= p0*s.New.Runs {
+		return
 	}
-	p0 := min(max(base, old.smoothed(base, burstWeight))*slackFactor+slackRise, maxRate)
-	p := min(e.new.Bad/e.new.Runs, maxRate)
-	ratio := 0.0
-	if p > p0 {
-		ratio = e.new.Bad*math.Log(p/p0) + (e.new.Runs-e.new.Bad)*math.Log((1-p)/(1-p0))
+	for _, o := range s.Old[e.covered:] {
+		e.control.add(o)
 	}
-	switch score := ratio / threshold; {
-	case score >= 1:
-		return score
-	case score < doubtScore/2:
+	e.covered = oldOverlap
+}
+
+// confirm weighs a sum over the threshold against the old version's runs.
+func (e *excursion) confirm(base float64) float64 {
+	switch c := control(e.control, base, e.new.Bad/e.new.Runs); {
+	case c >= controlProof:
+		return 1
+	case c <= controlAgain:
 		*e = excursion{}
 		return 0
 	default:
-		return min(score+doubtScore/2, (1+doubtScore)/2)
+		return (1 + graveScore) / 2
 	}
 }
 
+// control returns the log-likelihood ratio of the old version's runs under
+// its rate of before against the rate that the new version shows.
+func control(old Tally, base, shown float64) float64 {
+	base = max(base, slackRise)
+	shown = min(max(shown, 2*base), maxRate)
+	return old.Bad*math.Log(base/shown) + (old.Runs-old.Bad)*math.Log((1-base)/(1-shown))
+}
+
 // Fixed is the rule of one threshold on the new version's rate of bad runs
 // over the last runs, without regard to the old version.
 type Fixed struct {
@@ -166,6 +215,9 @@
 	return score
 }
 
+// Peek implements Rule.
+func (f *Fixed) Peek(Sample) float64 { return 0 }
+
 // Proportions is the rule of a difference of proportions between the versions
 // over a sliding window of slots.
 type Proportions struct {
@@ -185,7 +237,7 @@
 	var newer, older Tally
 	for _, w := range p.window {
 		newer.add(w.New)
-		older.add(Tally{Runs: w.Old.Runs / oldOverlap, Bad: w.Old.Bad / oldOverlap})
+		older.add(w.Old[oldOverlap/2])
 	}
 	if newer.Runs == 0 || older.Runs == 0 {
 		return 0
@@ -198,8 +250,14 @@
 	return max((newer.Bad/newer.Runs-older.Bad/older.Runs)/spread/p.Limit, 0)
 }
 
+// Peek implements Rule.
+func (p *Proportions) Peek(Sample) float64 { return 0 }
+
 // Never is the rule that finds no fault: steps by the clock alone.
 type Never struct{}
 
 // Step implements Rule.
 func (Never) Step(Sample) float64 { return 0 }
+
+// Peek implements Rule.
+func (Never) Peek(Sample) float64 { return 0 }
