Let a stand-in cluster crash hosts and start them again in place

A host that is crashed loses its links and listeners without a word; Restart takes its addresses again and waits for a port that another connection holds for a moment.

--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"sync/atomic"
 
+	"github.com/daisytide/daisytide/internal/process/spread"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
 
@@ -21,6 +22,12 @@
 	return n.traffic.Sent.Load() + n.traffic.Received.Load() + n.rpc.Bytes.Load()
 }
 
+// ControlMessages returns the control messages sent so far over links.
+func (n *Node) ControlMessages() uint64 { return n.traffic.Messages.Load() }
+
+// SpreadCounters tells what the node's links did so far.
+func (n *Node) SpreadCounters() spread.Counters { return n.spread.Counters() }
+
 // wireMetrics publishes what is read at the moment of a request.
 func (n *Node) wireMetrics() {
 	counters := map[string]*atomic.Uint64{
@@ -33,6 +40,7 @@
 		n.metrics.Set(name, expvar.Func(func() any { return c.Load() }))
 	}
 	n.metrics.Set("configuration", expvar.Func(func() any { return n.holder.Current().Number() }))
+	n.metrics.Set("spread", expvar.Func(func() any { return n.spread.Counters() }))
 	n.metrics.Set("links", expvar.Func(func() any { return n.spread.Links() }))
 	n.metrics.Set("members", expvar.Func(func() any { return len(n.members.Index().Members) }))
 	n.metrics.Set("running", expvar.Func(func() any { return n.gate.Running() }))
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -35,6 +35,13 @@
 	return fmt.Errorf("serve %s: %w", l.Addr(), err)
 }
 
+// Abort ends the links and closes the listeners at once, as a crash would;
+// the context of Run must then be ended. It is for tests and measurements.
+func (n *Node) Abort() {
+	n.spread.Abort()
+	n.closeListeners()
+}
+
 // stop ends the node without cutting a request, in this order. New callers
 // are kept out and the ones connected are asked to reconnect elsewhere. The
 // other nodes are told to send no more, and what still comes is refused as
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -28,12 +28,17 @@
 // anyPort lets the system choose a loopback port.
 const anyPort = "127.0.0.1:0"
 
+// anyPorts are the addresses for callers, peers and operators of a new host.
+var anyPorts = [3]string{anyPort, anyPort, anyPort}
+
 // Host is one node with the upstream beside it.
 type Host struct {
 	Node     *node.Node
 	Upstream *upstream.Upstream
 	cancel   context.CancelFunc
-	done     chan error
+	// done is closed when the node has ended with err.
+	done chan struct{}
+	err  error
 }
 
 // Config describes a cluster.
@@ -44,6 +49,8 @@
 	Seed        uint64
 	// Upstream gives the upstream beside node i; nil Service means none.
 	Upstream func(i int) upstream.Options
+	// OnNode, where set, is called with each node before it runs.
+	OnNode func(i int, n *node.Node)
 }
 
 // Cluster is a set of hosts around one store.
@@ -68,7 +75,7 @@
 	c.server = &http.Server{Handler: c.Store.Handler()}
 	go func() { _ = c.server.Serve(l) }()
 	for i := range cfg.Nodes {
-		h, err := c.startHost(ctx, i)
+		h, err := c.startHost(ctx, i, anyPorts)
 		if err != nil {
 			c.Stop()
 			return nil, err
@@ -78,16 +85,17 @@
 	return c, nil
 }
 
-func (c *Cluster) startHost(ctx context.Context, i int) (*Host, error) {
+// startHost starts host i on the addresses for callers, peers and operators.
+func (c *Cluster) startHost(ctx context.Context, i int, listen [3]string) (*Host, error) {
 	dc := i % c.cfg.DataCentres
 	s := &settings.Settings{}
 	s.Node.Region = fmt.Sprintf("region-%d", dc/3)
 	s.Node.DataCentre = fmt.Sprintf("dc-%d", dc)
-	s.Callers.Listen = anyPort
-	s.Peers.Listen = anyPort
+	s.Callers.Listen = listen[0]
+	s.Peers.Listen = listen[1]
 	s.Peers.Secret = Secret
 	s.Peers.Seeds = strings.Join(c.seeds(), ",")
-	s.Operators.Listen = anyPort
+	s.Operators.Listen = listen[2]
 	s.Operators.Token = Token
 	s.Store.Address = c.base
 	s.Store.Timeout = time.Second
@@ -97,9 +105,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.cfg.OnNode != nil {
+		c.cfg.OnNode(i, n)
+	}
 	runCtx, cancel := context.WithCancel(ctx)
-	h := &Host{Node: n, cancel: cancel, done: make(chan error, 1)}
-	go func() { h.done <- n.Run(runCtx) }()
+	h := &Host{Node: n, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(h.done)
+		h.err = n.Run(runCtx)
+	}()
 	if c.cfg.Upstream == nil {
 		return h, nil
 	}
@@ -135,14 +149,13 @@
 // Stop ends one node as SIGTERM does and waits for it; again is harmless.
 func (h *Host) Stop() error {
 	h.cancel()
-	err := <-h.done
-	h.done <- err
-	return err
+	<-h.done
+	return h.err
 }
 
 // Add starts one more host, like those of Start.
 func (c *Cluster) Add(ctx context.Context) (*Host, error) {
-	h, err := c.startHost(ctx, len(c.Hosts))
+	h, err := c.startHost(ctx, len(c.Hosts), anyPorts)
 	if err != nil {
 		return nil, err
 	}
@@ -150,6 +163,36 @@
 	return h, nil
 }
 
+// Crash ends one node without a word to the others and waits for it.
+func (h *Host) Crash() error {
+	h.Node.Abort()
+	return h.Stop()
+}
+
+// restartTries and restartWait bound the wait for a port that a connection
+// of another process holds for a moment.
+const (
+	restartTries = 50
+	restartWait  = 100 * time.Millisecond
+)
+
+// Restart starts a node on the addresses of host i, which has ended. It is
+// not for hosts with upstreams.
+func (c *Cluster) Restart(ctx context.Context, i int) error {
+	old := c.Hosts[i].Node
+	listen := [3]string{old.CallersAddress(), old.PeersAddress(), old.OperatorsAddress()}
+	h, err := c.startHost(ctx, i, listen)
+	for try := 0; err != nil && try < restartTries; try++ {
+		time.Sleep(restartWait)
+		h, err = c.startHost(ctx, i, listen)
+	}
+	if err != nil {
+		return err
+	}
+	c.Hosts[i] = h
+	return nil
+}
+
 // Stop ends all nodes and the store.
 func (c *Cluster) Stop() {
 	for _, h := range c.Hosts {
