--- /dev/null
+++ b/internal/standin/distribution/baseline.go
@@ -0,0 +1,281 @@
+package distribution
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/link"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/spread"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+// Times of the baselines.
+const (
+	pollEvery    = time.Second
+	storeTimeout = time.Second
+)
+
+// served is a stand-in store on loopback with what baselines share.
+type served struct {
+	store    *store.Store
+	base     string
+	server   *http.Server
+	arrivals *arrivals
+	ctx      context.Context
+	cancel   context.CancelFunc
+	loops    sync.WaitGroup
+	traffic  link.Traffic
+}
+
+func serveStore(nodes int) (*served, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s := &served{store: store.New(1), base: "http://" + l.Addr().String(), arrivals: newArrivals(nodes)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.store.OnPut(s.arrivals.put)
+	s.server = &http.Server{Handler: s.store.Handler()}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+func (s *served) bytes() uint64    { return s.traffic.Sent.Load() + s.traffic.Received.Load() }
+func (s *served) messages() uint64 { return s.traffic.Messages.Load() }
+func (s *served) churn(int)        {}
+
+func (s *served) apply(_ int, text []byte) (uint64, error) { return storeApply(s.store, text) }
+
+func (s *served) close() {
+	s.cancel()
+	_ = s.server.Close()
+	s.loops.Wait()
+}
+
+// holder returns a holder that notes what comes into force.
+func (s *served) holder() *snapshot.Holder {
+	var h snapshot.Holder
+	var last uint64
+	h.OnSwap(func(n *snapshot.Snapshot) {
+		s.arrivals.inForce(last, n.Number())
+		last = n.Number()
+	})
+	return &h
+}
+
+// countedConn counts the bytes of a connection to the store.
+type countedConn struct {
+	net.Conn
+	traffic *link.Traffic
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received.Add(uint64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Sent.Add(uint64(n))
+	c.traffic.Messages.Add(1)
+	return n, err
+}
+
+// Watching measures a fleet in which every node watches and polls the store.
+func Watching(nodes int) (Result, error) {
+	s, err := serveStore(nodes)
+	if err != nil {
+		return Result{}, err
+	}
+	defer s.close()
+	for range nodes {
+		s.watcher()
+	}
+	time.Sleep(settleTime)
+	return run(s, s.store, s.arrivals)
+}
+
+// watcher runs the two loops of one node.
+func (s *served) watcher() {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{Conn: c, traffic: &s.traffic}, nil
+	}
+	client := &platform.Client{
+		Base: s.base, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}, Timeout: storeTimeout,
+	}
+	h := s.holder()
+	s.loops.Go(func() {
+		var after uint64
+		for s.ctx.Err() == nil {
+			entries, revision, err := client.Watch(s.ctx, platform.KeyConfig, after)
+			if err != nil {
+				continue
+			}
+			after = max(after, revision)
+			for _, e := range entries {
+				take(h, e.Value)
+			}
+		}
+	})
+	s.loops.Go(func() {
+		ticker := time.NewTicker(pollEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-s.ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if e, err := client.Get(s.ctx, platform.KeyConfig); err == nil {
+				take(h, e.Value)
+			}
+		}
+	})
+}
+
+// take puts an envelope in force and tells whether it was newer.
+func take(h *snapshot.Holder, envelope []byte) bool {
+	if len(envelope) == 0 {
+		return false
+	}
+	s, err := snapshot.Build(envelope)
+	return err == nil && h.Offer(s)
+}
+
+// flooder is a node that passes each new document on, whole, over all links.
+type flooder struct {
+	fleet  *served
+	holder *snapshot.Holder
+
+	mu    sync.Mutex
+	links map[link.Conn]chan *link.Message
+}
+
+// Flooding measures a fleet in which whole documents are flooded over the
+// same graph; the first node takes them from the store.
+func Flooding(nodes int) (Result, error) {
+	s, err := serveStore(nodes)
+	if err != nil {
+		return Result{}, err
+	}
+	defer s.close()
+	if err := s.flooders(nodes); err != nil {
+		return Result{}, err
+	}
+	time.Sleep(settleTime)
+	return run(s, s.store, s.arrivals)
+}
+
+func (s *served) flooders(nodes int) error {
+	all := map[string]*flooder{}
+	var records []member.Record
+	for i := range nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		f := &flooder{fleet: s, holder: s.holder(), links: map[link.Conn]chan *link.Message{}}
+		server := &http.Server{Handler: http.HandlerFunc(f.accept)}
+		go func() { _ = server.Serve(l) }()
+		context.AfterFunc(s.ctx, func() { _ = server.Close() })
+		address := l.Addr().String()
+		all[address] = f
+		records = append(records, member.Record{Address: address, DataCentre: fmt.Sprint(i % DataCentres), State: member.Alive})
+	}
+	dialer := link.Dialer{Traffic: &s.traffic}
+	for from, neighbours := range spread.NewGraph(records) {
+		for _, to := range neighbours {
+			if from > to {
+				continue
+			}
+			c, err := dialer.Dial(s.ctx, to)
+			if err != nil {
+				return err
+			}
+			s.loops.Go(func() { all[from].serve(c) })
+		}
+	}
+	first := all[records[0].Address]
+	s.loops.Go(func() { s.follow(first) })
+	return nil
+}
+
+// follow takes documents from the store to one node.
+func (s *served) follow(f *flooder) {
+	var after uint64
+	for s.ctx.Err() == nil {
+		entries, revision, err := s.store.Watch(s.ctx, platform.KeyConfig, after)
+		if err != nil {
+			continue
+		}
+		after = max(after, revision)
+		for _, e := range entries {
+			f.flood(e.Value, nil)
+		}
+	}
+}
+
+func (f *flooder) accept(w http.ResponseWriter, r *http.Request) {
+	c, err := link.Accept(w, r, &f.fleet.traffic)
+	if err == nil {
+		f.serve(c)
+	}
+}
+
+// floodQueue is the number of documents that wait for a slow link.
+const floodQueue = 2 * Changes
+
+func (f *flooder) serve(c link.Conn) {
+	defer c.Close()
+	stop := context.AfterFunc(f.fleet.ctx, func() { _ = c.Close() })
+	defer stop()
+	out := make(chan *link.Message, floodQueue)
+	f.mu.Lock()
+	f.links[c] = out
+	f.mu.Unlock()
+	f.fleet.loops.Go(func() {
+		for {
+			select {
+			case <-f.fleet.ctx.Done():
+				return
+			case m := <-out:
+				_ = c.Send(f.fleet.ctx, m)
+			}
+		}
+	})
+	for {
+		m, err := c.Receive(f.fleet.ctx)
+		if err != nil {
+			return
+		}
+		if m.Body != nil {
+			f.flood(m.Body.Whole, c)
+		}
+	}
+}
+
+func (f *flooder) flood(envelope []byte, from link.Conn) {
+	if !take(f.holder, envelope) {
+		return
+	}
+	m := &link.Message{Body: &link.Body{Number: f.holder.Current().Number(), Whole: envelope}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, out := range f.links {
+		if c != from {
+			out <- m
+		}
+	}
+}
