--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -186,8 +186,11 @@
 	refuse(w, api.Errorf(api.OperatorNotFound, "no page %s", r.URL.Path))
 }
 
-// pathVars shows the counters.
-const pathVars = "/debug/vars"
+// pathVars shows the counters; nodeVars names those of the node in them.
+const (
+	pathVars = "/debug/vars"
+	nodeVars = "daisytide"
+)
 
 // vars writes the counters of the process, as expvar does, and those of this
 // node, which are not published under a global name since a process may run
@@ -196,9 +199,11 @@
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	fmt.Fprint(w, "{")
 	expvar.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "%q: %s,\n", kv.Key, kv.Value)
+		if kv.Key != nodeVars {
+			fmt.Fprintf(w, "%q: %s,\n", kv.Key, kv.Value)
+		}
 	})
-	fmt.Fprintf(w, "%q: %s}\n", "daisytide", s.Metrics)
+	fmt.Fprintf(w, "%q: %s}\n", nodeVars, s.Metrics)
 }
 
 func body(w http.ResponseWriter, r *http.Request) ([]byte, *api.Error) {
