Ask every host at a cost that stays with the data centre

One node asked all hosts, which at the target means 999 connections of one process. It now asks its own data centre and one host of each other, which asks those beside it; questions at the same time share a survey.

A host that does not answer, or a whole data centre, is named.

Seam: survey.MethodNumber and MethodCentre replace the question for a status.

--- a/cmd/daisytide/hosts.go
+++ b/cmd/daisytide/hosts.go
@@ -13,7 +13,7 @@
 )
 
 // pollEvery is how often a waiting command asks again.
-const pollEvery = 500 * time.Millisecond
+const pollEvery = time.Second
 
 // hostsCommand lists the hosts.
 type hostsCommand struct {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/daisytide/daisytide/internal/process/rollouts"
 	"github.com/daisytide/daisytide/internal/process/settings"
 	"github.com/daisytide/daisytide/internal/process/spread"
+	"github.com/daisytide/daisytide/internal/process/survey"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/entry"
 	"github.com/daisytide/daisytide/internal/request/gate"
@@ -61,6 +62,7 @@
 	audit        audit.Recorder
 	rollouts     *rollouts.Manager
 	trail        *audit.Trail
+	survey       *survey.Survey
 	versions     entry.Versions
 	operator     *operator.Server
 	metrics      *expvar.Map
--- a/internal/process/node/wire_operators.go
+++ b/internal/process/node/wire_operators.go
@@ -1,18 +1,15 @@
 package node
 
 import (
-	"context"
 	"expvar"
 
-	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/process/audit"
+	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/operator"
+	"github.com/daisytide/daisytide/internal/process/survey"
 )
 
-// statusMethod is the question for a node's status.
-const statusMethod = "status"
-
 // wireOperators builds the operator listener.
 func (n *Node) wireOperators() {
 	refused := new(expvar.Int)
@@ -26,9 +23,14 @@
 		Refused:   refused,
 		Metrics:   n.metrics,
 	}
-	n.peerMux.Handle(rpc.Prefix+statusMethod, rpc.Handle(func(context.Context, struct{}) (api.StatusResponse, error) {
-		return n.Status(), nil
-	}))
+	n.survey = &survey.Survey{
+		Self:    n.self.Record,
+		Members: func() []member.Record { return n.members.Index().Members },
+		Number:  func() uint64 { return n.holder.Current().Number() },
+		Peers:   n.rpc,
+	}
+	n.peerMux.Handle(rpc.Prefix+survey.MethodNumber, rpc.Handle(n.survey.HandleNumber))
+	n.peerMux.Handle(rpc.Prefix+survey.MethodCentre, rpc.Handle(n.survey.HandleCentre))
 }
 
 // wireAudit builds the audit trail.
