--- a/internal/process/spread/fakenet_test.go
+++ b/internal/process/spread/fakenet_test.go
@@ -30,6 +30,8 @@
 	// group parts the network: addresses of different groups are cut off.
 	group  map[string]int
 	paused map[string][]func()
+	// messages and bytes count what was sent, with the frames.
+	messages, bytes int
 }
 
 func newFakeNet(seed uint64) *fakeNet {
@@ -104,6 +106,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	w := n.weather
+	n.messages++
+	n.bytes += link.FrameBytes(len(b), true)
 	if n.group[c.from] != n.group[c.to] || n.rng.Float64() < w.loss {
 		return
 	}
@@ -220,3 +224,9 @@
 		deliver()
 	}
 }
+
+func (n *fakeNet) counts() (messages, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.messages, n.bytes
+}
--- a/internal/version/snapshot/snapshot_test.go
+++ b/internal/version/snapshot/snapshot_test.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -42,3 +43,30 @@
 		t.Fatal("a route to a lacking service was taken")
 	}
 }
+
+func TestUnchangedPartsAreShared(t *testing.T) {
+	const services = `{"name":"a","versions":["v1"],"current":"v1"},{"name":"b","versions":["%s"],"current":"%s"}`
+	text := func(b, limit string) string {
+		return `{"services":[` + strings.ReplaceAll(services, "%s", b) + `],"routes":[
+{"name":"r","match":{"prefix":"/"},"service":"a","time_limit":"` + limit + `","caller":"buyer"}]}`
+	}
+	build := func(prev *Snapshot, number uint64, text string) *Snapshot {
+		s, err := BuildFrom(prev, envelope(t, number, text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	first := build(nil, 1, text("v1", "1s"))
+	second := build(first, 2, text("v2", "1s"))
+	third := build(second, 3, text("v2", "2s"))
+	if second.Service("a") != first.Service("a") || second.Routes != first.Routes {
+		t.Error("what did not change was built anew")
+	}
+	if second.Service("b") == first.Service("b") || second.Service("b").Current != "v2" {
+		t.Error("what changed was kept")
+	}
+	if third.Service("b") != second.Service("b") || third.Routes == second.Routes {
+		t.Error("routes that changed were kept, or services that did not were not")
+	}
+}
