--- /dev/null
+++ b/internal/conn/link/message_test.go
@@ -0,0 +1,77 @@
+package link
+
+import (
+	"testing"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/member"
+)
+
+func samples() []*Message {
+	return []*Message{
+		{Hello: &Hello{Protocol: ProtocolVersion, Self: member.Record{Address: "10.0.0.1:7946", State: member.Alive}}},
+		{Digest: &Digest{Number: 7, Topics: map[string]uint64{"members": 1 << 60}}},
+		{Facts: &Facts{Topic: "members", Items: [][]byte{{1, 2, 3}}, Repair: true}},
+		{Announce: &Announce{Number: 7, Size: 12_000}},
+		{Pull: &Pull{Number: 7, Base: 6}},
+		{Body: &Body{Number: 7, Base: 6, Delta: []byte{1, 2, 3}}},
+		{Want: &Want{Topic: "members", Buckets: []int{1, 63}}},
+		{Refused: &Refused{Code: api.PeerBusy, Try: []string{"10.0.0.2:7946"}}},
+		{Buckets: &Buckets{Topic: "members", Sums: []uint64{1, 2, 3}}},
+	}
+}
+
+func TestDecodeRefusesMoreOrLessThanOnePart(t *testing.T) {
+	for _, m := range []*Message{{}, {Pull: &Pull{Number: 1}, Want: &Want{Topic: "members"}}} {
+		b, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(b); api.CodeOf(err, 0) != api.PeerFrame {
+			t.Errorf("%d parts: %v, want %v", m.fields(), err, api.PeerFrame)
+		}
+	}
+}
+
+func TestFrameBytes(t *testing.T) {
+	for _, c := range []struct {
+		n      int
+		client bool
+		want   int
+	}{{125, false, 127}, {126, false, 130}, {126, true, 134}, {65_535, false, 65_539}, {65_536, true, 65_550}} {
+		if got := FrameBytes(c.n, c.client); got != c.want {
+			t.Errorf("FrameBytes(%d, %v) = %d, want %d", c.n, c.client, got, c.want)
+		}
+	}
+}
+
+// FuzzDecode: what is taken must have one part and come back the same from
+// its own encoding.
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		b, err := Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+		f.Add(b[:len(b)/2])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		first, err := Encode(m)
+		if err != nil {
+			t.Fatalf("encode what was decoded: %v", err)
+		}
+		again, err := Decode(first)
+		if err != nil {
+			t.Fatalf("decode the own encoding: %v", err)
+		}
+		second, err := Encode(again)
+		if err != nil || string(second) != string(first) {
+			t.Errorf("another encoding came back: %v", err)
+		}
+	})
+}
