Show on a conflict how the document differs from the one in force

A refused apply named the winner alone. The command line now lists what the document would change against the winner's.

--- a/cmd/daisytide/documents.go
+++ b/cmd/daisytide/documents.go
@@ -134,6 +134,9 @@
 	switch {
 	case out.Outcome == api.ApplyUnknown:
 		return unknownOutcome(out.Error)
+	case out.Outcome == api.ApplyConflict:
+		c.printConflict(ctx, node, text)
+		return out.Error
 	case out.Outcome != api.ApplyAccepted:
 		return out.Error
 	}
@@ -161,6 +164,24 @@
 	return status.Number, nil
 }
 
+// printConflict shows how the refused document differs from what another
+// operator has put in force.
+func (c *applyCommand) printConflict(ctx context.Context, node *client.Client, text []byte) {
+	var cfg api.ConfigResponse
+	if err := node.Get(ctx, api.PathConfig, &cfg); err != nil {
+		return
+	}
+	mine, faults := document.Decode(text)
+	theirs, more := document.Decode([]byte(cfg.Document))
+	if len(faults)+len(more) > 0 {
+		return
+	}
+	fmt.Fprintf(c.app.stderr, "against configuration %d by %s your document would change:\n", cfg.Number, cfg.Operator)
+	for _, line := range document.Diff(theirs, mine) {
+		fmt.Fprintln(c.app.stderr, "  "+line)
+	}
+}
+
 func (c *applyCommand) printAccepted(out api.ApplyResponse) {
 	if c.JSON {
 		return
--- a/cmd/daisytide/main_test.go
+++ b/cmd/daisytide/main_test.go
@@ -147,8 +147,8 @@
 	if stdout, _ = do(exitDone, "validate", example); !strings.Contains(stdout, "valid against configuration 1") {
 		t.Errorf("validate: %s", stdout)
 	}
-	do(exitDone, "apply", example)
-	if _, stderr = do(exitRefused, "apply", "--base", "1", example); !strings.Contains(stderr, "3002") || !strings.Contains(stderr, "ann") {
+	do(exitDone, "apply", "../../docs/examples/himal-bagmati.json")
+	if _, stderr = do(exitRefused, "apply", "--base", "1", example); !strings.Contains(stderr, "3002") || !strings.Contains(stderr, "configuration 2 by ann") || !strings.Contains(stderr, "- service roster") {
 		t.Errorf("conflict: %s", stderr)
 	}
 	if _, stderr = do(exitRefused, "hosts", "--token", "wrong"); !strings.Contains(stderr, "3001") {
