Refuse a new rollout whose deadline has passed

A mistyped year put the deadline in the past, and the move would have hurried through its steps past soft evidence. A rollout that is kept unchanged stays valid. Seam: validate.Moves.Now, which the provider sets.

go test ./internal/version/... ./internal/process/... passes.

--- a/internal/process/provider/apply.go
+++ b/internal/process/provider/apply.go
@@ -37,7 +37,7 @@
 
 // moves tells how the moves under the configuration in force stand.
 func (p *Provider) moves() validate.Moves {
-	return validate.Moves{Ended: p.Ended, Done: p.Done}
+	return validate.Moves{Ended: p.Ended, Done: p.Done, Now: time.Now()}
 }
 
 // attempt is one document on its way to the store.
--- a/internal/version/validate/change.go
+++ b/internal/version/validate/change.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/version/document"
@@ -15,6 +16,9 @@
 	Ended func(service string) bool
 	// Done tells whether it is done.
 	Done func(service string) bool
+	// Now is when the document is to come into force; the zero time leaves
+	// the deadlines of new rollouts unchecked.
+	Now time.Time
 }
 
 // asked answers by fn, no where it is nil.
@@ -23,7 +27,8 @@
 }
 
 // Change returns every fault of replacing inForce, which may be nil, by doc,
-// cut at document.MaxFaults.
+// cut at document.MaxFaults. A new rollout needs a deadline that lies ahead: one
+// in the past would hurry through all its steps.
 //
 // A running move keeps its service and both versions until it has ended or a
 // document without its rollout was accepted, since their upstreams still hold
@@ -31,10 +36,13 @@
 // rollout that is done: any other change would send all calls at once to a
 // version of which nothing is known, or nothing good.
 func Change(inForce, doc *document.Document, moves Moves) []api.Fault {
+	c := newChecker(doc)
 	if inForce == nil {
-		return nil
+		inForce = &document.Document{}
+	}
+	if !moves.Now.IsZero() {
+		c.deadlinesAhead(inForce, moves.Now)
 	}
-	c := newChecker(doc)
 	for i := range inForce.Rollouts {
 		if r := &inForce.Rollouts[i]; !asked(moves.Ended, r.Service) {
 			c.keepsMove(r)
@@ -46,6 +54,17 @@
 	return document.Cut(c.faults)
 }
 
+// deadlinesAhead notes the rollouts that are not in force yet and whose
+// deadline has passed.
+func (c *checker) deadlinesAhead(inForce *document.Document, now time.Time) {
+	for i, r := range c.doc.Rollouts {
+		if !r.Deadline.After(now) && !slices.ContainsFunc(inForce.Rollouts, r.Equal) {
+			path := fmt.Sprintf("rollouts[%d].deadline", i)
+			c.note(api.DocumentBadDeadline, path, "the deadline has passed, and the rollout is new")
+		}
+	}
+}
+
 // indexOf finds a service of the checked document; -1 where there is none.
 func (c *checker) indexOf(service string) int {
 	return slices.IndexFunc(c.doc.Services, func(s document.Service) bool { return s.Name == service })
--- a/internal/version/validate/change_test.go
+++ b/internal/version/validate/change_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/daisytide/daisytide/internal/version/document"
 )
@@ -48,3 +49,25 @@
 		}
 	}
 }
+
+func TestNewRolloutNeedsADeadlineAhead(t *testing.T) {
+	deadline := time.Unix(1_900_000_000, 0)
+	doc := documentOf("v1", "v1>v2", "v1", "v2")
+	doc.Rollouts[0].Deadline = deadline
+	for name, c := range map[string]struct {
+		inForce *document.Document
+		now     time.Time
+		want    int
+	}{
+		"ahead":                  {nil, deadline.Add(-time.Second), 0},
+		"passed, the first":      {nil, deadline, 1},
+		"passed, a new rollout":  {documentOf("v1", "", "v1", "v2"), deadline, 1},
+		"passed, a kept rollout": {doc, deadline, 0},
+		"time not given":         {nil, time.Time{}, 0},
+	} {
+		faults := Change(c.inForce, doc, Moves{Now: c.now})
+		if len(faults) != c.want || c.want > 0 && faults[0].Path != "rollouts[0].deadline" {
+			t.Errorf("%s: %v", name, faults)
+		}
+	}
+}
--- a/internal/version/validate/validate.go
+++ b/internal/version/validate/validate.go
@@ -23,7 +23,7 @@
 	case len(faults) == 0:
 		faults = Document(doc)
 	}
-	if len(faults) == 0 && inForce != nil {
+	if len(faults) == 0 {
 		faults = Change(inForce, doc, moves)
 	}
 	if len(faults) > 0 {
