Name every wrong flag of the command line at once

go-flags stops at the first. The flag that it names is left out and the rest read again; no command runs then. The path for a drain that nothing served is gone: an upstream drains by announcing it, a host by its graceful stop.

--- a/api/operator.go
+++ b/api/operator.go
@@ -14,7 +14,6 @@
 	PathAudit    = "/v1/audit"
 	PathStatus   = "/v1/status"
 	PathAnnounce = "/v1/announce"
-	PathDrain    = "/v1/drain"
 )
 
 // Headers of the operator listener.
--- a/cmd/daisytide/main.go
+++ b/cmd/daisytide/main.go
@@ -46,11 +46,7 @@
 		must(err)
 	}
 	addDemo(p)
-	rest, err := p.ParseArgs(args)
-	if err == nil && len(rest) > 0 {
-		err = usage("unexpected argument " + rest[0])
-	}
-	return report(err, stdout, stderr)
+	return report(parse(p, args), stdout, stderr)
 }
 
 // must ends the program on a wrong command declaration.
--- a/cmd/daisytide/main_test.go
+++ b/cmd/daisytide/main_test.go
@@ -106,6 +106,18 @@
 	}
 }
 
+func TestEveryWrongFlagIsNamedAndNothingRuns(t *testing.T) {
+	code, stdout, stderr := command(t, "codes", "--loud", "--timeout", "soon", "--operator")
+	if code != exitUsage || stdout != "" {
+		t.Errorf("exit code %d, output %q", code, stdout)
+	}
+	for _, want := range []string{"`loud'", "`--timeout'", "`--operator'"} {
+		if !strings.Contains(stderr, want) {
+			t.Errorf("no %s in %q", want, stderr)
+		}
+	}
+}
+
 func TestOperatorWorksThroughTheCommandLine(t *testing.T) {
 	ctx := context.Background()
 	c, err := cluster.Start(ctx, cluster.Config{Nodes: 3, DataCentres: 3, Seed: 1})
