Apply once through a node whose answers are lost

The settling of a lost reply was tested with answers played back alone. Two answers are now dropped after a real node has given them: the third try says accepted under the same number, and no second configuration came about.

--- /dev/null
+++ b/internal/process/operator/client/cluster_test.go
@@ -0,0 +1,60 @@
+package client_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"testing"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/operator/client"
+	"github.com/daisytide/daisytide/internal/standin/cluster"
+)
+
+// losing drops the first answers to a POST after the node has given them.
+type losing struct {
+	answers int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *losing) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && r.Method == http.MethodPost && l.answers > 0 {
+		l.answers--
+		resp.Body.Close()
+		return nil, errors.New("the answer was lost")
+	}
+	return resp, err
+}
+
+func TestApplyWhoseAnswersAreLostTakesEffectOnce(t *testing.T) {
+	ctx := context.Background()
+	c, err := cluster.Start(ctx, cluster.Config{Nodes: 2, DataCentres: 2, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	if err := c.AwaitMembers(ctx); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile("../../../../docs/examples/coral-tt-north.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := uint64(api.BaseNone)
+	for want := uint64(1); want <= 2; want++ {
+		operator := client.Client{Base: c.Hosts[0].OperatorBase(), Token: cluster.Token, Operator: "ann", HTTP: &http.Client{Transport: &losing{answers: 2}}}
+		out := operator.ApplyOnce(ctx, text, base)
+		if out.Outcome != api.ApplyAccepted || out.Number != want {
+			t.Fatalf("%+v, want number %d", out, want)
+		}
+		if err := c.AwaitNumber(ctx, want); err != nil {
+			t.Fatal(err)
+		}
+		if n := c.Hosts[1].Node.Status().Number; n != want {
+			t.Errorf("in force: %d, want %d", n, want)
+		}
+		base = want
+	}
+}
