Enter a repeated apply once in the audit trail

Each try of a session whose reply was lost stood as a change of its own. The entry of an accepted document has the session as its ID.

go test ./internal/process/operator/client: 2 changes in 6 tries, 2 entries.

--- a/internal/process/operator/apply.go
+++ b/internal/process/operator/apply.go
@@ -66,6 +66,8 @@
 		Outcome:  string(out.Outcome),
 	}
 	if out.Outcome == api.ApplyAccepted {
+		// A repeated try of the session is the same change.
+		entry.ID = "apply/" + from.Session
 		entry.To = out.Number
 		var old *document.Document
 		if before != nil {
--- a/internal/process/operator/client/cluster_test.go
+++ b/internal/process/operator/client/cluster_test.go
@@ -57,4 +57,8 @@
 		}
 		base = want
 	}
+	trail, bad := c.Hosts[0].Node.Audit(ctx)
+	if bad != nil || len(trail.Entries) != 2 {
+		t.Errorf("%v, %d entries in the trail for 2 changes: %+v", bad, len(trail.Entries), trail.Entries)
+	}
 }
