Hand keys over at a planned stop, and clear gates away that never return

A gate that has not answered another for 25 hours is taken out of the roster; a gate that has not seen itself in it for 24 hours lets no keyed call through and enters anew. Both times are measured by one host each.

On four real nodes the repeats of eight calls are answered from saved answers after the stop of one, and a second attempt that nobody knows runs.

--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -61,6 +61,7 @@
 		klog.Warningf(logPrefix+"%d requests at the gate and %d at the entry at the end of the grace",
 			n.gate.Running(), n.entry.Counts().Running.Load())
 	}
+	n.leaveKeys()
 	n.spread.CloseLinks()
 	for _, s := range servers {
 		if err := s.Shutdown(grace); err != nil {
--- a/internal/process/node/wire_keys.go
+++ b/internal/process/node/wire_keys.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"context"
 	"expvar"
 	"math/rand/v2"
+	"time"
 
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/request/once"
@@ -43,5 +45,15 @@
 	return out
 }
 
+// leaveTimeout bounds the handing over of keys at a stop.
+const leaveTimeout = 3 * time.Second
+
+// leaveKeys hands the keys of the gate, which is idle, to those that stay.
+func (n *Node) leaveKeys() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	n.keeper.Leave(ctx)
+}
+
 // KeysReady tells whether the node's gate takes keyed calls of a service.
 func (n *Node) KeysReady(service string) bool { return n.keys.Ready(service) }
--- a/internal/request/once/gate.go
+++ b/internal/request/once/gate.go
@@ -50,6 +50,10 @@
 	heard map[Gate]bool
 
 	claims claims
+	// confirmed is when the roster was last seen to have this gate; seen is
+	// when each other gate last answered.
+	confirmed time.Time
+	seen      map[Gate]time.Time
 	// stale holds a token when somebody knows a newer roster than view.
 	stale chan struct{}
 }
@@ -80,7 +84,7 @@
 	defer k.mu.Unlock()
 	s := k.services[name]
 	if s == nil {
-		s = &service{book: NewBook(k.Limits, now), heard: map[Gate]bool{}, stale: make(chan struct{}, 1)}
+		s = &service{book: NewBook(k.Limits, now), heard: map[Gate]bool{}, seen: map[Gate]time.Time{}, stale: make(chan struct{}, 1)}
 		s.claims.window = k.Limits.Window
 		k.services[name] = s
 	}
@@ -176,7 +180,7 @@
 func (s *service) begin(key string, b Ballot, print uint64) (*Answer, api.Code) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if !s.ready || s.leaving {
+	if !s.ready || s.leaving || time.Since(s.confirmed) > confirmFor {
 		return nil, api.CallKeyNotReady
 	}
 	return s.book.Start(key, b, print, time.Now())
@@ -317,22 +321,3 @@
 	}
 	return Joined{Known: rest}
 }
-
-// Take answers MethodTake: the records of a gate that leaves.
-func (k *Keys) Take(_ context.Context, t Take) (Taken, error) {
-	s := k.find(t.Service)
-	if s == nil || t.Gate != k.Self.Instance {
-		return Taken{}, api.Errorf(api.PeerNotKnown, "no such gate of %s", t.Service)
-	}
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	if !s.ready || s.leaving {
-		return Taken{}, api.Errorf(api.CallKeyNotReady, "not ready for %s", t.Service)
-	}
-	for _, known := range t.Known {
-		if !s.book.Merge(known, time.Now()) {
-			return Taken{}, api.Errorf(api.CallShed, "no room for more records")
-		}
-	}
-	return Taken{}, nil
-}
--- a/internal/request/once/keeper.go
+++ b/internal/request/once/keeper.go
@@ -20,9 +20,20 @@
 	backoffMost  = 10 * time.Second
 )
 
-// viewEvery is the mean time between two readings of a roster in which
-// gates stand that could not be asked.
-const viewEvery = time.Minute
+// Times between two looks at the roster, on average; silentEvery where gates
+// stand in it that don't know of this one.
+const (
+	roundEvery  = 10 * time.Minute
+	silentEvery = time.Minute
+)
+
+// A gate that has not seen itself in the roster for confirmFor lets no keyed
+// call through. One that has not answered for abandonAfter, longer by far more
+// than a window, is taken out. Both times are measured by one host each.
+const (
+	confirmFor   = 24 * time.Hour
+	abandonAfter = 25 * time.Hour
+)
 
 // joinTimeout bounds one question of a joining gate.
 const joinTimeout = time.Second
@@ -74,38 +85,79 @@
 	}
 }
 
-// keep brings one service from entering the roster to ready. Then it keeps the
-// gate's view of the roster until ctx ends.
+// keep brings one service from entering the roster to ready, and then keeps
+// the gate's view of the roster. A gate that was taken out enters anew.
 func (k *Keeper) keep(ctx context.Context, name string, s *service) {
-	roster, ok := k.enter(ctx, name)
-	if !ok {
-		return
+	for ctx.Err() == nil {
+		roster, ok := k.enter(ctx, name)
+		if !ok {
+			return
+		}
+		s.enter(roster, time.Now())
+		window := time.Now().Add(k.Keys.Limits.Window)
+		k.prepare(ctx, name, s, roster, window)
+		if !sleep(ctx, time.Until(window)) {
+			return
+		}
+		k.watch(ctx, name, s, roster)
 	}
+}
+
+// enter begins with a roster that has the gate.
+func (s *service) enter(r Roster, now time.Time) {
 	s.mu.Lock()
-	s.adopt(roster)
-	s.mu.Unlock()
-	window := time.Now().Add(k.Keys.Limits.Window)
-	k.prepare(ctx, name, s, roster, window)
-	if !sleep(ctx, time.Until(window)) {
-		return
-	}
-	k.clear(ctx, name, s)
+	defer s.mu.Unlock()
+	s.ready = false
+	s.confirmed = now
+	s.heard = map[Gate]bool{}
+	s.adopt(r)
+}
+
+// watch reads the roster now and then, until the gate is no longer in it.
+func (k *Keeper) watch(ctx context.Context, name string, s *service, roster Roster) {
 	for ctx.Err() == nil {
 		k.introduce(ctx, name, s, roster)
-		wait := time.NewTimer(viewEvery/2 + rand.N(viewEvery))
+		k.greet(ctx, name, s)
+		if !k.tidy(ctx, name, s) {
+			klog.Warningf(logPrefix+"taken out of the table of gates of %s", name)
+			return
+		}
+		every := roundEvery
+		if len(s.silent(k.Keys.Self)) > 0 {
+			every = silentEvery
+		}
+		wait := time.NewTimer(every/2 + rand.N(every))
 		select {
 		case <-ctx.Done():
 		case <-s.stale:
-			k.clear(ctx, name, s)
 		case <-wait.C:
-			if len(s.silent(k.Keys.Self)) > 0 {
-				k.clear(ctx, name, s)
-			}
 		}
 		wait.Stop()
 	}
 }
 
+// greet notes which gates of the view answer.
+func (k *Keeper) greet(ctx context.Context, name string, s *service) {
+	s.mu.RLock()
+	gates := s.view.Without(k.Keys.Self).Gates
+	s.mu.RUnlock()
+	var greeted sync.WaitGroup
+	for _, g := range gates {
+		greeted.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+			defer cancel()
+			var out Reply
+			err := k.Caller.Call(ctx, g.Address, MethodLook, Question{Service: name, Gate: g.Instance}, &out)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if _, ok := s.seen[g]; err == nil || !ok {
+				s.seen[g] = time.Now()
+			}
+		})
+	}
+	greeted.Wait()
+}
+
 // prepare introduces the gate until it is ready and every gate knows of it, or
 // the window has passed since it entered the roster, and with it whatever was
 // fenced before. The first gate of a roster has nothing to learn.
@@ -212,26 +264,41 @@
 	}
 }
 
-// clear takes the older incarnations of this address out of the roster. They
-// were dead before this one listened here, and the window has passed since.
-// The gate goes by the roster that it reads.
-func (k *Keeper) clear(ctx context.Context, name string, s *service) {
+// tidy reads the roster and takes out of it the older incarnations of this
+// address, which were dead before this one listened here, and gates that have
+// not answered for abandonAfter. It returns false when this gate is not in it.
+func (k *Keeper) tidy(ctx context.Context, name string, s *service) bool {
 	roster, err := changeRoster(ctx, k.Store, name, func(r Roster) Roster {
-		var gone []Gate
-		for _, g := range r.Gates {
-			if g.Address == k.Keys.Self.Address && g != k.Keys.Self {
-				gone = append(gone, g)
-			}
-		}
-		return r.Without(gone...)
+		return r.Without(s.gone(r, k.Keys.Self, time.Now())...)
 	})
 	if err != nil {
 		klog.V(1).Infof(logPrefix+"table of gates: %v", err)
-		return
+		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !roster.Has(k.Keys.Self) {
+		s.ready = false
+		return false
+	}
+	s.confirmed = time.Now()
 	s.adopt(roster)
+	return true
+}
+
+// gone lists what may leave a roster.
+func (s *service) gone(r Roster, self Gate, now time.Time) []Gate {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []Gate
+	for _, g := range r.Gates {
+		seen, ok := s.seen[g]
+		replaced := g.Address == self.Address && g != self
+		if replaced || ok && now.Sub(seen) > abandonAfter {
+			out = append(out, g)
+		}
+	}
+	return out
 }
 
 // retry calls fn until it succeeds; false when ctx ended.
--- a/internal/request/once/messages.go
+++ b/internal/request/once/messages.go
@@ -69,9 +69,12 @@
 
 // Take hands a leaving gate's records to one that stays.
 type Take struct {
-	Service string  `cbor:"1,keyasint"`
-	Gate    uint64  `cbor:"2,keyasint"`
-	Known   []Known `cbor:"3,keyasint"`
+	Service string `cbor:"1,keyasint"`
+	Gate    uint64 `cbor:"2,keyasint"`
+	// Known are records, for any gate that is ready.
+	Known []Known `cbor:"3,keyasint,omitempty"`
+	// Claims are the keys whose home the asked gate becomes.
+	Claims []uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Taken answers a Take.
--- a/internal/standin/cluster/keys_test.go
+++ b/internal/standin/cluster/keys_test.go
@@ -158,3 +158,25 @@
 		t.Errorf("%d runs, want 2", n)
 	}
 }
+
+func TestPlannedStopHandsItsRecordsOver(t *testing.T) {
+	c := ledgerCluster(t, 4)
+	for i := range 8 {
+		if r := post(t, c.Hosts[i%4], "/credit/7", "stop"+strconv.Itoa(i), i%2, "x"); r.status != http.StatusOK {
+			t.Fatalf("first attempt: %+v", r)
+		}
+	}
+	if err := c.Hosts[3].Stop(); err != nil {
+		t.Fatal(err)
+	}
+	c.Hosts = c.Hosts[:3]
+	for i := range 8 {
+		r := post(t, c.Hosts[i%3], "/credit/7", "stop"+strconv.Itoa(i), 2*(i%2), "x")
+		if !r.saved {
+			t.Errorf("repeat of a call after the stop: %+v", r)
+		}
+	}
+	if r := post(t, c.Hosts[0], "/credit/7", "fresh", 2, "x"); r.status != http.StatusOK || r.saved {
+		t.Errorf("a second attempt that no gate knows: %+v", r)
+	}
+}
