Keep stalled streams from holding up others on their connection

17 callers that stop reading, or 17 uploads that the upstream stops reading, filled the flow control window of the connection between two nodes: a look-up beside them was cut after 5 s, or answered 504. A stream's window is now 256 KiB on both sides, a listener's connection window holds 64 of them, and the transport's is left at net/http's default; how many streams stall is bounded by the gate's slots. 20 look-ups beside 17 stalled streams are answered.

--- a/internal/conn/dial/transport.go
+++ b/internal/conn/dial/transport.go
@@ -15,13 +15,19 @@
 	// continueTimeout bounds the wait of a streamed body for its admission.
 	// The request's own deadline ends it earlier; a body must never be sent
 	// unasked, since a refused one is offered to another gate.
-	continueTimeout  = 10 * time.Minute
-	idleTimeout      = 90 * time.Second
-	pingAfter        = 5 * time.Second
-	pingTimeout      = 2 * time.Second
-	maxHeaderBytes   = 64 << 10
-	streamWindow     = 256 << 10
-	connectionWindow = 1 << 20
+	continueTimeout = 10 * time.Minute
+	idleTimeout     = 90 * time.Second
+	pingAfter       = 5 * time.Second
+	pingTimeout     = 2 * time.Second
+	maxHeaderBytes  = 64 << 10
+	// streamWindow bounds what a stream buffers whose reader is slow.
+	streamWindow = 256 << 10
+	// connectionWindow bounds that of all streams of a connection towards a
+	// listener. It must hold a full window of each call that a gate admits,
+	// else those that stall hold up all others on the connection. Towards the
+	// transport the gate's slots bound the streams, and net/http's default
+	// window holds them all.
+	connectionWindow = 64 * streamWindow
 )
 
 // Peers returns the transport for calls and questions between nodes: HTTP/2,
@@ -42,14 +48,22 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ExpectContinueTimeout:  continueTimeout,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:               pingAfter,
-			PingTimeout:                   pingTimeout,
-			MaxReceiveBufferPerStream:     streamWindow,
-			MaxReceiveBufferPerConnection: connectionWindow,
+			SendPingTimeout:           pingAfter,
+			PingTimeout:               pingTimeout,
+			MaxReceiveBufferPerStream: streamWindow,
 		},
 	}
 }
 
+// ServerConfig returns the HTTP/2 settings of a node's listeners.
+func ServerConfig(maxStreams int) *http.HTTP2Config {
+	return &http.HTTP2Config{
+		MaxConcurrentStreams:          maxStreams,
+		MaxReceiveBufferPerStream:     streamWindow,
+		MaxReceiveBufferPerConnection: connectionWindow,
+	}
+}
+
 // Upstream returns the transport to the local upstream: HTTP/1.1 with at most
 // connections connections, all reused, each of them a CountedConn.
 func Upstream(connections int) *http.Transport {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -205,7 +205,7 @@
 		TLSConfig:         config,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		HTTP2:             dial.ServerConfig(maxStreams),
 	}
 }
 
--- a/internal/request/entry/chain_test.go
+++ b/internal/request/entry/chain_test.go
@@ -196,10 +196,13 @@
 	}
 }
 
+// chainCalls are enough for the budget's burst to be a small part of them.
+const chainCalls = 220
+
 func TestLongestChainIsNotMultipliedByRetries(t *testing.T) {
 	for _, failEvery := range []int64{10, 1} {
 		c := newChain(t, true, 0, failEvery)
-		bottom, answered := c.calls(200)
+		bottom, answered := c.calls(chainCalls)
 		t.Logf("1 in %d fails: %.3f runs at the bottom per call at the top, %.1f%% answered", failEvery, bottom, 100*answered)
 		if bottom >= 1.2 {
 			t.Errorf("1 in %d fails: %.3f runs at the bottom per call at the top", failEvery, bottom)
--- a/internal/request/entry/failure_test.go
+++ b/internal/request/entry/failure_test.go
@@ -251,3 +251,48 @@
 		}
 	}
 }
+
+func TestStalledStreamsDoNotHoldUpOthersOnTheirConnection(t *testing.T) {
+	const stalled = 17
+	blob := strings.Repeat("b", 8<<20)
+	for _, tc := range []struct{ name, request string }{
+		{"callers that stop reading", "GET /look/large HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"upstreams that stop reading", "POST /photo/stuck HTTP/1.1\r\nHost: x\r\nContent-Length: 8388608\r\n\r\n" + blob},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var begun sync.WaitGroup
+			begun.Add(stalled)
+			release := make(chan struct{})
+			g := newRig(t, 1, func(_ *host, w http.ResponseWriter, r *http.Request) {
+				switch r.URL.Path {
+				case "/look/large":
+					begun.Done()
+					_, _ = io.WriteString(w, blob)
+				case "/photo/stuck":
+					begun.Done()
+					<-release
+				default:
+					b, _ := io.ReadAll(r.Body)
+					_, _ = w.Write(b)
+				}
+			})
+			defer close(release)
+			g.warm()
+			for range stalled {
+				conn, err := net.Dial("tcp", g.callers.Listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				go func() { _, _ = io.WriteString(conn, tc.request) }()
+			}
+			begun.Wait()
+			for range 20 {
+				got := g.do("POST", "/look", strings.NewReader(blob[:20_000]), func(r *http.Request) { r.Header.Set(call.HeaderTimeLeft, "5000") })
+				if got.status != http.StatusOK || len(got.body) != 20_000 {
+					t.Fatalf("a look-up beside them: status %d, code %s, %d bytes, cut %v", got.status, got.code, len(got.body), got.cut)
+				}
+			}
+		})
+	}
+}
--- a/internal/request/entry/rig_test.go
+++ b/internal/request/entry/rig_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,7 +40,10 @@
 	hosts   []*host
 }
 
-const testService = "svc"
+const (
+	testService = "svc"
+	rigSlots    = 20
+)
 
 // newRig starts hosts whose upstreams answer with handler.
 func newRig(t *testing.T, hosts int, handler func(h *host, w http.ResponseWriter, r *http.Request)) *rig {
@@ -103,6 +107,10 @@
 			h.health.Add(1)
 			return
 		}
+		if r.URL.Path == "/look/warm" {
+			time.Sleep(2 * time.Millisecond)
+			return
+		}
 		h.runs.Add(1)
 		handler(h, w, r)
 	}))
@@ -111,19 +119,20 @@
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
 	h.peers.Config.Protocols = &p
+	h.peers.Config.HTTP2 = dial.ServerConfig(1000)
 	h.peers.Start()
 	g.t.Cleanup(h.peers.Close)
 	h.announce(api.UpstreamReady)
 	g.entry.Members.Merge(member.Record{
 		Address: h.peers.Listener.Addr().String(), DataCentre: "dc", Incarnation: 1, State: member.Alive,
-		Service: testService, Version: "v1", Upstream: api.UpstreamReady, Slots: 4,
+		Service: testService, Version: "v1", Upstream: api.UpstreamReady, Slots: rigSlots,
 	})
 	return h
 }
 
 func (h *host) announce(s api.UpstreamState) {
 	h.gate.Announce(api.Announcement{
-		Service: testService, Version: "v1", Address: h.upstream.Listener.Addr().String(), State: s, Slots: 4, Connections: 8,
+		Service: testService, Version: "v1", Address: h.upstream.Listener.Addr().String(), State: s, Slots: rigSlots, Connections: rigSlots,
 	})
 }
 
@@ -178,6 +187,19 @@
 	}
 }
 
+// warm answers calls until the gates, cold at first, give all their slots.
+func (g *rig) warm() {
+	for _, h := range g.hosts {
+		for h.gate.Load().Slots < rigSlots {
+			var wait sync.WaitGroup
+			for range rigSlots {
+				wait.Go(func() { g.do("GET", "/look/warm", nil, nil) })
+			}
+			wait.Wait()
+		}
+	}
+}
+
 // crash breaks the connection of a request, after the given bytes.
 func crash(w http.ResponseWriter, bytes string) {
 	conn, out, err := http.NewResponseController(w).Hijack()
--- a/internal/request/gate/limit.go
+++ b/internal/request/gate/limit.go
@@ -94,7 +94,7 @@
 		l.warming = true
 		l.usual = nil
 		l.current = max(1, float64(ceiling)/coldPart)
-	} else if ceiling > l.ceiling && l.current >= float64(l.ceiling) {
+	} else if ceiling > l.ceiling && l.current >= float64(l.ceiling) && !l.warming {
 		l.current = float64(ceiling)
 	}
 	l.ceiling = ceiling
--- a/internal/standin/cluster/load_test.go
+++ b/internal/standin/cluster/load_test.go
@@ -118,10 +118,13 @@
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}}
 }
 
+// blob is what bodies are cut from.
+var blob = strings.Repeat("b", 16<<20)
+
 func request(c *http.Client, method, url string, size int) ending {
 	began := time.Now()
 	path := url[strings.LastIndex(url, "/")+1:]
-	r, err := http.NewRequest(method, url, strings.NewReader(strings.Repeat("b", size)))
+	r, err := http.NewRequest(method, url, strings.NewReader(blob[:size]))
 	if err != nil {
 		return ending{path: path, cut: true}
 	}
