Find faults that go away with the share, and ease a doubtful move

Good versions were taken back when both versions failed: a row of failures stayed plain after the trouble had passed.

Change: a share is lowered for 3 to 10 s, tests begin anew when it is restored, and no step is taken for 10 s. A doubt that comes back a third time without the old version having shown the same is proof. A row of failures is plain for 2 s only. Decide is told of the lowered share.

--- a/internal/process/rollouts/gate.go
+++ b/internal/process/rollouts/gate.go
@@ -54,11 +54,12 @@
 		if local == nil || local.key.Service != c.Service || local.version != c.Version {
 			return next(ctx, w, r, c)
 		}
-		if local.isNew && local.recorder.Plain(c.Route) {
+		now := time.Now()
+		if local.isNew && local.recorder.Plain(c.Route, now) {
 			m.nudge()
 			return call.Refuse(api.CallWithdrawn, errHeld)
 		}
-		running := local.recorder.Begin(c.Route, time.Now())
+		running := local.recorder.Begin(c.Route, now)
 		// A handler that panics to abort its connection must not stay counted
 		// as in progress.
 		outcome := verdict.NotRun
--- a/internal/process/rollouts/judge.go
+++ b/internal/process/rollouts/judge.go
@@ -66,7 +66,7 @@
 	if reporting == 0 {
 		return
 	}
-	mv.verdict = mv.judge.Decide(mv.state.Step.Number, now)
+	mv.verdict = mv.judge.Decide(mv.state.Step.Number, mv.state.Eased(), now)
 	v := mv.verdict
 	if live := len(m.ranked(mv.state.Key())); 2*reporting < live {
 		v.Enough = false
@@ -113,7 +113,7 @@
 	r := mv.plan.Rollout
 	serving := m.cfg.Members.Index().Serving
 	return rollout.Findings{
-		Bad: v.Bad, Doubt: v.Doubt, Grave: v.Grave, Enough: v.Enough, Evidence: v.Evidence,
+		Bad: v.Bad, Doubt: v.Doubt, Grave: v.Grave, Explained: v.Explained, Enough: v.Enough, Evidence: v.Evidence,
 		Old: len(serving[member.UpstreamKey{Service: r.Service, Version: r.From}]),
 		New: len(serving[member.UpstreamKey{Service: r.Service, Version: r.To}]),
 	}
@@ -143,9 +143,9 @@
 		return "taken back: " + after.Withdrawn.Why
 	case after.Done != nil:
 		return "done: " + after.Done.Why
-	case after.Ease.Orders != before.Ease.Orders && after.Eased():
-		return "share lowered: " + after.Ease.Mark.Why
-	case after.Ease.Orders != before.Ease.Orders:
+	case after.Ease.Pause.Orders != before.Ease.Pause.Orders && after.Eased():
+		return "share lowered: " + after.Ease.Pause.Mark.Why
+	case after.Ease.Pause.Orders != before.Ease.Pause.Orders:
 		return "share restored"
 	case after.Pause.Orders != before.Pause.Orders && after.Paused():
 		return "paused by " + after.Pause.Mark.By
--- a/internal/version/rollout/next.go
+++ b/internal/version/rollout/next.go
@@ -15,6 +15,8 @@
 	// Grave tells that the doubt is close to proof: it keeps the move from
 	// being completed even when its time is up.
 	Grave bool
+	// Explained tells that the old version has shown the same of late.
+	Explained bool
 	// Enough tells that the evidence of this step is in.
 	Enough bool
 	// Evidence is a short account of the calls seen at this step.
@@ -45,10 +47,14 @@
 	if f.Bad != "" && s.Step.Number > 0 {
 		return withdraw(s, f, now)
 	}
+	if relapsed(s, f) {
+		f.Bad = "comes back whenever the share is restored: " + f.Doubt
+		return withdraw(s, f, now)
+	}
 	if eased, ok := ease(s, f, now); ok {
 		return eased, true
 	}
-	if Blocked(p, s, f) != "" {
+	if Blocked(p, s, f) != "" || recovering(p, s, now) {
 		return s, false
 	}
 	if s.Step.Number >= len(p.Shares) && f.Old == 0 {
@@ -158,16 +164,56 @@
 	return s
 }
 
+// maxEases is how often a doubt may lower the share and go away by itself. A
+// fault that shows above a load does just that, so the next time is proof.
+const maxEases = 2
+
+// recovering tells that the share is lowered or was so until lately. At the
+// deadline a move need not wait for more than the share's being restored.
+func recovering(p Plan, s State, now time.Time) bool {
+	if s.Eased() || s.Ease.Pause.Orders == 0 {
+		return s.Eased()
+	}
+	restored := s.Ease.Pause.Mark.At()
+	return now.Before(restored.Add(maxEase)) && now.Before(p.Rollout.Deadline.Add(-minEase))
+}
+
+// relapsed tells that a doubt came back each time the share was restored.
+func relapsed(s State, f Findings) bool {
+	return f.Doubt != "" && !s.Eased() && s.Ease.Times >= maxEases &&
+		s.Step.Share > easedShare && s.sameEpisode()
+}
+
+// sameEpisode tells that the share was lowered at this step or the one before.
+func (s State) sameEpisode() bool { return s.Ease.Step >= s.Step.Number-1 }
+
 // ease lowers a large share when a doubt comes up and lifts that again when
 // the doubt has gone.
 func ease(s State, f Findings, now time.Time) (State, bool) {
 	doubt := f.Doubt != ""
-	if doubt == s.Eased() || doubt && s.Step.Share <= easedShare {
+	lowered := now.Sub(s.Ease.Pause.Mark.At())
+	switch {
+	case !s.Eased() && (!doubt || s.Step.Share <= easedShare):
 		return s, false
-	}
-	if !doubt && now.Before(s.Ease.Mark.At().Add(minEase)) {
+	case s.Eased() && (lowered < minEase || doubt && lowered < maxEase):
 		return s, false
 	}
-	s.Ease = Pause{Orders: s.Ease.Orders + 1, Mark: Mark{AtMillis: now.UnixMilli(), Why: f.Doubt}}
+	next := Ease{Pause: Pause{
+		Orders: s.Ease.Pause.Orders + 1,
+		Mark:   Mark{AtMillis: now.UnixMilli(), Why: f.Doubt},
+	}}
+	if !s.Eased() {
+		next.Step, next.Times = s.Step.Number, 1
+		if s.sameEpisode() {
+			next.Times += s.Ease.Times
+		}
+		s.Ease = next
+		return s, true
+	}
+	next.Step, next.Times = s.Ease.Step, s.Ease.Times
+	if f.Explained {
+		next.Times = 0
+	}
+	s.Ease = next
 	return s, true
 }
--- a/internal/version/rollout/plan.go
+++ b/internal/version/rollout/plan.go
@@ -27,8 +27,10 @@
 
 // Bounds of the times of a move.
 const (
-	// minEase is the shortest time that a share stays lowered.
+	// minEase and maxEase bound the time that a share stays lowered. For
+	// maxEase after that no step is taken.
 	minEase = 3 * time.Second
+	maxEase = 10 * time.Second
 	// minHold is the shortest stay at one step.
 	minHold = 2 * time.Second
 	// minWatch and maxWatch bound the watch after the last step, whatever the
--- a/internal/version/rollout/state.go
+++ b/internal/version/rollout/state.go
@@ -63,7 +63,17 @@
 	Done      *Mark  `cbor:"5,keyasint,omitempty"`
 	Pause     Pause  `cbor:"6,keyasint"`
 	// Ease lowers the share to easedShare while its count is odd.
-	Ease Pause `cbor:"7,keyasint"`
+	Ease Ease `cbor:"7,keyasint"`
+}
+
+// Ease is the latest change between a share lowered by doubt and the step's own.
+type Ease struct {
+	Pause Pause `cbor:"1,keyasint"`
+	// Step is the step at which the share was lowered last.
+	Step int `cbor:"2,keyasint,omitempty"`
+	// Times counts how often in a row, about the same step, a doubt lowered the
+	// share and then went away without the old version showing the same.
+	Times int `cbor:"3,keyasint,omitempty"`
 }
 
 // Key returns the move that the state belongs to.
@@ -92,7 +102,7 @@
 // Eased tells whether a doubt has lowered the share. It gives the old version
 // calls enough to tell a slow new version from a general slowdown, and spares
 // callers until that is known.
-func (s State) Eased() bool { return s.Ease.Orders%2 == 1 }
+func (s State) Eased() bool { return s.Ease.Pause.Orders%2 == 1 }
 
 // Equal tells whether two states say the same.
 func (s State) Equal(o State) bool {
@@ -109,7 +119,7 @@
 		Withdrawn: earlierMark(a.Withdrawn, b.Withdrawn),
 		Done:      earlierMark(a.Done, b.Done),
 		Pause:     laterPause(a.Pause, b.Pause),
-		Ease:      laterPause(a.Ease, b.Ease),
+		Ease:      laterEase(a.Ease, b.Ease),
 	}
 }
 
@@ -151,3 +161,16 @@
 	}
 	return b
 }
+
+func laterEase(a, b Ease) Ease {
+	order := cmp.Or(
+		cmp.Compare(b.Pause.Orders, a.Pause.Orders),
+		compareMarks(a.Pause.Mark, b.Pause.Mark),
+		cmp.Compare(b.Step, a.Step),
+		cmp.Compare(b.Times, a.Times),
+	)
+	if order <= 0 {
+		return a
+	}
+	return b
+}
--- a/internal/version/verdict/driver/calls.go
+++ b/internal/version/verdict/driver/calls.go
@@ -36,7 +36,7 @@
 
 // refused is the gate's part of a withdrawal.
 func (p *play) refused(h *host, route int) bool {
-	return h.state.Withdrawn != nil || !p.cfg.NoGate && h.recorder.Plain(routes[route].name)
+	return h.state.Withdrawn != nil || !p.cfg.NoGate && h.recorder.Plain(routes[route].name, h.clock(p.now))
 }
 
 func (p *play) route() int {
--- a/internal/version/verdict/driver/config.go
+++ b/internal/version/verdict/driver/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/rollout"
 	"github.com/daisytide/daisytide/internal/version/verdict"
 )
 
@@ -86,6 +87,9 @@
 	// NoGate leaves out what a gate does by itself on a plain failure, for
 	// the baselines.
 	NoGate bool
+	// Trace, if set, is told of each decision: the time since the start, the
+	// deciding host, the state and the verdict behind it.
+	Trace func(at time.Duration, host string, s rollout.State, v verdict.Verdict)
 }
 
 // Result is how a play ended.
--- a/internal/version/verdict/driver/play.go
+++ b/internal/version/verdict/driver/play.go
@@ -304,7 +304,7 @@
 		return
 	}
 	now := h.clock(p.now)
-	v := h.judge.verdict.Decide(h.state.Step.Number, now)
+	v := h.judge.verdict.Decide(h.state.Step.Number, h.state.Eased(), now)
 	h.judge.last = v
 	if 2*reporting < p.listedCount(p.hosts) {
 		v.Enough = false
@@ -328,7 +328,7 @@
 // decide takes the next state, if there is one, and spreads it.
 func (p *play) decide(h *host, v verdict.Verdict, now time.Time) {
 	f := rollout.Findings{
-		Bad: v.Bad, Doubt: v.Doubt, Grave: v.Grave, Enough: v.Enough, Evidence: v.Evidence,
+		Bad: v.Bad, Doubt: v.Doubt, Grave: v.Grave, Explained: v.Explained, Enough: v.Enough, Evidence: v.Evidence,
 		Old: p.listedCount(p.old), New: p.listedCount(p.newer),
 	}
 	next, ok := rollout.Next(p.plan, h.state, f, now)
@@ -337,6 +337,9 @@
 	}
 	h.state = next
 	p.res.Facts++
+	if p.cfg.Trace != nil {
+		p.cfg.Trace(p.now.Sub(begin), h.name, next, v)
+	}
 	p.spread(next)
 }
 
--- a/internal/version/verdict/recorder.go
+++ b/internal/version/verdict/recorder.go
@@ -12,6 +12,9 @@
 const (
 	// plainStreak failures in a row, or overdue calls at once, are plain.
 	plainStreak = 4
+	// plainFresh is how long after its last failure a row of them is plain. A
+	// gate then lets calls through again, so that the row ends or goes on.
+	plainFresh = 2 * time.Second
 	// overdueFactor times the old version's slow edge is too long in progress.
 	overdueFactor = 3
 	// minOverdue is the shortest time in progress that counts as too long.
@@ -68,8 +71,9 @@
 	counts  Counts
 	running []*Running
 	// streak counts the failures since the last answer.
-	streak  int
-	lastCut time.Time
+	streak   int
+	lastFail time.Time
+	lastCut  time.Time
 	// longer is the slow edge; 0 while no judge has told it.
 	longer time.Duration
 	// lastEnd is when a call last ended.
@@ -140,6 +144,7 @@
 		rr.counts.Failures++
 		if o != Shed {
 			rr.streak++
+			rr.lastFail = now
 		}
 		return
 	}
@@ -182,7 +187,7 @@
 func (rr *routeRecorder) scan(now time.Time) string {
 	rr.mu.Lock()
 	defer rr.mu.Unlock()
-	if rr.streak >= plainStreak {
+	if rr.plain(now) {
 		return fmt.Sprintf("%d calls in a row failed on %s", rr.streak, rr.name)
 	}
 	limit := rr.overdue()
@@ -223,11 +228,16 @@
 
 // Plain tells, cheaply enough for every call, whether a route has failed so
 // often in a row that nothing more should be sent.
-func (r *Recorder) Plain(route string) bool {
+func (r *Recorder) Plain(route string, now time.Time) bool {
 	rr := r.route(route)
 	rr.mu.Lock()
 	defer rr.mu.Unlock()
-	return rr.streak >= plainStreak
+	return rr.plain(now)
+}
+
+// plain tells of a row of failures that is long and fresh; the caller holds mu.
+func (rr *routeRecorder) plain(now time.Time) bool {
+	return rr.streak >= plainStreak && now.Sub(rr.lastFail) < plainFresh
 }
 
 // Forgive ends a streak that the judges found to be no fault of the version.
--- a/internal/version/verdict/rule.go
+++ b/internal/version/verdict/rule.go
@@ -47,7 +47,8 @@
 // samples.
 type Rule interface {
 	// Step takes the next sample and returns the score: 1 and above is proof
-	// against the new version, above doubtScore is doubt.
+	// against the new version, above doubtScore is doubt, and below 0 tells
+	// that a suspicion was dropped since the old version showed the same.
 	Step(s Sample) float64
 	// Peek returns the score that s would give, and leaves the rule as it is.
 	Peek(s Sample) float64
@@ -59,8 +60,9 @@
 // Scores below proof: doubtScore holds the next step, graveScore keeps a move
 // from being completed.
 const (
-	doubtScore = 0.5
-	graveScore = 0.8
+	doubtScore     = 0.5
+	graveScore     = 0.8
+	explainedScore = -1
 )
 
 // Weights in runs of what a rate is drawn towards: the prior rate for the
@@ -138,11 +140,12 @@
 		min(max(worseFactor*p0, p0+worseRise), maxRate),
 	}
 	threshold := c.margin + math.Log(max(s.Recent, minRecent))
-	score := 0.0
-	for i := range c.sums {
-		score = max(score, c.sums[i].step(s, p0, worse[i], base, threshold))
+	first := c.sums[0].step(s, p0, worse[0], base, threshold)
+	second := c.sums[1].step(s, p0, worse[1], base, threshold)
+	if first < 0 && second < 1 {
+		return first
 	}
-	return score
+	return max(first, second)
 }
 
 func (e *excursion) step(s Sample, p0, p1, base, threshold float64) float64 {
@@ -180,7 +183,7 @@
 		return 1
 	case c <= controlAgain:
 		*e = excursion{}
-		return 0
+		return explainedScore
 	default:
 		return (1 + graveScore) / 2
 	}
