Judge all routes together too, and count control after a suspicion only

Cause: a fault on every route was proven on each apart, so quiet services paid for it several times; new unit tests of the judge showed the old version's runs from before a general slowdown counted as control, and the base of a long slowdown became the usual.

Change: one more series of tests over all routes; the share in doubt is 10 percent; control leaves out the slot before; the base stays while something is suspected.

--- a/internal/process/rollouts/fleet_test.go
+++ b/internal/process/rollouts/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 	*Manager
 	fleet  *fleet
 	record member.Record
-	dead   bool
+	dead   atomic.Bool
 	stop   context.CancelFunc
 }
 
@@ -58,7 +59,7 @@
 // Publish implements spread.Publisher: every live node hears it.
 func (n *fakeNode) Publish(_ string, item []byte) {
 	for _, o := range n.fleet.nodes {
-		if o != n && !o.dead && !n.dead {
+		if o != n && !o.dead.Load() && !n.dead.Load() {
 			if _, err := o.Merge(item); err != nil {
 				n.fleet.t.Error(err)
 			}
@@ -69,7 +70,7 @@
 // Call implements rpc.Caller over the wire's encoding.
 func (n *fakeNode) Call(ctx context.Context, address, method string, in, out any) error {
 	to := n.fleet.node(address)
-	if to == nil || to.dead || n.dead {
+	if to == nil || to.dead.Load() || n.dead.Load() {
 		return errDead
 	}
 	body, err := wire.Marshal(in)
@@ -124,7 +125,7 @@
 
 func (f *fleet) node(address string) *fakeNode {
 	for _, n := range f.nodes {
-		if n.record.Address == address {
+		if n.self().Address == address {
 			return n
 		}
 	}
@@ -159,9 +160,9 @@
 
 // renew gives a node a manager without memory, as after a restart.
 func (f *fleet) renew(n *fakeNode) {
-	n.dead = false
+	n.dead.Store(false)
 	n.Manager = NewManager(Config{
-		Self:    func() member.Record { return n.record },
+		Self:    n.self,
 		Members: f.members, Holder: f.holder, Peers: n, Store: f.store, Audit: f, Publisher: n,
 	})
 }
@@ -183,10 +184,26 @@
 }
 
 func (f *fleet) kill(n *fakeNode) {
-	n.dead = true
+	n.dead.Store(true)
 	n.stop()
-	n.record.State = member.Gone
-	f.members.Merge(n.record)
+	n.update(func(r *member.Record) { r.State = member.Gone })
+}
+
+// self returns the node's own record.
+func (n *fakeNode) self() member.Record {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.record
+}
+
+// update changes the node's record for all nodes.
+func (n *fakeNode) update(change func(*member.Record)) {
+	n.fleet.mu.Lock()
+	change(&n.record)
+	n.record.Sequence++
+	r := n.record
+	n.fleet.mu.Unlock()
+	n.fleet.members.Merge(r)
 }
 
 // apply puts a document with the rollouts in force on every node.
@@ -242,7 +259,7 @@
 }
 
 func (f *fleet) call(entry *fakeNode, i int) {
-	if entry.dead {
+	if entry.dead.Load() {
 		return
 	}
 	s := f.holder.Current()
@@ -261,7 +278,7 @@
 func (f *fleet) atGate(i int, version string) call.Result {
 	for k := range f.nodes {
 		n := f.nodes[(i+k)%len(f.nodes)]
-		if n.dead || n.record.Version != version {
+		if n.dead.Load() || n.self().Version != version {
 			continue
 		}
 		handler := n.Gate(func(context.Context, http.ResponseWriter, *http.Request, *call.Call) call.Result {
@@ -297,11 +314,11 @@
 func (f *fleet) everywhere(state string) {
 	f.t.Helper()
 	for _, n := range f.nodes {
-		if n.dead {
+		if n.dead.Load() {
 			continue
 		}
 		if r := n.row(); r.State != state {
-			f.t.Errorf("%s: %s at %g%%, step %d: %s; want %s", n.record.Address, r.State, r.Share, r.Step, r.Why, state)
+			f.t.Errorf("%s: %s at %g%%, step %d: %s; want %s", n.self().Address, r.State, r.Share, r.Step, r.Why, state)
 		}
 	}
 }
@@ -323,3 +340,12 @@
 	}
 	return out
 }
+
+// sent returns the bytes of questions to peers since it was last asked.
+func (f *fleet) sent() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.bytes
+	f.bytes = 0
+	return n
+}
--- a/internal/process/rollouts/manager_test.go
+++ b/internal/process/rollouts/manager_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/internal/version/rollout"
 )
@@ -106,7 +107,7 @@
 		f.load(40 * time.Second)
 		// All but one node of each version vanish without being noticed.
 		for _, n := range f.nodes[2:] {
-			n.dead = true
+			n.dead.Store(true)
 			n.stop()
 		}
 		f.fail("v2")
@@ -123,9 +124,8 @@
 		f.load(10 * time.Second)
 		f.everywhere(stateTakenBack)
 		for _, n := range f.nodes {
-			if n.record.Version == "v2" {
-				n.record.Version, n.record.Sequence = "v3", n.record.Sequence+1
-				f.members.Merge(n.record)
+			if n.self().Version == "v2" {
+				n.update(func(r *member.Record) { r.Version = "v3" })
 			}
 		}
 		f.apply(moveTo("v3"))
@@ -196,9 +196,8 @@
 		f.apply(moveTo("v2"))
 		f.load(30 * time.Second)
 		for _, n := range f.nodes {
-			if n.record.Version == "v1" {
-				n.record.Upstream, n.record.Sequence = api.UpstreamDown, n.record.Sequence+1
-				f.members.Merge(n.record)
+			if n.self().Version == "v1" {
+				n.update(func(r *member.Record) { r.Upstream = api.UpstreamDown })
 			}
 		}
 		if got := f.nodes[0].Version(f.holder.Current(), service, 0.99); got != "v2" {
@@ -244,10 +243,10 @@
 		f := newFleet(t, 28)
 		f.apply(moveTo("v2"))
 		f.load(20 * time.Second)
-		f.bytes = 0
+		f.sent()
 		const span = 20
 		f.load(span * time.Second)
-		perNode := f.bytes / span / len(f.nodes)
+		perNode := f.sent() / span / len(f.nodes)
 		t.Logf("%d bytes of reports per node and second", perNode)
 		if perNode > controlBytes/10 {
 			t.Errorf("%d bytes per node and second", perNode)
--- a/internal/version/rollout/plan.go
+++ b/internal/version/rollout/plan.go
@@ -15,7 +15,7 @@
 const controlShare = 2.0
 
 // easedShare is the largest share, in percent, while a doubt lasts.
-const easedShare = 25.0
+const easedShare = 10.0
 
 // maxStepRise bounds how many points a step that daisytide chose adds. Small
 // shares double; large ones rise by this, since there each point adds the
--- a/internal/version/verdict/driver/table.go
+++ b/internal/version/verdict/driver/table.go
@@ -37,7 +37,10 @@
 var mixed = []struct {
 	upstreams int
 	busy      bool
-}{{3, true}, {3, false}, {5, true}, {5, false}, {28, false}}
+}{
+	{3, true}, {3, false}, {5, true}, {5, false}, {28, false},
+	{3, true}, {3, false}, {5, true}, {5, false}, {5, false},
+}
 
 // PlayAll plays a configuration with the seeds 1 to seeds, several at once.
 func PlayAll(name string, cfg Config, seeds int) Row {
--- a/internal/version/verdict/judge.go
+++ b/internal/version/verdict/judge.go
@@ -38,14 +38,6 @@
 // belongs to the same episode: what the old version showed then still counts.
 const plainMemory = 10 * time.Second
 
-// explainedSlots is for how many tests a suspicion counts as explained after
-// the old version showed the same: ten seconds of two tests.
-const explainedSlots = 40
-
-// urgentWait is how long a judge waits after a plain failure for the reports
-// of the old version's gates.
-const urgentWait = 150 * time.Millisecond
-
 // test is one question asked of a route.
 type test uint8
 
@@ -67,6 +59,8 @@
 	newRule NewRule
 	writers map[writerKey]map[string]Counts
 	routes  map[string]*routeJudge
+	// whole judges all routes together.
+	whole series
 	// names are the routes in order.
 	names []string
 	// slot is the number of the slot that collects now.
@@ -104,23 +98,16 @@
 	oldTotal Counts
 	newTotal Counts
 	stepRuns uint64
-	rules    [testCount]Rule
-	scores   [testCount]float64
 	edge     int
+	series
 	// recent is the new version's runs, older ones weighing less.
 	recent float64
-	// explained is for how many slots more the old version counts as having
-	// shown the same as the new one.
-	explained int
 	// eased are the old version's runs since the share was lowered.
 	eased Counts
 	// beside are the old version's runs while gates report plain failures on
 	// this route, and plainAt is the latest of these reports.
 	beside  Tally
 	plainAt time.Time
-	// alarm is since when the open slots alone would be proof; zero while
-	// they would not.
-	alarm time.Time
 }
 
 // decayed is Counts with weights.
@@ -185,6 +172,7 @@
 // NewJudge returns a judge of a move between two versions.
 func NewJudge(from, to string, rule NewRule) *Judge {
 	return &Judge{
+		whole:   newSeries(rule),
 		from:    from,
 		to:      to,
 		newRule: rule,
@@ -246,9 +234,7 @@
 	rj := j.routes[route]
 	if rj == nil {
 		rj = &routeJudge{}
-		for i := range rj.rules {
-			rj.rules[i] = j.newRule()
-		}
+		rj.series = newSeries(j.newRule)
 		j.routes[route] = rj
 		j.names = append(j.names, route)
 		sort.Strings(j.names)
@@ -283,32 +269,50 @@
 		j.account = j.evidence()
 	}
 	for ; j.slot < slot; j.slot++ {
-		for _, rj := range j.routes {
-			rj.close()
+		j.closeSlot()
+	}
+}
+
+// closeSlot judges a slot on each route and on all routes together: a version
+// that is bad on every route shows it sooner there.
+func (j *Judge) closeSlot() {
+	var all [testCount]Sample
+	for _, rj := range j.routes {
+		for t, s := range rj.judgeSlot() {
+			all[t].join(s)
 		}
+		rj.close(j.eased || j.whole.suspect() || rj.suspect())
+	}
+	for t := range testCount {
+		j.whole.step(t, all[t])
 	}
 }
 
-// close ends the collecting slot and judges the one before it, whose
-// neighbours are complete.
-func (rj *routeJudge) close() {
+// judgeSlot judges the slot before the collecting one, whose neighbours are
+// complete, and returns the samples that it judged.
+func (rj *routeJudge) judgeSlot() [testCount]Sample {
 	const at = 1
 	if e, ok := rj.base.slowEdge(); ok {
 		rj.edge = e
 	}
+	var out [testCount]Sample
 	for t := range testCount {
 		if t == testSlow && rj.edge == 0 {
 			continue
 		}
-		s := rj.sample(t)
-		s.New = rj.tally(t, rj.newSlots[at])
-		rj.scores[t] = rj.rules[t].Step(s)
-		rj.explained = max(rj.explained-1, 0)
-		if rj.scores[t] < 0 {
-			rj.explained = explainedSlots
-		}
+		out[t] = rj.sample(t)
+		out[t].New = rj.tally(t, rj.newSlots[at])
+		rj.step(t, out[t])
+	}
+	return out
+}
+
+// close ends the collecting slot. While something is suspected the base stays
+// as it was before: a general slowdown must not become the usual.
+func (rj *routeJudge) close(suspect bool) {
+	if !suspect {
+		rj.base.take(rj.oldSlots[oldOverlap-1])
 	}
-	rj.base.take(rj.oldSlots[oldOverlap-1])
 	rj.recent = rj.recent*baseDecay + float64(rj.newSlots[0].Runs)
 	shift(&rj.oldSlots)
 	shift(&rj.newSlots)
@@ -324,25 +328,13 @@
 	return s
 }
 
-// peek judges the failures of the slots still open. Failures come in as they
-// happen, so the old version's are there after urgentWait, if it has any.
-func (rj *routeJudge) peek(now time.Time) bool {
+// peekSample returns the failures of the slots still open.
+func (rj *routeJudge) peekSample() Sample {
 	s := rj.sample(testFailures)
 	for i := range 2 {
 		s.New.add(rj.tally(testFailures, rj.newSlots[i]))
 	}
-	if s.New.Bad == 0 {
-		rj.alarm = time.Time{}
-		return false
-	}
-	if rj.rules[testFailures].Peek(s) < 1 {
-		rj.alarm = time.Time{}
-		return false
-	}
-	if rj.alarm.IsZero() {
-		rj.alarm = now
-	}
-	return now.Sub(rj.alarm) >= urgentWait
+	return s
 }
 
 // shift moves each slot one place on; place 0 collects.
@@ -404,22 +396,30 @@
 		}
 	}
 	v := Verdict{Enough: true, Evidence: j.account}
-	var all uint64
+	var runs uint64
 	for _, rj := range j.routes {
-		all += rj.oldTotal.Runs + rj.newTotal.Runs
+		runs += rj.oldTotal.Runs + rj.newTotal.Runs
 	}
+	var all Sample
 	for _, name := range j.names {
 		rj := j.routes[name]
-		j.decideRoute(&v, name, rj)
+		j.decideSeries(&v, &rj.series, func(t test) string { return rj.account(t, name) })
 		v.Explained = v.Explained || rj.explained > 0 || j.eased && rj.alike()
-		if v.Bad == "" && rj.peek(now) {
+		open := rj.peekSample()
+		all.join(open)
+		if rj.peek(open, now) && v.Bad == "" {
 			v.Bad = rj.account(testFailures, name)
 		}
-		busy := float64(rj.oldTotal.Runs+rj.newTotal.Runs) >= busyPart*float64(all)
+		busy := float64(rj.oldTotal.Runs+rj.newTotal.Runs) >= busyPart*float64(runs)
 		if busy && rj.stepRuns < enoughRuns {
 			v.Enough = false
 		}
 	}
+	j.decideSeries(&v, &j.whole, j.wholeAccount)
+	v.Explained = v.Explained || j.whole.explained > 0
+	if j.whole.peek(all, now) && v.Bad == "" {
+		v.Bad = j.wholeAccount(testFailures)
+	}
 	if v.Bad == "" {
 		j.decidePlain(&v, now)
 	}
@@ -434,12 +434,13 @@
 	j.eased = eased
 	for _, rj := range j.routes {
 		rj.eased = Counts{}
-		for t := range rj.rules {
-			if !eased {
-				rj.rules[t], rj.scores[t] = j.newRule(), 0
-			}
+		if !eased {
+			rj.series = newSeries(j.newRule)
 		}
 	}
+	if !eased {
+		j.whole = newSeries(j.newRule)
+	}
 }
 
 // alike tells whether the old version has become bad too while the share was
@@ -457,18 +458,33 @@
 	return false
 }
 
-func (j *Judge) decideRoute(v *Verdict, name string, rj *routeJudge) {
-	for t, score := range rj.scores {
+// decideSeries takes the scores of one series into the verdict.
+func (j *Judge) decideSeries(v *Verdict, s *series, account func(test) string) {
+	for t, score := range s.scores {
 		switch {
 		case score >= 1 && v.Bad == "":
-			v.Bad = rj.account(test(t), name)
+			v.Bad = account(test(t))
 		case score >= doubtScore && !v.Grave:
-			v.Doubt = rj.account(test(t), name)
+			v.Doubt = account(test(t))
 			v.Grave = score >= graveScore
 		}
 	}
 }
 
+// wholeAccount puts the numbers of all routes into words.
+func (j *Judge) wholeAccount(t test) string {
+	var newer, older Tally
+	for _, rj := range j.routes {
+		newer.add(rj.tally(t, rj.newTotal))
+		older.add(rj.tally(t, rj.oldTotal))
+	}
+	what := "failures"
+	if t == testSlow {
+		what = "slow runs"
+	}
+	return fmt.Sprintf("%s on all routes: new %.0f of %.0f, old %.0f of %.0f", what, newer.Bad, newer.Runs, older.Bad, older.Runs)
+}
+
 // decidePlain weighs what gates of the new version saw fail plainly against
 // the old version's runs on that route since: good runs make it proof, bad
 // ones clear the new version.
--- a/internal/version/verdict/rule.go
+++ b/internal/version/verdict/rule.go
@@ -43,6 +43,17 @@
 	return all
 }
 
+// join adds another route's sample of the same slot.
+func (s *Sample) join(o Sample) {
+	s.New.add(o.New)
+	for i := range s.Old {
+		s.Old[i].add(o.Old[i])
+	}
+	s.Base.add(o.Base)
+	s.Prior = max(s.Prior, o.Prior)
+	s.Recent += o.Recent
+}
+
 // Rule decides on one test (failures or slow runs) of one route from a row of
 // samples.
 type Rule interface {
@@ -100,7 +111,7 @@
 // A sum over the threshold is proof only when the old version's runs beside
 // the bad ones show that it is as good as before: in a general slowdown they
 // are as slow. Runs of the old version from before a slowdown must not count,
-// so only the slots with more bad runs than usual, and their neighbours, do.
+// so only the slots with more bad runs than usual, and those after them, do.
 type Cusum struct {
 	margin float64
 	sums   [2]excursion
@@ -112,8 +123,8 @@
 	new Tally
 	// control are the old version's runs beside the bad ones.
 	control Tally
-	// covered is how many of the next slot's neighbours control holds already.
-	covered int
+	// covered tells that control holds the next slot already.
+	covered bool
 }
 
 // NewCusum returns a rule whose threshold, a log-likelihood ratio, is margin
@@ -163,17 +174,21 @@
 	return e.confirm(base)
 }
 
-// beside adds the old version's runs around a slot with more bad runs than
-// usual, each slot once.
+// beside adds the old version's runs of a slot with more bad runs than usual
+// and of the slot after it, each slot once. The slot before is left out: it
+// may lie before a general slowdown.
 func (e *excursion) beside(s Sample, p0 float64) {
-	e.covered = max(e.covered-1, 0)
-	if s.New.Bad <= p0*s.New.Runs {
+	first := 1
+	if e.covered {
+		first++
+	}
+	e.covered = s.New.Bad > p0*s.New.Runs
+	if !e.covered {
 		return
 	}
-	for _, o := range s.Old[e.covered:] {
+	for _, o := range s.Old[first:] {
 		e.control.add(o)
 	}
-	e.covered = oldOverlap
 }
 
 // confirm weighs a sum over the threshold against the old version's runs.
