Bound watches, forget lost addresses, go on when the store lost its values

A watch whose connection died in silence would have held a watcher for ever; it ends after 75 s now, above the store's own wait. Addresses that left the graph were kept for ever once a dial had failed; they are dropped after two minutes. A store that came back empty gave the next document number 1, which no node takes: numbers now go on from the one in force (the new test failed with number 1 before).

--- a/internal/process/provider/apply.go
+++ b/internal/process/provider/apply.go
@@ -74,6 +74,11 @@
 	if err != nil {
 		return p.notWritten(err)
 	}
+	if cur := p.Holder.Current(); cur.Number() > numberOf(prev) {
+		// The store has lost its value. Numbers go on from the one in force,
+		// since no node takes a lower one.
+		prev, prevDoc = cur.Accepted, cur.Document
+	}
 	if prev != nil {
 		if number, ok := prev.NumberOf(session); ok {
 			return p.accepted(number, entry)
@@ -96,6 +101,13 @@
 	return p.write(ctx, &a)
 }
 
+func numberOf(a *document.Accepted) uint64 {
+	if a == nil {
+		return 0
+	}
+	return a.Number
+}
+
 func previous(e platform.Entry) (*document.Accepted, *document.Document, error) {
 	if e.Revision == 0 {
 		return nil, nil, nil
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -23,6 +23,9 @@
 	startSpread = 500 * time.Millisecond
 	// startTimeout bounds one read of the store at the start.
 	startTimeout = 2 * time.Second
+	// watchLimit bounds one watch, above the wait of the store itself: a
+	// connection that died in silence must not hold the watcher for ever.
+	watchLimit = 75 * time.Second
 	// lookEvery is how often rank and peers are looked at.
 	lookEvery = 250 * time.Millisecond
 	// failuresBeforePeers is the number of failed reads after which a node
@@ -217,7 +220,7 @@
 	after := p.revision
 	p.mu.Unlock()
 	for ctx.Err() == nil {
-		entries, revision, err := p.Store.Watch(ctx, platform.KeyConfig, after)
+		entries, revision, err := p.watchOnce(ctx, after)
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"%v", err)
 			sleep(ctx, rand.N(lookEvery))
@@ -230,6 +233,12 @@
 	}
 }
 
+func (p *Provider) watchOnce(ctx context.Context, after uint64) ([]platform.Entry, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchLimit)
+	defer cancel()
+	return p.Store.Watch(ctx, platform.KeyConfig, after)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/process/provider/race_test.go
+++ b/internal/process/provider/race_test.go
@@ -138,6 +138,19 @@
 	})
 }
 
+func TestNumbersGoOnAfterTheStoreLostItsValues(t *testing.T) {
+	p := &provider.Provider{Store: store.New(1), Holder: &snapshot.Holder{}}
+	for want := uint64(1); want <= 4; want++ {
+		if want == 3 {
+			p.Store = store.New(2)
+		}
+		out := p.Apply(context.Background(), raceText(1, int(want)), "o", 0)
+		if out.Outcome != api.ApplyAccepted || out.Number != want || p.Holder.Current().Number() != want {
+			t.Errorf("answer %+v, in force %d, want %d", out, p.Holder.Current().Number(), want)
+		}
+	}
+}
+
 // afterSwap calls then after each write.
 type afterSwap struct {
 	platform.Store
--- a/internal/process/spread/choice.go
+++ b/internal/process/spread/choice.go
@@ -22,6 +22,9 @@
 	// unreachableFor is how long an address stays out of the graph before it
 	// is tried again.
 	unreachableFor = 20 * time.Second
+	// forgottenAfter is how long after its last dial an address that is no
+	// neighbour is forgotten.
+	forgottenAfter = 2 * time.Minute
 	// higherWaits is how long the end with the higher address leaves it to
 	// the other to dial.
 	higherWaits = time.Second
@@ -104,9 +107,14 @@
 	return t != nil && t.fails >= failsUnreachable && t.incarnation >= r.Incarnation
 }
 
-// forgive lets addresses that could not be reached be tried again.
+// forgive lets addresses that could not be reached be tried again, and drops
+// those that the graph has not named since: hosts come and go for good.
 func (c *choice) forgive(now time.Time) {
-	for _, t := range c.targets {
+	for a, t := range c.targets {
+		if !c.wanted[a] && !t.dialing && !t.asking && now.Sub(t.next) > forgottenAfter {
+			delete(c.targets, a)
+			continue
+		}
 		if t.fails >= failsUnreachable && now.Sub(t.next) > unreachableFor && !t.dialing {
 			t.fails = failsUnreachable - 1
 			c.stale = true
