Begin by peers only when they stay settled, and end without a race

Right after its first link a node's member table may hold one peer, and with the store down it could have begun with that one's number while the others were on their way: the peers must now be settled for two seconds. A link that was accepted while the manager closed could add a writer while Run waited for the last; writers are counted under the lock that closing is set under.

--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -28,6 +28,10 @@
 	watchLimit = 75 * time.Second
 	// lookEvery is how often rank and peers are looked at.
 	lookEvery = 250 * time.Millisecond
+	// settledLooks is the number of looks in a row at which the peers must
+	// be settled: right after the first link the other members are still on
+	// their way.
+	settledLooks = 8
 	// failuresBeforePeers is the number of failed reads after which a node
 	// that starts goes by its peers.
 	failuresBeforePeers = 2
@@ -150,12 +154,15 @@
 		return
 	case <-failed:
 	}
-	for ctx.Err() == nil {
-		if p.Settled != nil && p.Settled() && p.Held() > 0 {
+	for looks := 0; ctx.Err() == nil; sleep(ctx, lookEvery) {
+		looks++
+		if p.Settled == nil || !p.Settled() || p.Held() == 0 {
+			looks = 0
+		}
+		if looks >= settledLooks {
 			p.begin(SourcePeers)
 			return
 		}
-		sleep(ctx, lookEvery)
 	}
 }
 
--- a/internal/process/spread/manager.go
+++ b/internal/process/spread/manager.go
@@ -229,13 +229,13 @@
 
 // Abort ends every link at once and then Run, as a crash does.
 func (m *Manager) Abort() {
-	m.cancel()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.closing = true
 	for _, p := range m.links {
 		_ = p.conn.Close()
 	}
+	m.mu.Unlock()
+	m.cancel()
 }
 
 // spawn runs fn as long as the links live; it must watch m.ctx.
--- a/internal/process/spread/peer.go
+++ b/internal/process/spread/peer.go
@@ -132,11 +132,12 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	defer cancel()
 	defer m.remove(p)
-	m.spawn(func() {
+	go func() {
+		defer m.workers.Done()
 		defer cancel()
 		defer conn.Close()
 		m.write(ctx, p)
-	})
+	}()
 	if item, err := wire.Marshal(other); err == nil {
 		_ = m.handleFacts(p, &link.Facts{Topic: member.TopicName, Items: [][]byte{item}})
 	}
@@ -195,6 +196,9 @@
 	}
 	m.links[p.address] = p
 	m.choice.reached(p.address)
+	// Counted here, under the lock that closing is set under: Run waits for
+	// the writers after that, and none is added any more.
+	m.workers.Add(1)
 	return true
 }
 
