--- a/internal/process/operator/console/console_test.go
+++ b/internal/process/operator/console/console_test.go
@@ -239,6 +239,9 @@
 	b.get(pathSession)
 	b.want(http.StatusOK, pathSession, "started from an empty document")
 
+	b.press("add-services")
+	b.press("remove-services-0")
+	b.want(http.StatusOK, pathSession, "none")
 	b.press("add-services")
 	b.press(doSave, "name", "Status Desk", "versions", "v1, v2", "current", "v3", "limits.slots", "ten")
 	b.want(http.StatusBadRequest, pathSession, "1005 document-bad-name", "1008 document-no-version", "1018 document-wrong-type", `value="Status Desk"`, `value="ten"`)
--- a/internal/process/operator/console/steps.go
+++ b/internal/process/operator/console/steps.go
@@ -37,6 +37,8 @@
 	Hidden []hidden
 	Item   item
 	Inputs []input
+	// New tells that the item was just added and nothing typed yet.
+	New bool
 }
 
 // reviewBody shows the difference before it is applied.
@@ -164,11 +166,15 @@
 			}
 		}
 	}
-	body := itemBody{Item: item{Kind: k, Index: i}, Inputs: inputs}
+	title := "Edit"
+	if !checked {
+		title = "Add"
+	}
+	body := itemBody{Item: item{Kind: k, Index: i}, Inputs: inputs, New: !checked}
 	if !c.pack(w, s, st, &body.Hidden) {
 		return
 	}
-	c.render(w, status, "item.html", page{Title: "Edit " + k.One(), Operator: s.operator, Form: s.form, Body: body})
+	c.render(w, status, "item.html", page{Title: title + " " + k.One(), Operator: s.operator, Form: s.form, Body: body})
 }
 
 // save takes what was typed for one item. It stays on the form while the item
--- a/internal/process/operator/console/structure_test.go
+++ b/internal/process/operator/console/structure_test.go
@@ -117,6 +117,7 @@
 	b.press(doSave, "name", "Bad")
 	b.press("lists")
 	b.press("add-rollouts")
+	b.press(doSave, "from", "v9")
 	b.press("lists")
 	keep("session with faults")
 	b.press(doReview)
