Let no text of an operator forge lines of the log, and count applies

A reason or name with line breaks reached the log as it was. Entries are made printable before they are logged and stored. Each outcome of an apply is counted in /debug/vars.

--- a/internal/process/audit/list.go
+++ b/internal/process/audit/list.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"unicode"
 
 	"github.com/daisytide/daisytide/api"
 )
@@ -81,7 +82,8 @@
 	return len(b) + 1
 }
 
-// bounded cuts the texts of an entry at their limits and says so in them.
+// bounded cuts the texts of an entry at their limits, says so in them, and
+// leaves no line breaks or control characters, which would forge lines of a log.
 func bounded(e api.AuditEntry) api.AuditEntry {
 	e.Outcome = cut(e.Outcome)
 	e.Operator = cut(e.Operator)
@@ -97,6 +99,12 @@
 }
 
 func cut(s string) string {
+	s = strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return ' '
+	}, s)
 	if len(s) <= maxTextBytes {
 		return s
 	}
--- a/internal/process/audit/trail.go
+++ b/internal/process/audit/trail.go
@@ -67,9 +67,10 @@
 	if e.ID == "" {
 		e.ID = rand.Text()
 	}
+	e = bounded(e)
 	Log{}.Record(e)
 	t.mu.Lock()
-	t.queue = append(t.queue, bounded(e))
+	t.queue = append(t.queue, e)
 	if len(t.queue) > maxQueue {
 		t.queue = t.queue[1:]
 		t.lost++
--- a/internal/process/operator/apply.go
+++ b/internal/process/operator/apply.go
@@ -58,6 +58,7 @@
 	}
 	before := s.Holder.Current()
 	out := s.Documents.ApplySession(ctx, text, from.Operator, from.Base, from.Session)
+	s.Metrics.Add("apply_"+string(out.Outcome), 1)
 	entry := api.AuditEntry{
 		At:       time.Now().UTC(),
 		Operator: from.Operator,
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -147,4 +147,7 @@
 	if len(f.entries) != 4 {
 		t.Errorf("%d entries", len(f.entries))
 	}
+	if _, text := send(t, server.URL, "GET", pathVars, ""); !strings.Contains(text, `"apply_conflict": 1`) {
+		t.Errorf("counters: %s", text[max(0, len(text)-300):])
+	}
 }
