--- a/internal/process/audit/trail_test.go
+++ b/internal/process/audit/trail_test.go
@@ -135,7 +135,7 @@
 func TestTextOfAnEntryForgesNoLines(t *testing.T) {
 	e := bounded(api.AuditEntry{Operator: "ann\nE0101 forged", Outcome: "a\x1b[2Jb", Changes: []string{"reason: x\r\ny"}})
 	if e.Operator != "ann E0101 forged" || e.Outcome != "a [2Jb" || e.Changes[0] != "reason: x  y" {
-		t.Errorf("%+q", e)
+		t.Errorf("%+v", e)
 	}
 }
 
