Test a conflict that the node has not heard of, and a late refusal

Both pages of the console had no test: the winner's document is shown once this node has it, and a refusal while the store is down keeps the session.

--- a/internal/process/operator/console/console_test.go
+++ b/internal/process/operator/console/console_test.go
@@ -48,6 +48,8 @@
 	holder snapshot.Holder
 	moves  []api.Rollout
 	orders []api.RolloutOrder
+	// answer, when set, is given to the next apply in place of taking it.
+	answer *api.ApplyResponse
 	// lost answers the next applies as unknown, after they took effect.
 	lost int
 }
@@ -65,6 +67,10 @@
 }
 
 func (n *fakeNode) Apply(_ context.Context, text []byte, operator string, base uint64, session string) api.ApplyResponse {
+	if out := n.answer; out != nil {
+		n.answer = nil
+		return *out
+	}
 	doc, bad := n.Validate(text)
 	if bad != nil {
 		return api.ApplyResponse{Outcome: api.ApplyRefused, Error: bad}
@@ -322,6 +328,41 @@
 	}
 }
 
+func TestConflictThatThisNodeHasNotHeardOfIsShownLater(t *testing.T) {
+	node, server := serve(t)
+	ann, ben := signIn(t, server.URL, "ann"), signIn(t, server.URL, "ben")
+	ben.get(pathSession)
+	ben.addService("of-ben")
+	ben.press(doReview)
+	node.answer = &api.ApplyResponse{Outcome: api.ApplyConflict, Number: 1, Winner: "ann", Error: api.Errorf(api.OperatorConflict, "x")}
+	ben.press(doApply)
+	ben.want(http.StatusConflict, pathSession, "configuration 1 by ann", "has not received configuration 1 yet", "+ service of-ben")
+	ann.get(pathSession)
+	ann.addService("of-ann")
+	ann.press(doReview)
+	ann.press(doApply)
+	ben.press(doReview)
+	ben.want(http.StatusConflict, pathSession, "configuration 1 by ann", "+ service of-ann")
+	ben.press(doCarry)
+	ben.press(doReview)
+	ben.press(doApply)
+	ben.want(http.StatusOK, pathFollow)
+}
+
+func TestRefusalAtTheLastMomentLeadsBackToTheSession(t *testing.T) {
+	node, server := serve(t)
+	b := signIn(t, server.URL, "ann")
+	b.get(pathSession)
+	b.addService("one")
+	b.press(doReview)
+	node.answer = &api.ApplyResponse{Outcome: api.ApplyRefused, Error: api.Errorf(api.StoreNotReached, "the store is down")}
+	b.press(doApply)
+	b.want(http.StatusServiceUnavailable, pathSession, "5001 store-not-reached", "versions v1, v2; current v1")
+	b.press(doReview)
+	b.press(doApply)
+	b.want(http.StatusOK, pathFollow)
+}
+
 func TestFirstDocumentsOfTwoSessionsConflict(t *testing.T) {
 	_, server := serve(t)
 	ann, ben := signIn(t, server.URL, "ann"), signIn(t, server.URL, "ben")
