Fail when a field of the document is missing in the difference or the forms

A field added to the document alone would be dropped by every session of the console and missing in the audit trail.

--- a/internal/process/operator/console/session_test.go
+++ b/internal/process/operator/console/session_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -104,3 +105,42 @@
 		t.Errorf("%v %v", faults, diff)
 	}
 }
+
+// TestDraftHasEveryFieldOfADocument fails when a field is added to the document
+// and not to the forms, which would drop it from every session.
+func TestDraftHasEveryFieldOfADocument(t *testing.T) {
+	doc := document.Document{
+		Services: []document.Service{{Name: "a", Versions: []string{"v1"}, Current: "v1", Limits: document.Limits{Slots: 1, Connections: 2, Queue: 3, RetryShare: 4.5}}},
+		Routes: []document.Route{{
+			Name: "r", Match: document.Match{Prefix: "/p", Method: "GET", Host: "h"}, Service: "a", Idempotent: true,
+			TimeLimit: document.Duration(time.Second), Caller: document.Clerk, BodyLimit: 8,
+		}},
+		Rollouts: []document.Rollout{{
+			Service: "a", From: "v1", To: "v2", Start: time.Unix(1, 0).UTC(), Deadline: time.Unix(2, 0).UTC(), FirstShare: 1, Steps: []float64{2}, Caution: "high",
+		}},
+	}
+	noZero(t, reflect.ValueOf(doc), "document")
+	text, err := draftOf(&doc).Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, faults := document.Decode(text)
+	if len(faults) > 0 || !reflect.DeepEqual(*again, doc) {
+		t.Errorf("%v\n%+v\n%+v", faults, again, doc)
+	}
+}
+
+// noZero fails for a field that the test's document leaves empty.
+func noZero(t *testing.T, v reflect.Value, path string) {
+	t.Helper()
+	switch {
+	case v.IsZero():
+		t.Errorf("%s is not set in this test", path)
+	case v.Kind() == reflect.Struct && v.Type() != reflect.TypeFor[time.Time]():
+		for i := range v.NumField() {
+			noZero(t, v.Field(i), path+"."+v.Type().Field(i).Name)
+		}
+	case v.Kind() == reflect.Slice:
+		noZero(t, v.Index(0), path)
+	}
+}
--- a/internal/version/document/diff_test.go
+++ b/internal/version/document/diff_test.go
@@ -1,8 +1,10 @@
 package document
 
 import (
+	"reflect"
 	"slices"
 	"testing"
+	"time"
 )
 
 func decoded(t *testing.T, text string) *Document {
@@ -40,3 +42,58 @@
 		t.Errorf("against nothing: %q", got)
 	}
 }
+
+// leaves calls visit with each settable scalar inside v, under its path.
+func leaves(v reflect.Value, path string, visit func(v reflect.Value, path string)) {
+	switch {
+	case v.Type() == reflect.TypeFor[time.Time]():
+		visit(v, path)
+	case v.Kind() == reflect.Struct:
+		for i := range v.NumField() {
+			leaves(v.Field(i), path+"."+v.Type().Field(i).Name, visit)
+		}
+	case v.Kind() == reflect.Slice:
+		if v.Len() == 0 {
+			v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		}
+		leaves(v.Index(0), path, visit)
+	default:
+		visit(v, path)
+	}
+}
+
+// change gives a scalar another value.
+func change(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(v.String() + "x")
+	case reflect.Bool:
+		v.SetBool(!v.Bool())
+	case reflect.Int, reflect.Int64:
+		v.SetInt(v.Int() + 7)
+	case reflect.Float64:
+		v.SetFloat(v.Float() + 7)
+	default:
+		v.Set(reflect.ValueOf(v.Interface().(time.Time).Add(time.Second)))
+	}
+}
+
+func TestDiffSeesEveryFieldOfADocument(t *testing.T) {
+	var paths []string
+	leaves(reflect.ValueOf(&Document{}).Elem(), "", func(_ reflect.Value, path string) { paths = append(paths, path) })
+	if len(paths) < 20 {
+		t.Fatalf("only %d fields: %q", len(paths), paths)
+	}
+	for _, want := range paths {
+		from, to := &Document{}, &Document{}
+		leaves(reflect.ValueOf(from).Elem(), "", func(reflect.Value, string) {})
+		leaves(reflect.ValueOf(to).Elem(), "", func(v reflect.Value, path string) {
+			if path == want {
+				change(v)
+			}
+		})
+		if len(Diff(from, to)) == 0 {
+			t.Errorf("a change of %s is not listed", want)
+		}
+	}
+}
