--- a/internal/request/pick/choose.go
+++ b/internal/request/pick/choose.go
@@ -33,7 +33,7 @@
 }
 
 // DefaultPolicy is the one that docs/DESIGN.md gives figures for.
-var DefaultPolicy = Policy{Subset: 4, SpillUse: 0.9}
+var DefaultPolicy = Policy{Subset: 4, SpillUse: 1.1}
 
 // farCost is the time that a distance adds to a call.
 var farCost = [distances]time.Duration{0, 3 * time.Millisecond, 60 * time.Millisecond}
--- a/internal/request/pick/driver_test.go
+++ b/internal/request/pick/driver_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/request/gate"
+	"github.com/daisytide/daisytide/internal/request/retry"
 )
 
 // The driver runs the pure decisions of many entries against the gates' state
@@ -34,19 +35,25 @@
 	policy Policy
 	// random picks without looking, carry and own say which sights are kept.
 	random, carry, own bool
+	// hedge is when a second attempt goes to another upstream; 0 means never.
+	// The budget holds for it. The slower of the two runs to its end.
+	hedge time.Duration
 }
 
 type driverUpstream struct {
 	admission gate.Admission
 	speed     float64
 	centre    int
-	waiting   map[*gate.Ticket]*driverCall
+	waiting   map[*gate.Ticket]*attempt
 }
 
 type driverCall struct {
-	entry, at int
-	began     time.Time
-	tried     []int
+	entry int
+	began time.Time
+	tried []int
+	// open counts the attempts under way, answered tells that one has answered.
+	open     int
+	answered bool
 }
 
 type event struct {
@@ -79,16 +86,17 @@
 
 	took           []time.Duration
 	refused, tries int
+	budget         *retry.Budget
 	toSlow         int
 }
 
 // newDriver builds a run in which use is the share of all slots that the load
 // needs.
 func newDriver(w way, use float64, seed uint64) *driver {
-	d := &driver{way: w, rng: rand.New(rand.NewPCG(seed, 3)), start: time.Unix(1000, 0)}
+	d := &driver{way: w, rng: rand.New(rand.NewPCG(seed, 3)), start: time.Unix(1000, 0), budget: retry.NewBudget()}
 	capacity := 0.0
 	for i := range driverUpstreams {
-		u := &driverUpstream{speed: []float64{1, 1, 0.5, 2}[i%4], centre: i % driverCentres, waiting: map[*gate.Ticket]*driverCall{}}
+		u := &driverUpstream{speed: []float64{1, 1, 0.5, 2}[i%4], centre: i % driverCentres, waiting: map[*gate.Ticket]*attempt{}}
 		u.admission.Limit.SetCeiling(driverSlots, false)
 		d.upstreams = append(d.upstreams, u)
 		capacity += driverSlots * u.speed
@@ -133,7 +141,16 @@
 		return
 	}
 	d.at(now.Add(time.Duration(d.rng.ExpFloat64()/driverRate*float64(time.Second))), d.arrive)
-	d.try(now, &driverCall{entry: d.rng.IntN(driverEntries), began: now})
+	c := &driverCall{entry: d.rng.IntN(driverEntries), began: now}
+	d.budget.Earn("s", 0)
+	d.try(now, c)
+	if d.way.hedge > 0 {
+		d.at(now.Add(d.way.hedge), func(now time.Time) {
+			if !c.answered && len(c.tried) < 3 && d.budget.Take("s", 1) {
+				d.try(now, c)
+			}
+		})
+	}
 }
 
 func (d *driver) pick(now time.Time, c *driverCall) int {
@@ -160,17 +177,24 @@
 }
 
 func (d *driver) try(now time.Time, c *driverCall) {
-	c.at = d.pick(now, c)
-	c.tried = append(c.tried, c.at)
+	at := d.pick(now, c)
+	c.tried = append(c.tried, at)
+	c.open++
 	d.tries++
-	if c.at == 0 && now.Sub(d.start) > driverTurn+2*time.Second {
+	if at == 0 && now.Sub(d.start) > driverTurn+2*time.Second {
 		d.toSlow++
 	}
-	d.sights[c.entry][c.at].own++
-	d.at(now.Add(farCost[d.distance(c.entry, c.at)]/2), func(now time.Time) { d.reach(now, c) })
+	d.sights[c.entry][at].own++
+	d.at(now.Add(farCost[d.distance(c.entry, at)]/2), func(now time.Time) { d.reach(now, &attempt{c, at}) })
 }
 
-func (d *driver) reach(now time.Time, c *driverCall) {
+// attempt is one attempt of a call at one upstream.
+type attempt struct {
+	*driverCall
+	at int
+}
+
+func (d *driver) reach(now time.Time, c *attempt) {
 	u := d.upstreams[c.at]
 	t, code := u.admission.Arrive(now, gate.Request{Route: "r", Rank: gate.RankLookup, Deadline: c.began.Add(driverLimit)})
 	switch {
@@ -184,7 +208,7 @@
 	}
 }
 
-func (d *driver) serve(now time.Time, u *driverUpstream, c *driverCall) {
+func (d *driver) serve(now time.Time, u *driverUpstream, c *attempt) {
 	speed := u.speed
 	if u == d.upstreams[0] && now.Sub(d.start) > driverTurn {
 		speed /= driverSlow
@@ -198,7 +222,7 @@
 }
 
 func (d *driver) verdicts(now time.Time, u *driverUpstream) {
-	var decided []*driverCall
+	var decided []*attempt
 	for t, c := range u.waiting {
 		select {
 		case code := <-t.Verdict:
@@ -218,7 +242,7 @@
 }
 
 // back brings the answer or refusal to the entry, with the gate's load.
-func (d *driver) back(now time.Time, c *driverCall, answered bool) {
+func (d *driver) back(now time.Time, c *attempt, answered bool) {
 	u := d.upstreams[c.at]
 	l := gate.Load{Busy: u.admission.Running() + u.admission.Waiting(), Slots: u.admission.Limit.Slots(), Held: u.admission.Held()}
 	d.at(now.Add(farCost[d.distance(c.entry, c.at)]/2), func(now time.Time) {
@@ -229,12 +253,15 @@
 		} else if d.way.own && answered {
 			s.load.Held += (now.Sub(c.began) - s.load.Held) / 4
 		}
+		c.open--
 		switch {
+		case c.answered:
 		case answered:
+			c.answered = true
 			d.took = append(d.took, now.Sub(c.began))
 		case len(c.tried) < 3:
-			d.try(now, c)
-		default:
+			d.try(now, c.driverCall)
+		case c.open == 0:
 			d.refused++
 		}
 	})
@@ -249,12 +276,14 @@
 func BenchmarkPick(b *testing.B) {
 	for _, w := range []way{
 		{name: "random", random: true},
-		{name: "own-sight", own: true, policy: Policy{Subset: 8, SpillUse: 0.9}},
-		{name: "carried-subset-2", carry: true, policy: Policy{Subset: 2, SpillUse: 0.9}},
-		{name: "carried-subset-4", carry: true, policy: Policy{Subset: 4, SpillUse: 0.9}},
-		{name: "carried-subset-8", carry: true, policy: Policy{Subset: 8, SpillUse: 0.9}},
+		{name: "own-sight", own: true, policy: Policy{Subset: 8, SpillUse: 1.1}},
+		{name: "carried-subset-2", carry: true, policy: Policy{Subset: 2, SpillUse: 1.1}},
+		{name: "carried-subset-4", carry: true, policy: Policy{Subset: 4, SpillUse: 1.1}},
+		{name: "carried-subset-8", carry: true, policy: Policy{Subset: 8, SpillUse: 1.1}},
 		{name: "carried-spill-0.7", carry: true, policy: Policy{Subset: 4, SpillUse: 0.7}},
-		{name: "carried-spill-1.1", carry: true, policy: Policy{Subset: 4, SpillUse: 1.1}},
+		{name: "carried-spill-0.9", carry: true, policy: Policy{Subset: 4, SpillUse: 0.9}},
+		{name: "carried-hedge-100ms", carry: true, policy: DefaultPolicy, hedge: 100 * time.Millisecond},
+		{name: "carried-hedge-200ms", carry: true, policy: DefaultPolicy, hedge: 200 * time.Millisecond},
 		{name: "carried-no-centre", carry: true, policy: Policy{Subset: 28, SpillUse: 0}},
 	} {
 		for _, use := range []float64{0.5, 0.8} {
