Read a body's first bytes before the request runs, not beside it

A fingerprint of the bytes that had passed at the crash differs from the one that is read ahead later: an upstream that died before it read the body cost the service a third one. The gate now always reads the first 256 bytes of a small body, which entries send along with the header.

--- a/internal/request/quarantine/gate.go
+++ b/internal/request/quarantine/gate.go
@@ -49,7 +49,7 @@
 
 // run is one request in the upstream.
 type run struct {
-	*tracker
+	print   Fingerprint
 	service string
 	cut     bool
 	// inquest is the one whose crash this run was in.
@@ -79,11 +79,13 @@
 // Middleware implements call.Middleware at the gate.
 func (g *Gate) Middleware(next call.Handler) call.Handler {
 	return func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
-		t := track(r)
-		verdict, blame, code := g.judge(t, c.Service)
-		if code != api.OK {
-			g.count("refused")
-			return call.Refuse(code, nil)
+		print, err := fingerprint(r)
+		if err != nil {
+			return call.Refuse(api.CallBody, err)
+		}
+		verdict, blame := g.Ledger.Judge(c.Service, print)
+		if verdict == Quarantined {
+			return g.refuse()
 		}
 		alone := verdict == Suspect
 		if !g.turnstile.enter(ctx, alone, patience(alone, c.TimeLeft(time.Now()))) {
@@ -91,34 +93,20 @@
 		}
 		defer g.turnstile.leave(alone)
 		// It may have crashed another upstream while it waited.
-		if alone {
-			if verdict, _ := g.Ledger.Judge(c.Service, t.print()); verdict == Quarantined {
-				return call.Refuse(api.CallQuarantined, nil)
-			}
+		if verdict, _ := g.Ledger.Judge(c.Service, print); verdict == Quarantined {
+			return g.refuse()
 		}
-		res := g.watch(t, c.Service, func() call.Result { return next(ctx, w, r, c) })
+		res := g.watch(&run{print: print, service: c.Service}, func() call.Result { return next(ctx, w, r, c) })
 		if alone && res.Code == api.OK {
-			g.clear(c.Service, t.print(), blame)
+			g.clear(c.Service, print, blame)
 		}
 		return res
 	}
 }
 
-// judge finds the verdict on a request. It reads ahead only while the service
-// has a suspect.
-func (g *Gate) judge(t *tracker, service string) (Verdict, []uint64, api.Code) {
-	if !g.Ledger.Any(service) {
-		return Free, nil, api.OK
-	}
-	print, err := t.peek()
-	if err != nil {
-		return Free, nil, api.CallBody
-	}
-	verdict, blame := g.Ledger.Judge(service, print)
-	if verdict == Quarantined {
-		return verdict, blame, api.CallQuarantined
-	}
-	return verdict, blame, api.OK
+func (g *Gate) refuse() call.Result {
+	g.count("refused")
+	return call.Refuse(api.CallQuarantined, nil)
 }
 
 func patience(alone bool, left time.Duration) time.Duration {
@@ -129,8 +117,7 @@
 }
 
 // watch runs a request and looks into its end.
-func (g *Gate) watch(t *tracker, service string, do func() call.Result) call.Result {
-	n := &run{tracker: t, service: service}
+func (g *Gate) watch(n *run, do func() call.Result) call.Result {
 	g.mu.Lock()
 	g.running[n] = struct{}{}
 	g.mu.Unlock()
@@ -210,10 +197,9 @@
 func (g *Gate) fact(q *inquest, now time.Time) Fact {
 	f := Fact{ID: rand.Uint64(), Service: q.runs[0].service, Until: now.Add(SuspectFor).Unix()}
 	for _, n := range q.runs[:min(len(q.runs), maxPrints)] {
-		p := n.print()
-		f.Prints = append(f.Prints, p)
-		if verdict, _ := g.Ledger.Judge(f.Service, p); verdict != Free {
-			f.Again = append(f.Again, p)
+		f.Prints = append(f.Prints, n.print)
+		if verdict, _ := g.Ledger.Judge(f.Service, n.print); verdict != Free {
+			f.Again = append(f.Again, n.print)
 			f.Until = now.Add(QuarantineFor).Unix()
 		}
 	}
@@ -242,7 +228,7 @@
 			if !l.Any(c.Service) {
 				return next(ctx, w, r, c)
 			}
-			print, err := track(r).peek()
+			print, err := fingerprint(r)
 			if err != nil {
 				return call.Refuse(api.CallBody, err)
 			}
