--- a/internal/standin/cluster/keys_test.go
+++ b/internal/standin/cluster/keys_test.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	c, err := Start(t.Context(), Config{Nodes: hosts, DataCentres: 2, Seed: 1, Upstream: func(int) upstream.Options {
-		return upstream.Options{Service: "credit-ledger", Version: "v1", Slots: 8, Connections: 16}
+		return upstream.Options{Service: "credit-ledger", Version: "v1", Slots: 8, Connections: 16, Work: 2 * time.Millisecond}
 	}})
 	if err != nil {
 		t.Fatal(err)
@@ -159,6 +159,42 @@
 	}
 }
 
+func TestCallerThatGaveUpFindsItsAnswer(t *testing.T) {
+	c := ledgerCluster(t, 3)
+	for _, h := range c.Hosts {
+		h.Upstream.SetFaults(upstream.Fault{Prefix: "/credit/slow", Slow: 500})
+	}
+	ctx, giveUp := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.Hosts[0].CallerBase()+"/credit/slow", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(call.HeaderKey, "gone")
+	req.Header.Set(call.HeaderAttempt, "1")
+	ended := make(chan error)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		ended <- err
+	}()
+	for runsOf(c, "gone") == 0 {
+		time.Sleep(pollEvery)
+	}
+	giveUp()
+	if err := <-ended; err == nil {
+		t.Fatal("the caller did not give up in time for this test")
+	}
+	r := reply{code: api.CallStillRunning}
+	for n := 2; r.code == api.CallStillRunning; n++ {
+		r = post(t, c.Hosts[n%3], "/credit/slow", "gone", n, "x")
+	}
+	if !r.saved || runsOf(c, "gone") != 1 {
+		t.Errorf("%+v after %d runs", r, runsOf(c, "gone"))
+	}
+}
+
 func TestPlannedStopHandsItsRecordsOver(t *testing.T) {
 	c := ledgerCluster(t, 4)
 	for i := range 8 {
