--- a/internal/request/quarantine/gate.go
+++ b/internal/request/quarantine/gate.go
@@ -49,7 +49,7 @@
 
 // run is one request in the upstream.
 type run struct {
-	print   Fingerprint
+	subject
 	service string
 	cut     bool
 	// inquest is the one whose crash this run was in.
@@ -79,11 +79,12 @@
 // Middleware implements call.Middleware at the gate.
 func (g *Gate) Middleware(next call.Handler) call.Handler {
 	return func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
-		print, err := fingerprint(r)
+		about, err := read(r)
 		if err != nil {
 			return call.Refuse(api.CallBody, err)
 		}
-		verdict, blame := g.Ledger.Judge(c.Service, print)
+		n := &run{subject: about, service: c.Service}
+		verdict, blame := g.judge(n)
 		if verdict == Quarantined {
 			return g.refuse()
 		}
@@ -93,17 +94,25 @@
 		}
 		defer g.turnstile.leave(alone)
 		// It may have crashed another upstream while it waited.
-		if verdict, _ := g.Ledger.Judge(c.Service, print); verdict == Quarantined {
+		if verdict, _ := g.judge(n); verdict == Quarantined {
 			return g.refuse()
 		}
-		res := g.watch(&run{print: print, service: c.Service}, func() call.Result { return next(ctx, w, r, c) })
+		res := g.watch(n, func() call.Result { return next(ctx, w, r, c) })
 		if alone && res.Code == api.OK {
-			g.clear(c.Service, print, blame)
+			g.clear(c.Service, n.print(), blame)
 		}
 		return res
 	}
 }
 
+// judge finds the verdict on a request.
+func (g *Gate) judge(n *run) (Verdict, []uint64) {
+	if !g.Ledger.Any(n.service) {
+		return Free, nil
+	}
+	return g.Ledger.Judge(n.service, n.print())
+}
+
 func (g *Gate) refuse() call.Result {
 	g.count("refused")
 	return call.Refuse(api.CallQuarantined, nil)
@@ -197,9 +206,10 @@
 func (g *Gate) fact(q *inquest, now time.Time) Fact {
 	f := Fact{ID: rand.Uint64(), Service: q.runs[0].service, Until: now.Add(SuspectFor).Unix()}
 	for _, n := range q.runs[:min(len(q.runs), maxPrints)] {
-		f.Prints = append(f.Prints, n.print)
-		if verdict, _ := g.Ledger.Judge(f.Service, n.print); verdict != Free {
-			f.Again = append(f.Again, n.print)
+		p := n.print()
+		f.Prints = append(f.Prints, p)
+		if verdict, _ := g.Ledger.Judge(f.Service, p); verdict != Free {
+			f.Again = append(f.Again, p)
 			f.Until = now.Add(QuarantineFor).Unix()
 		}
 	}
@@ -228,11 +238,11 @@
 			if !l.Any(c.Service) {
 				return next(ctx, w, r, c)
 			}
-			print, err := fingerprint(r)
+			about, err := read(r)
 			if err != nil {
 				return call.Refuse(api.CallBody, err)
 			}
-			if verdict, _ := l.Judge(c.Service, print); verdict == Quarantined {
+			if verdict, _ := l.Judge(c.Service, about.print()); verdict == Quarantined {
 				return call.Refuse(api.CallQuarantined, nil)
 			}
 			return next(ctx, w, r, c)
--- a/internal/request/quarantine/print.go
+++ b/internal/request/quarantine/print.go
@@ -12,6 +12,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"net/url"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,25 +27,41 @@
 // Fingerprint identifies requests that are alike, whatever their key.
 type Fingerprint uint64
 
-// fingerprint reads the first bytes of a small body ahead and puts them back
-// in front of it. It must not depend on how much of a body passed before a
-// crash, so the bytes are read before the request is sent on; entries send
-// small bodies along with the header.
-func fingerprint(r *http.Request) (Fingerprint, error) {
-	d := xxhash.New()
-	for _, s := range []string{r.Method, r.URL.RequestURI(), r.Header.Get("Content-Type")} {
-		_, _ = d.WriteString(s)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(r.ContentLength)))
+// subject is what a request's fingerprint is made of. It is worked out only
+// at a crash, and while a service has suspects.
+type subject struct {
+	method, kind string
+	url          *url.URL
+	length       int64
+	head         []byte
+}
+
+// read reads the first bytes of a small body ahead and puts them back in
+// front of it. A fingerprint must not depend on how much of a body passed
+// before a crash, so the bytes are read before the request is sent on; entries
+// send small bodies along with the header.
+func read(r *http.Request) (subject, error) {
+	s := subject{method: r.Method, kind: r.Header.Get("Content-Type"), url: r.URL, length: r.ContentLength}
 	if r.ContentLength <= 0 || r.ContentLength > forward.HeldBytes || r.Body == nil {
-		return Fingerprint(d.Sum64()), nil
+		return s, nil
 	}
 	head := make([]byte, min(prefixBytes, r.ContentLength))
 	n, err := io.ReadFull(r.Body, head)
-	r.Body = &restored{Reader: io.MultiReader(bytes.NewReader(head[:n]), r.Body), Closer: r.Body}
-	_, _ = d.Write(head[:n])
-	return Fingerprint(d.Sum64()), err
+	s.head = head[:n]
+	r.Body = &restored{Reader: io.MultiReader(bytes.NewReader(s.head), r.Body), Closer: r.Body}
+	return s, err
+}
+
+// print returns the fingerprint.
+func (s *subject) print() Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{s.method, s.url.RequestURI(), s.kind} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(s.length)))
+	_, _ = d.Write(s.head)
+	return Fingerprint(d.Sum64())
 }
 
 // restored is a body whose first bytes were read ahead.
