Answer a repeat as soon as one gate has the record

A record settles what a repeat may do, so the entry no longer waits for the gates that have not answered: a host that takes no packets held each repeat for half a second.

--- a/internal/request/once/collection.go
+++ b/internal/request/once/collection.go
@@ -87,9 +87,9 @@
 func (c *Collection) raise(v Verdict) { c.verdict = max(c.verdict, v) }
 
 // Verdict returns what the attempt may do. Only when every gate has granted
-// the fence is it Held.
+// the fence is it Held; a record or a clash settles it at once.
 func (c *Collection) Verdict() Verdict {
-	if c.waiting > 0 {
+	if c.waiting > 0 && c.verdict < Answered {
 		return Collecting
 	}
 	return max(c.verdict, Held)
--- a/internal/request/once/entry.go
+++ b/internal/request/once/entry.go
@@ -122,17 +122,21 @@
 func (e *Entry) fence(ctx context.Context, r *http.Request, c *call.Call, b Ballot, roster Roster) Collection {
 	questions := make(map[string]Question, len(roster.Gates))
 	col := Collect(len(roster.Gates))
+	twins := 0
 	q := Question{Service: c.Service, Key: c.Key, Ballot: b, Print: Print(r), Revision: roster.Revision}
 	for _, g := range roster.Gates {
 		if _, twice := questions[g.Address]; twice {
 			// Two incarnations at one address: the older one is dead.
-			col.Missed()
+			twins++
 			continue
 		}
 		q.Gate = g.Instance
 		questions[g.Address] = q
 	}
 	e.ask(ctx, MethodFence, questions, &col)
+	for range twins {
+		col.Missed()
+	}
 	return col
 }
 
@@ -145,8 +149,8 @@
 	}
 	// One gate more than can be asked: the verdict is never Held.
 	col := Collect(len(questions) + 1)
-	col.Missed()
 	e.ask(ctx, MethodLook, questions, &col)
+	col.Missed()
 	return col
 }
 
@@ -159,6 +163,9 @@
 		go func() { answers <- e.askOne(ctx, address, method, q) }()
 	}
 	for range questions {
+		if col.Verdict() != Collecting {
+			return
+		}
 		if a := <-answers; a != nil {
 			col.Heard(*a)
 		} else {
