--- a/internal/version/verdict/driver/config.go
+++ b/internal/version/verdict/driver/config.go
@@ -47,16 +47,15 @@
 
 // The troubles.
 const (
-	NoTrouble    Trouble = "noise only"
-	ColdStarts   Trouble = "cold starts"
-	Slowdown     Trouble = "general slowdown"
-	Failures     Trouble = "general failures"
-	LostHost     Trouble = "lost host of the new version"
-	ClocksApart  Trouble = "clocks 200 ms apart"
-	HalfDies     Trouble = "half of the nodes die"
-	BothAdvance  Trouble = "two judges advance at once"
-	AllTogether  Trouble = "all of these"
-	NoJudgeHears Trouble = "no judge reachable"
+	NoTrouble   Trouble = "noise only"
+	ColdStarts  Trouble = "cold starts"
+	Slowdown    Trouble = "general slowdown"
+	Failures    Trouble = "general failures"
+	LostHost    Trouble = "lost host of the new version"
+	ClocksApart Trouble = "clocks 200 ms apart"
+	HalfDies    Trouble = "half of the nodes die"
+	BothAdvance Trouble = "two judges advance at once"
+	AllTogether Trouble = "all of these"
 )
 
 // Troubles lists those that a good version must come through.
@@ -106,10 +105,9 @@
 	// Met counts the calls that met the fault, Calls the move's calls.
 	Met   int
 	Calls float64
-	// Failed counts calls of callers that failed without any fault of a
-	// version: none found an upstream.
+	// Unserved counts the calls that found no live upstream in three tries.
 	Unserved int
-	// Steps counts the steps taken twice by judges at once.
+	// Facts counts the states that judges spread.
 	Facts int
 }
 
--- a/internal/version/verdict/driver/table.go
+++ b/internal/version/verdict/driver/table.go
@@ -17,7 +17,10 @@
 	// Unshown counts plays in which no call met the fault.
 	Unshown int
 	Last    time.Duration
-	Met     float64
+	// Over counts plays on busy routes whose last call was later than
+	// LastTarget after the fault first showed.
+	Over int
+	Met  float64
 	// MetSum and Met are the mean and the largest share of calls that met the
 	// fault; WorstSeed is that of the largest, WorstLast that of Last.
 	MetSum    float64
@@ -63,13 +66,23 @@
 	all.Wait()
 	row := Row{Name: name, Plays: seeds}
 	for i, r := range results {
-		row.add(uint64(i+1), r, cfg.Fault)
+		row.add(uint64(i+1), r, cfg)
 	}
 	return row
 }
 
-func (row *Row) add(seed uint64, r Result, f Fault) {
-	good := f == NoFault || f == ""
+// The targets: the time from the first showing of a fault on a busy route to
+// the last call, and the share of the move's calls that meet the fault.
+const (
+	LastTarget = 2 * time.Second
+	MetTarget  = 0.005
+)
+
+func (row *Row) add(seed uint64, r Result, cfg Config) {
+	good := cfg.Fault == NoFault || cfg.Fault == ""
+	if cfg.Busy && !good && r.Last > LastTarget {
+		row.Over++
+	}
 	if r.Done {
 		row.Done++
 	}
@@ -122,3 +135,25 @@
 	}
 	return "quiet"
 }
+
+// RuleHead is the heading of Rules.
+const RuleHead = "rule                            | bad plays | missed | mean met | worst met | over 2 s (busy) | good plays | wrongly taken back"
+
+// Rules sums up what one rule makes of bad and good versions.
+func Rules(name string, bad, good []Row) string {
+	var plays, missed, slow, goodPlays, wrong int
+	met, worst := 0.0, 0.0
+	for _, r := range bad {
+		plays += r.Plays
+		missed += r.Plays - r.TakenBack
+		slow += r.Over
+		met += r.MetSum
+		worst = max(worst, r.Met)
+	}
+	for _, r := range good {
+		goodPlays += r.Plays
+		wrong += r.TakenBack
+	}
+	return fmt.Sprintf("%-31s | %9d | %6d | %7.3f%% | %8.2f%% | %15d | %10d | %d",
+		name, plays, missed, 100*met/float64(max(plays, 1)), 100*worst, slow, goodPlays, wrong)
+}
--- a/internal/version/verdict/driver/world.go
+++ b/internal/version/verdict/driver/world.go
@@ -28,9 +28,14 @@
 	share float64
 }{{"status", 0.6}, {"orders", 0.3}, {"credit", 0.1}}
 
-// oneRoute is the index of the route that OneRoute faults show on, the
-// quietest.
-const oneRoute = 2
+// oneRoute is the index of the route that a OneRoute fault shows on: the
+// busiest of a busy service, the quietest of a quiet one.
+func oneRoute(busy bool) int {
+	if busy {
+		return 0
+	}
+	return len(routes) - 1
+}
 
 // begin is the virtual time of a move's start.
 var begin = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
@@ -125,7 +130,7 @@
 	case b.cfg.Onset == AboveLoad:
 		return load > b.load
 	case b.cfg.Onset == OneRoute:
-		return route == oneRoute
+		return route == oneRoute(b.cfg.Busy)
 	default:
 		return true
 	}
