Say 'not run' only if no attempt of the call may have run

When an idempotent call was lost by one upstream and then refused by another gate, or no other was left, the caller heard the last refusal: 'not run', or 4002 call-no-upstream, although the first attempt may have run. The entry now remembers such an attempt and answers with it; a 503 of the upstream that was kept back for another try is passed on when that try brings no answer. Found by asking why a benchmark saw 4002 with its only upstream alive.

--- a/internal/request/entry/failure_test.go
+++ b/internal/request/entry/failure_test.go
@@ -296,3 +296,38 @@
 		})
 	}
 }
+
+func TestRefusalOfTheLastGateIsWhatTheCallerHears(t *testing.T) {
+	g := newRig(t, 2, func(_ *host, w http.ResponseWriter, _ *http.Request) { crash(w, "") })
+	if got := g.do("GET", "/look", nil, nil); got.code != codeOf(api.CallCut) || got.ran != "unknown" || g.runs() != 2 {
+		t.Errorf("lost by both upstreams: %+v after %d runs", got, g.runs())
+	}
+	for _, h := range g.hosts {
+		h.gate.Leave()
+	}
+	if got := g.do("GET", "/look", nil, nil); got.code != codeOf(api.CallLeaving) || got.ran != "no" {
+		t.Errorf("refused by both gates: %+v", got)
+	}
+}
+
+func TestNotRunIsNotSaidAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		serve  func(w http.ResponseWriter)
+		status int
+		code   string
+	}{
+		{"lost", func(w http.ResponseWriter) { crash(w, "") }, 502, codeOf(api.CallCut)},
+		{"shed by the upstream", func(w http.ResponseWriter) { w.WriteHeader(503) }, 503, ""},
+	} {
+		for seed := range 10 {
+			g := newRig(t, 2, func(_ *host, w http.ResponseWriter, _ *http.Request) { tc.serve(w) })
+			g.entry.Picker.Self = fmt.Sprint("entry", seed)
+			g.hosts[0].gate.Leave()
+			got := g.do("GET", "/look", nil, nil)
+			if got.ran == "no" || got.status != tc.status || got.code != tc.code || g.runs() != 1 {
+				t.Errorf("%s: %+v after %d runs", tc.name, got, g.runs())
+			}
+		}
+	}
+}
--- a/internal/request/entry/trial.go
+++ b/internal/request/entry/trial.go
@@ -32,6 +32,10 @@
 	// tried are the nodes that saw an attempt; triedRoom is their room.
 	tried     []string
 	triedRoom [retry.MaxAttempts]string
+	// last is how the attempt before ended, doubt the last one that may have
+	// run in spite of its failure.
+	last  call.Result
+	doubt call.Result
 	// kept is an answer that is passed on only if no other attempt is made.
 	kept *http.Response
 }
@@ -53,14 +57,30 @@
 	}
 }
 
-// settle ends the call with res: the kept answer is passed on where res is its.
+// settle ends the call with res, unless an attempt before it says more: an
+// answer that was kept, or a failure after which the call may have run. What
+// one gate did not run, another may have.
 func (t *trial) settle(ctx context.Context, res call.Result) call.Result {
-	if t.kept == nil || res.Code != api.OK {
+	switch {
+	case res.Sent:
+		return res
+	case t.kept != nil:
+		resp := t.kept
+		t.kept = nil
+		return t.answer(ctx, resp)
+	case res.Ran == api.RanNo && t.doubt.Code != api.OK:
+		return t.doubt
+	default:
 		return res
 	}
-	resp := t.kept
-	t.kept = nil
-	return t.answer(ctx, resp)
+}
+
+// note remembers how an attempt ended.
+func (t *trial) note(res call.Result) {
+	t.last = res
+	if res.Code != api.OK && res.Ran != api.RanNo {
+		t.doubt = res
+	}
 }
 
 // once makes one attempt. More is false when no node is left to try; the
@@ -74,12 +94,13 @@
 	if !ok {
 		return t.none(), false
 	}
-	t.drop()
 	t.tried = append(t.triedRoom[:len(t.tried)], picked.Record.Address)
 	if picked.Record.Address == e.Local.Address {
-		return t.local(ctx, picked), true
+		t.note(t.local(ctx, picked))
+	} else {
+		t.note(t.remote(ctx, picked))
 	}
-	return t.remote(ctx, picked), true
+	return t.last, true
 }
 
 // globalRandom makes the goroutine-safe global generator a source.
@@ -88,10 +109,10 @@
 // Uint64 implements rand.Source.
 func (globalRandom) Uint64() uint64 { return rand.Uint64() }
 
-// none is the result when no node is left.
+// none is the result when no node is left to try: that of the attempt before.
 func (t *trial) none() call.Result {
-	if t.kept != nil {
-		return call.Result{Code: api.OK, Ran: api.RanYes}
+	if len(t.tried) > 0 {
+		return t.last
 	}
 	return call.Refuse(api.CallNoUpstream, nil)
 }
@@ -142,6 +163,7 @@
 func (t *trial) take(ctx context.Context, resp *http.Response) call.Result {
 	res := call.Result{Code: api.OK, Ran: api.RanYes, Status: resp.StatusCode, Deeper: resp.Header.Get(call.HeaderDeeper) != ""}
 	if _, again := retry.Again(res, t.state(ctx)); again {
+		t.drop()
 		t.kept = resp
 		return res
 	}
--- a/internal/standin/cluster/load_test.go
+++ b/internal/standin/cluster/load_test.go
@@ -174,6 +174,15 @@
 	return n
 }
 
+// ends counts the calls by status and result code.
+func ends(es []ending) map[string]int {
+	out := map[string]int{}
+	for _, e := range es {
+		out[fmt.Sprintf("%d/%s", e.status, e.code)]++
+	}
+	return out
+}
+
 func urls(hosts []*Host, base func(*Host) string) []string {
 	var out []string
 	for _, h := range hosts {
--- a/internal/standin/cluster/peers_bench_test.go
+++ b/internal/standin/cluster/peers_bench_test.go
@@ -108,6 +108,7 @@
 					wait.Go(func() {
 						for !over.Load() {
 							if e := request(client, http.MethodPost, entry+"/photo", bytes); e.status != http.StatusOK {
+								b.Logf("upload: %+v", e)
 								failed.Add(1)
 							}
 							sent.Add(1)
@@ -121,6 +122,7 @@
 				over.Store(true)
 				wait.Wait()
 				close(watch)
+				b.Logf("ends: %v", ends(es))
 				b.ReportMetric(percentile(es, 0.5), "look-up-p50-ms")
 				b.ReportMetric(percentile(es, 0.99), "look-up-p99-ms")
 				b.ReportMetric(100*float64(answered(es))/float64(len(es)), "answered-%")
