--- a/internal/request/gate/admission.go
+++ b/internal/request/gate/admission.go
@@ -37,7 +37,7 @@
 // machine without locks or clocks: each method takes the time.
 type Admission struct {
 	Limit Limit
-	// QueueMax caps the waiting calls; 0 means as many as there are slots.
+	// QueueMax caps the waiting calls; 0 means as many as the ceiling has slots.
 	QueueMax int
 
 	running int
@@ -125,7 +125,7 @@
 	if a.QueueMax > 0 {
 		return a.QueueMax
 	}
-	return a.Limit.Slots()
+	return a.Limit.Ceiling()
 }
 
 // wait estimates how long a call of rank would wait.
--- a/internal/request/gate/admission_test.go
+++ b/internal/request/gate/admission_test.go
@@ -133,13 +133,16 @@
 	if l.Slots() != 4 {
 		t.Fatalf("a cold start with %d slots", l.Slots())
 	}
-	runs := 0
-	for l.Slots() < 16 && runs < 1000 {
-		l.Done("r", 10*time.Millisecond, Answered, l.Slots())
-		runs++
-	}
-	if l.Slots() != 16 || runs > 40 {
-		t.Errorf("%d slots after %d runs", l.Slots(), runs)
+	for _, running := range []int{16, 1} {
+		l.SetCeiling(16, true)
+		runs := 0
+		for l.Slots() < 16 && runs < 1000 {
+			l.Done("r", 10*time.Millisecond, Answered, running)
+			runs++
+		}
+		if l.Slots() != 16 || runs > 40 {
+			t.Errorf("%d slots after %d runs with %d in progress", l.Slots(), runs, running)
+		}
 	}
 }
 
--- a/internal/request/gate/limit.go
+++ b/internal/request/gate/limit.go
@@ -28,7 +28,8 @@
 	// requests in progress.
 	helpedRatio = 0.95
 	// coldPart divides the ceiling for the first limit of a cold upstream;
-	// each good window then doubles the limit.
+	// each good window then doubles the limit, whether it needed all slots or
+	// not: it is the runs that warm the upstream.
 	coldPart = 4
 	// usualWeight is the weight of one run in a route's usual time, and
 	// fallWeight that of a run below it.
@@ -104,6 +105,9 @@
 // Slots returns the limit in whole requests.
 func (l *Limit) Slots() int { return int(l.current) }
 
+// Ceiling returns the announced slots.
+func (l *Limit) Ceiling() int { return l.ceiling }
+
 // Usual returns the usual time of a route's runs; 0 where it is not known.
 func (l *Limit) Usual(route string) time.Duration {
 	return time.Duration(l.usual[route] * float64(time.Second))
@@ -159,7 +163,7 @@
 	case l.timed > 0 && l.ratios/float64(l.timed) > slowRatio:
 		l.warming = false
 		l.slow(l.ratios / float64(l.timed))
-	case l.saturated && l.warming:
+	case l.warming:
 		l.current = min(top, 2*l.current)
 		l.warming = l.current < top
 	case l.saturated:
