--- a/internal/process/provider/apply.go
+++ b/internal/process/provider/apply.go
@@ -51,7 +51,8 @@
 }
 
 // Apply takes a document to the store. base is the configuration number that
-// the operator started from; 0 means whichever is in force. The document is
+// the operator started from; 0 means whichever is in force, and api.BaseNone
+// that none is. The document is
 // never moved onto another base: who lost a race is told the winner.
 func (p *Provider) Apply(ctx context.Context, text []byte, operator string, base uint64) api.ApplyResponse {
 	return p.ApplySession(ctx, text, operator, base, rand.Text())
@@ -84,7 +85,7 @@
 			return p.accepted(number, entry)
 		}
 	}
-	if first := prev == nil && base == api.BaseNone; base != 0 && !first && (prev == nil || prev.Number != base) {
+	if !follows(prev, base) {
 		return p.conflict(prev)
 	}
 	if prevDoc != nil {
@@ -108,6 +109,18 @@
 	return a.Number
 }
 
+// follows tells whether a document that was written against base may follow
+// prev, which is nil where nothing was accepted yet.
+func follows(prev *document.Accepted, base uint64) bool {
+	switch {
+	case base == 0:
+		return true
+	case prev == nil:
+		return base == api.BaseNone
+	}
+	return prev.Number == base
+}
+
 func previous(e platform.Entry) (*document.Accepted, *document.Document, error) {
 	if e.Revision == 0 {
 		return nil, nil, nil
