--- a/internal/process/operator/console/console_test.go
+++ b/internal/process/operator/console/console_test.go
@@ -288,6 +288,13 @@
 		t.Errorf("in force: %d %+v", cur.Number(), cur.Document)
 	}
 	b.get(pathHome)
+	b.want(http.StatusOK, pathHome, "Configuration 1, applied by ann", "2 of 2 hosts", "done")
+	if strings.Contains(b.page, "Take back") {
+		t.Error("an order is offered to a move that has ended")
+	}
+	node.moves[0].State = "moving"
+	b.get(pathHome)
+	b.want(http.StatusOK, pathHome, "moving", "Take back")
 	b.post(pathRollouts, url.Values{fieldForm: {b.form().Get(fieldForm)}, "service": {"status-desk"}, "action": {"pause"}})
 	if len(node.orders) != 1 || node.orders[0].Action != api.RolloutPause {
 		t.Errorf("orders: %v", node.orders)
--- a/internal/process/operator/console/pages.go
+++ b/internal/process/operator/console/pages.go
@@ -63,8 +63,12 @@
 	Number   uint64
 	Operator string
 	At       time.Time
-	Lists    []itemList
-	Moves    []api.Rollout
+	// Have of All hosts have the configuration or a later one.
+	Have, All int
+	Lists     []itemList
+	Moves     []api.Rollout
+	// Running names the services whose move takes orders.
+	Running []string
 }
 
 // itemList is one kind of items.
@@ -81,7 +85,7 @@
 	return out
 }
 
-func (c *Console) overview(w http.ResponseWriter, _ *http.Request, s session) {
+func (c *Console) overview(w http.ResponseWriter, r *http.Request, s session) {
 	body := overviewBody{Moves: c.node.Rollouts().Rollouts}
 	var doc *document.Document
 	if cur := c.holder.Current(); cur != nil {
@@ -89,6 +93,12 @@
 		body.Number, body.Operator, body.At = cur.Number(), cur.Accepted.Operator, cur.Accepted.At
 	}
 	body.Lists = draftOf(doc).lists(nil)
+	body.Have, body.All = inForce(c.node.Hosts(r.Context()), body.Number)
+	for _, m := range body.Moves {
+		if !ended(m) {
+			body.Running = append(body.Running, m.Service)
+		}
+	}
 	c.render(w, http.StatusOK, "overview.html", page{Title: "In force", Operator: s.operator, Form: s.form, Body: body})
 }
 
@@ -119,6 +129,19 @@
 	http.Redirect(w, r, Prefix, http.StatusSeeOther)
 }
 
+// ended tells whether a move is done or taken back.
+func ended(m api.Rollout) bool { return m.State == "done" || m.State == "taken-back" }
+
+// inForce counts the hosts that have a configuration or a later one.
+func inForce(out api.HostsResponse, number uint64) (have, all int) {
+	for _, h := range out.Hosts {
+		if h.Error == "" && h.Number >= number {
+			have++
+		}
+	}
+	return have, len(out.Hosts)
+}
+
 // followBody shows how far an accepted document has come.
 type followBody struct {
 	Number uint64
@@ -138,15 +161,11 @@
 		return
 	}
 	hosts := c.node.Hosts(r.Context())
-	body := followBody{Number: number, All: len(hosts.Hosts), Moves: c.node.Rollouts().Rollouts, Ended: true}
-	for _, h := range hosts.Hosts {
-		if h.Error == "" && h.Number >= number {
-			body.Have++
-		}
-	}
+	body := followBody{Number: number, Moves: c.node.Rollouts().Rollouts, Ended: true}
+	body.Have, body.All = inForce(hosts, number)
 	body.InForce = body.Have == body.All
 	for _, m := range body.Moves {
-		body.Ended = body.Ended && (m.State == "done" || m.State == "taken-back")
+		body.Ended = body.Ended && ended(m)
 	}
 	p := page{Title: "Configuration " + strconv.FormatUint(number, 10), Operator: s.operator, Form: s.form, Body: body}
 	switch {
