--- a/internal/process/spread/choice.go
+++ b/internal/process/spread/choice.go
@@ -89,7 +89,7 @@
 		}
 	}
 	wanted := map[string]bool{}
-	for _, a := range NewGraph(view)[self] {
+	for _, a := range Neighbours(view, self) {
 		wanted[a] = true
 		if !c.wanted[a] {
 			c.target(a).wantedSince = now
--- a/internal/process/spread/neighbours.go
+++ b/internal/process/spread/neighbours.go
@@ -63,21 +63,24 @@
 	}
 	g.addRing(ring(all, fleetSalt))
 	for _, c := range centres {
-		g.addRing(ring(c, dcSalt))
-		g.addRacks(ring(c, rackSalt))
+		g.addCentre(c)
 	}
 	return g
 }
 
+// addCentre adds the two rings of one data centre.
+func (g Graph) addCentre(nodes []*member.Record) {
+	g.addRing(ring(nodes, dcSalt))
+	g.addRacks(ring(nodes, rackSalt))
+}
+
 // ring orders nodes by a salted hash of their address.
 func ring(nodes []*member.Record, salt string) []place {
 	out := make([]place, len(nodes))
 	for i, n := range nodes {
 		out[i] = place{hash: xxhash.Sum64String(salt + n.Address), node: n}
 	}
-	slices.SortFunc(out, func(a, b place) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.node.Address, b.node.Address))
-	})
+	slices.SortFunc(out, place.compare)
 	return out
 }
 
@@ -126,3 +129,65 @@
 	g[a.Address] = append(g[a.Address], b.Address)
 	g[b.Address] = append(g[b.Address], a.Address)
 }
+
+// Neighbours gives what NewGraph gives one member, at the cost of a scan of
+// the fleet and of the rings of its data centre.
+func Neighbours(members []member.Record, self string) []string {
+	var own *member.Record
+	for i := range members {
+		if members[i].Address == self && members[i].State <= member.Suspect {
+			own = &members[i]
+		}
+	}
+	if own == nil {
+		return nil
+	}
+	var centre []*member.Record
+	for i := range members {
+		if r := &members[i]; r.State <= member.Suspect && r.DataCentre == own.DataCentre {
+			centre = append(centre, r)
+		}
+	}
+	g := Graph{}
+	g.addCentre(centre)
+	out := g[self]
+	for _, a := range onFleetRing(members, own) {
+		if a != self && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// onFleetRing finds the nodes before and after one on the fleet ring.
+func onFleetRing(members []member.Record, own *member.Record) [2]string {
+	at := place{hash: xxhash.Sum64String(fleetSalt + own.Address), node: own}
+	before, after := at, at
+	for i := range members {
+		r := &members[i]
+		if r.State > member.Suspect || r.Address == own.Address {
+			continue
+		}
+		p := place{hash: xxhash.Sum64String(fleetSalt + r.Address), node: r}
+		if between(at, p, after) {
+			after = p
+		}
+		if between(before, p, at) {
+			before = p
+		}
+	}
+	return [2]string{before.node.Address, after.node.Address}
+}
+
+// between tells whether p stands between from and to on a ring; where both
+// are one place, that is the whole ring.
+func between(from, p, to place) bool {
+	if from.compare(to) < 0 {
+		return from.compare(p) < 0 && p.compare(to) < 0
+	}
+	return from.compare(p) < 0 || p.compare(to) < 0
+}
+
+func (p place) compare(o place) int {
+	return cmp.Or(cmp.Compare(p.hash, o.hash), cmp.Compare(p.node.Address, o.node.Address))
+}
--- a/internal/process/spread/neighbours_test.go
+++ b/internal/process/spread/neighbours_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/daisytide/daisytide/internal/process/member"
@@ -142,7 +143,7 @@
 	dead := map[string]bool{}
 	for {
 		_, view := keep(members, func(_ int, r member.Record) bool { return !dead[r.Address] })
-		links := NewGraph(view)[self]
+		links := Neighbours(view, self)
 		found := false
 		for _, a := range links {
 			if !remain[a] {
@@ -205,3 +206,35 @@
 		t.Errorf("%d ends of links changed, want at most %d", changed, limit)
 	}
 }
+
+func TestNeighboursAreThoseOfTheGraph(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 10, 40, 300} {
+		members := fleet(uint64(n), n)
+		members[0].State = member.Leaving
+		graph := NewGraph(members)
+		for _, r := range members {
+			got, want := Neighbours(members, r.Address), slices.Clone(graph[r.Address])
+			slices.Sort(got)
+			slices.Sort(want)
+			if !slices.Equal(got, want) {
+				t.Errorf("%d nodes: %s has %v, want %v", n, r.Address, got, want)
+			}
+		}
+	}
+}
+
+// BenchmarkNeighbours computes one node's links in the target's fleet.
+func BenchmarkNeighbours(b *testing.B) {
+	members := fleet(1, fleetNodes)
+	for b.Loop() {
+		Neighbours(members, members[7].Address)
+	}
+}
+
+// BenchmarkGraph computes the whole graph of the target's fleet.
+func BenchmarkGraph(b *testing.B) {
+	members := fleet(1, fleetNodes)
+	for b.Loop() {
+		NewGraph(members)
+	}
+}
