--- a/internal/process/spread/bounds_test.go
+++ b/internal/process/spread/bounds_test.go
@@ -144,3 +144,43 @@
 		})
 	}
 }
+
+// The aim is 250 ms until a document is in force everywhere. Messages take up
+// to 5 ms here; the times are those of the test's own clock.
+func TestChangeIsInForceEverywhereInTime(t *testing.T) {
+	const aim, changes = 250 * time.Millisecond, 10
+	nodes := 120
+	if testing.Short() {
+		nodes = 36
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1, nodes)
+		defer f.end()
+		time.Sleep(20 * time.Second)
+		var worst time.Duration
+		for change := range uint64(changes) {
+			begin := time.Now()
+			if out := f.apply(f.names[change], int(change)); out.Outcome != api.ApplyAccepted {
+				t.Fatalf("apply: %+v", out)
+			}
+			for !f.allHold(change + 1) {
+				time.Sleep(time.Millisecond)
+			}
+			worst = max(worst, time.Since(begin))
+			time.Sleep(time.Second)
+		}
+		if worst > aim {
+			t.Errorf("a change took %v, want at most %v", worst, aim)
+		}
+		t.Logf("the slowest of %d changes took %v at %d nodes", changes, worst, nodes)
+	})
+}
+
+func (f *testFleet) allHold(number uint64) bool {
+	for _, a := range f.names {
+		if f.node(a).holder.Current().Number() < number {
+			return false
+		}
+	}
+	return true
+}
