--- a/internal/version/rollout/next.go
+++ b/internal/version/rollout/next.go
@@ -187,15 +187,15 @@
 // sameEpisode tells that the share was lowered at this step or the one before.
 func (s State) sameEpisode() bool { return s.Ease.Step >= s.Step.Number-1 }
 
-// ease lowers a large share when a doubt comes up and lifts that again when
-// the doubt has gone.
+// ease lowers a large share when a doubt comes up, and restores it when the
+// old version has shown the same or had time to.
 func ease(s State, f Findings, now time.Time) (State, bool) {
 	doubt := f.Doubt != ""
 	lowered := now.Sub(s.Ease.Pause.Mark.At())
 	switch {
 	case !s.Eased() && (!doubt || s.Step.Share <= easedShare):
 		return s, false
-	case s.Eased() && (lowered < minEase || doubt && lowered < maxEase):
+	case s.Eased() && (lowered < minEase || !f.Explained && lowered < maxEase):
 		return s, false
 	}
 	next := Ease{Pause: Pause{
--- a/internal/version/verdict/judge.go
+++ b/internal/version/verdict/judge.go
@@ -28,6 +28,14 @@
 // ReportEvery is how often a gate reports during a move.
 const ReportEvery = slotSpan
 
+// What makes the old version bad too while the share is lowered: so many bad
+// runs, and a log-likelihood ratio against a rate.
+const (
+	minAlike   = 2
+	alikeRate  = 0.15
+	alikeProof = -1
+)
+
 // plainSpan is how long a plain failure stands without being reported again.
 const plainSpan = 2 * time.Second
 
@@ -401,7 +409,7 @@
 	for _, name := range j.names {
 		rj := j.routes[name]
 		j.decideSeries(&v, &rj.series, func(t test) string { return rj.account(t, name) })
-		v.Explained = v.Explained || rj.explained > 0 || j.eased && rj.alike()
+		v.Explained = v.Explained || rj.explained > 0
 		open := rj.peekSample()
 		all.join(open)
 		if rj.peek(open, now) && v.Bad == "" {
@@ -413,13 +421,16 @@
 		}
 	}
 	j.decideSeries(&v, &j.whole, j.wholeAccount)
-	v.Explained = v.Explained || j.whole.explained > 0
+	v.Explained = v.Explained || j.whole.explained > 0 || j.eased && j.alike()
 	if j.whole.peek(all, now) && v.Bad == "" {
 		v.Bad = j.wholeAccount(testFailures)
 	}
 	if v.Bad == "" {
 		j.decidePlain(&v, now)
 	}
+	if v.Bad != "" && v.Explained {
+		v.Doubt, v.Grave, v.Bad = "both versions are worse than usual: "+v.Bad, true, ""
+	}
 	return v
 }
 
@@ -441,14 +452,16 @@
 }
 
 // alike tells whether the old version has become bad too while the share was
-// lowered.
-func (rj *routeJudge) alike() bool {
+// lowered, on all routes together.
+func (j *Judge) alike() bool {
 	for t := range testCount {
-		base := rj.baseTally(t).smoothed(priors[t], priorWeight)
-		if t == testSlow && rj.edge == 0 {
-			continue
+		var old, base Tally
+		for _, rj := range j.routes {
+			old.add(rj.tally(t, rj.eased))
+			base.add(rj.baseTally(t))
 		}
-		if control(rj.tally(t, rj.eased), base, plainRate/2) <= controlAgain {
+		rate := base.smoothed(priors[t], priorWeight)
+		if old.Bad >= minAlike && control(old, rate, alikeRate) <= alikeProof {
 			return true
 		}
 	}
--- a/internal/version/verdict/rule.go
+++ b/internal/version/verdict/rule.go
@@ -205,9 +205,10 @@
 }
 
 // control returns the log-likelihood ratio of the old version's runs under
-// its rate of before against the rate that the new version shows.
+// its rate of before against the rate that the new version shows. Few runs
+// that were picked for being bad show too high a rate, hence its bound.
 func control(old Tally, base, shown float64) float64 {
 	base = max(base, slackRise)
-	shown = min(max(shown, 2*base), maxRate)
+	shown = min(max(shown, 2*base), max(plainRate, 2*base), maxRate)
 	return old.Bad*math.Log(base/shown) + (old.Runs-old.Bad)*math.Log((1-base)/(1-shown))
 }
