Take the page's benchmarks at up to half of capacity

Cause: the capacity run looked for benchmark names and metrics that the parts do not use. Change: it runs the product's distribution sizes and the added time at a tenth and half of capacity, from their packages.

--- a/internal/standin/capacity/bench.go
+++ b/internal/standin/capacity/bench.go
@@ -11,16 +11,17 @@
 	"strings"
 )
 
-// Names of the benchmarks that the page is worked out from.
+// Names of the benchmarks that the page is worked out from: the product alone,
+// and calls at up to half of capacity, where nothing waits for a slot.
 const (
-	distributionBench = "BenchmarkDistribution"
-	addedBench        = "BenchmarkAddedTime"
+	distributionBench = "BenchmarkDistribution/^nodes="
+	addedBench        = "BenchmarkAddedTime/use-0"
 )
 
 // Metrics of the benchmarks.
 const (
 	convergeMetric = "converge_ms_p99"
-	addedMetric    = "added_ms_p99"
+	addedMetric    = "added-p99-ms"
 )
 
 // Result is one line of `go test -bench`.
