--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
 
@@ -200,15 +201,25 @@
 	if e.Revision == 0 || len(e.Value) == 0 {
 		return
 	}
+	if cur := p.Holder.Current(); cur != nil && cur.Hash == document.HashOf(e.Value) {
+		// The peers were faster than the watch.
+		p.noteRevision(e.Revision)
+		return
+	}
 	s, err := snapshot.BuildFrom(p.Holder.Current(), e.Value)
 	if err != nil {
 		klog.Errorf(logPrefix+"the store's configuration is not usable: %v", err)
 		return
 	}
+	p.noteRevision(e.Revision)
+	p.Take(s)
+}
+
+// noteRevision keeps the store's revision for the next watch.
+func (p *Provider) noteRevision(revision uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.revision = max(p.revision, e.Revision)
-	p.offer(s)
+	p.revision = max(p.revision, revision)
 }
 
 func (p *Provider) watches() bool { return p.Watcher == nil || p.Watcher() }
