Ask the home about attempts numbered 1 too

HTTP libraries, net/http's client among them, send a request with a key again by themselves when a reused connection breaks, with number and all. Two attempts both numbered 1 ran twice through two entries. The entry now asks the key's home about them as about calls without numbers; where the home is not sure the number counts, so a dead gate or a store that is down still stops no first attempt. A first attempt that was refused gives its place back, unless a gate knew the key.

On four real nodes keys that are always sent as attempt 1, and keys whose repeat lost its number, run once. The price is one question per call with a key.

--- a/internal/request/once/drive_test.go
+++ b/internal/request/once/drive_test.go
@@ -222,11 +222,11 @@
 				time.Sleep(time.Duration(xxhash.Sum64String(key) % uint64(driveLateness)))
 				w.attempt(key, i, late)
 			}()
-			number = next(number)
+			number = nextNumber(number)
 			continue
 		}
 		if n > 1 && w.chance(0.1, "twice", key, n) {
-			go w.attempt(key, i+n+1, next(number))
+			go w.attempt(key, i+n+1, nextNumber(number))
 		}
 		code := w.attempt(key, i+n, number)
 		switch {
@@ -237,16 +237,16 @@
 			w.count(fmt.Sprint(kind, " ", code))
 			return
 		case api.Info(code).Ran != api.RanNo || code == api.CallFenced:
-			number = next(number)
+			number = nextNumber(number)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	w.count(kind + " gave up")
 }
 
-// next numbers the attempt after one that may have run; one that did not run
+// nextNumber numbers the attempt after one that may have run; one that did not run
 // is sent again under its number.
-func next(number int) int {
+func nextNumber(number int) int {
 	if number == 0 {
 		return 0
 	}
--- a/internal/request/once/entry.go
+++ b/internal/request/once/entry.go
@@ -46,16 +46,23 @@
 	}
 }
 
-// Middleware implements call.Middleware at the entry. A call without an
-// attempt number may be a repeat: the home of its key knows.
+// Middleware implements call.Middleware at the entry. Callers and their
+// libraries repeat calls unseen, so the home of the key is asked about a call
+// without a number, and about one that claims to be the first. Where the home
+// is not sure the caller's number counts.
 func (e *Entry) Middleware(next call.Handler) call.Handler {
 	return func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
 		if !Guarded(c) {
 			return next(ctx, w, r, c)
 		}
 		numbered := r.Header.Get(call.HeaderAttempt) != ""
-		if numbered && c.Attempt == 1 || !numbered && e.first(ctx, c) {
-			return next(ctx, w, r, c)
+		if c.Attempt == 1 {
+			switch n, home := e.number(ctx, c); {
+			case n == first:
+				return e.runFirst(ctx, home, c, func() call.Result { return next(ctx, w, r, c) })
+			case n == unsure && numbered:
+				return next(ctx, w, r, c)
+			}
 		}
 		ballot := Ballot{Attempt: uint32(c.Attempt), Stamp: uint64(time.Now().UnixMilli()), ID: rand.Uint64()}
 		col := e.collect(ctx, r, c, ballot)
--- a/internal/request/once/gate.go
+++ b/internal/request/once/gate.go
@@ -277,6 +277,10 @@
 	if !s.ready || s.leaving {
 		return Claimed{}, nil
 	}
+	if c.Back {
+		s.claims.back(hashKey(c.Key))
+		return Claimed{}, nil
+	}
 	if c.Revision > s.view.Revision {
 		s.refresh()
 	}
--- a/internal/request/once/homes.go
+++ b/internal/request/once/homes.go
@@ -93,6 +93,14 @@
 	return !recent && !old
 }
 
+// back makes a key new again.
+func (c *claims) back(key uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.now, key)
+	delete(c.before, key)
+}
+
 // rotate forgets what is older than a window; the caller holds mu.
 func (c *claims) rotate(now time.Time) {
 	if c.now != nil && now.Sub(c.rotated) < c.window {
--- a/internal/request/once/messages.go
+++ b/internal/request/once/messages.go
@@ -54,6 +54,9 @@
 	// that roster's.
 	Gate     uint64 `cbor:"3,keyasint,omitempty"`
 	Revision uint64 `cbor:"4,keyasint,omitempty"`
+	// Back gives the place of the first attempt back: it was not run, and
+	// nothing of it is under way.
+	Back bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Claimed answers a Claim.
--- a/internal/request/once/number.go
+++ b/internal/request/once/number.go
@@ -8,12 +8,13 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/request/call"
 )
 
 const (
 	// claimTimeout bounds the wait for the home of a key.
-	claimTimeout = 200 * time.Millisecond
+	claimTimeout = 100 * time.Millisecond
 	// maxClaims bounds the homes that are asked for one attempt.
 	maxClaims = 3
 )
@@ -45,9 +46,18 @@
 	return true
 }
 
-// first asks the home of a key whether an attempt without a number is the
-// first. Without a sure answer it is taken for a later one.
-func (e *Entry) first(ctx context.Context, c *call.Call) bool {
+// number is what is known of an attempt's place among those with its key.
+type number uint8
+
+const (
+	unsure number = iota
+	first
+	later
+)
+
+// number asks the home of a key whether an attempt is the first, and returns
+// the home that said so.
+func (e *Entry) number(ctx context.Context, c *call.Call) (number, Gate) {
 	for range maxClaims {
 		roster := e.views.get(c.Service)
 		home, ok := roster.Home(hashKey(c.Key))
@@ -55,20 +65,36 @@
 			home, ok = e.anyGate(c.Service)
 		}
 		if !ok {
-			return false
+			return unsure, home
 		}
 		out, err := e.claim(ctx, home.Address, Claim{Service: c.Service, Key: c.Key, Gate: home.Instance, Revision: roster.Revision})
 		switch {
 		case err != nil:
 			klog.V(1).Infof(logPrefix+"number a call of %s: %v", c.Service, err)
-			return false
-		case out.First || out.Later:
-			return out.First
+			return unsure, home
+		case out.First:
+			return first, home
+		case out.Later:
+			return later, home
 		case !e.views.offer(c.Service, Roster{Gates: out.Gates, Revision: out.Revision}):
-			return false
+			return unsure, home
+		}
+	}
+	return unsure, Gate{}
+}
+
+// runFirst runs a call as the first attempt. One that was not run leaves its
+// place to the next, which then needs no fences; but not where a gate knew the
+// key.
+func (e *Entry) runFirst(ctx context.Context, home Gate, c *call.Call, run func() call.Result) call.Result {
+	res := run()
+	if res.Ran == api.RanNo && res.Code != api.CallFenced && res.Code != api.CallKeyClash {
+		back := Claim{Service: c.Service, Key: c.Key, Gate: home.Instance, Back: true}
+		if _, err := e.claim(context.WithoutCancel(ctx), home.Address, back); err != nil {
+			klog.V(1).Infof(logPrefix+"give a claim of %s back: %v", c.Service, err)
 		}
 	}
-	return false
+	return res
 }
 
 // anyGate picks a live gate, which tells its roster.
--- a/internal/standin/cluster/keys_test.go
+++ b/internal/standin/cluster/keys_test.go
@@ -99,8 +99,10 @@
 func TestKeyedCallRunsOnceThroughEveryEntry(t *testing.T) {
 	c := ledgerCluster(t, 4)
 	for key, number := range map[string]func(i int) int{
-		"numbered":   func(i int) int { return i + 2 },
-		"unnumbered": func(int) int { return 0 },
+		"numbered":    func(i int) int { return i + 2 },
+		"unnumbered":  func(int) int { return 0 },
+		"always 1":    func(int) int { return 1 },
+		"number lost": func(i int) int { return -min(i, 0) },
 	} {
 		first := post(t, c.Hosts[0], "/credit/7", key, number(-1), "20 TTD")
 		if first.status != http.StatusOK || first.saved {
@@ -132,6 +134,10 @@
 			t.Errorf("late first attempt: %+v", late)
 		}
 	}
+	post(t, c.Hosts[0], "/credit/7", "k2", 0, "x")
+	if r := post(t, c.Hosts[1], "/credit/7", "k2", 0, "x"); !r.saved {
+		t.Errorf("second attempt without a number: %+v", r)
+	}
 	if n := runsOf(c, "k2"); n != 1 {
 		t.Errorf("k2 ran %d times", n)
 	}
