--- a/internal/standin/cluster/keys_test.go
+++ b/internal/standin/cluster/keys_test.go
@@ -23,7 +23,7 @@
 
 // ledgerCluster starts hosts with upstreams of credit-ledger beside each and
 // waits until every gate takes keyed calls.
-func ledgerCluster(t *testing.T, hosts int) *Cluster {
+func ledgerCluster(t testing.TB, hosts int) *Cluster {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
@@ -64,7 +64,7 @@
 }
 
 // post sends one keyed request; attempt 0 leaves the number out.
-func post(t *testing.T, h *Host, path, key string, attempt int, body string) reply {
+func post(t testing.TB, h *Host, path, key string, attempt int, body string) reply {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, h.CallerBase()+path, strings.NewReader(body))
 	if err != nil {
@@ -222,3 +222,26 @@
 		t.Errorf("a second attempt that no gate knows: %+v", r)
 	}
 }
+
+// BenchmarkCallWithKey is a call through entry and gate without a key, and
+// with one, which asks the key's home first.
+func BenchmarkCallWithKey(b *testing.B) {
+	c := ledgerCluster(b, 4)
+	for _, h := range c.Hosts {
+		h.Upstream.SetFaults(upstream.Fault{Slow: 1e-9})
+	}
+	for name, key := range map[string]string{"without": "", "with": "key-"} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				k := key
+				if key != "" {
+					k += strconv.Itoa(b.N) + "-" + strconv.Itoa(i)
+				}
+				if r := post(b, c.Hosts[i%4], "/credit/7", k, 1, "x"); r.status != http.StatusOK || r.saved {
+					b.Fatalf("%+v", r)
+				}
+			}
+		})
+	}
+}
