--- a/internal/standin/cluster/added_bench_test.go
+++ b/internal/standin/cluster/added_bench_test.go
@@ -46,6 +46,7 @@
 					b.ReportMetric(d, "direct-"+p.name+"-ms")
 					b.ReportMetric(t-d, "added-"+p.name+"-ms")
 				}
+				b.Logf("ends, direct and through: %v %v", ends(near), ends(far))
 				n := float64(len(near))
 				b.ReportMetric((cost[1].allocs-cost[0].allocs)/n, "added-allocs/call")
 				b.ReportMetric((cost[1].seconds-cost[0].seconds)/n*1e6, "added-cpu-us/call")
