Test a host that vanishes without closing its connections

60 credits through an entry that picks among two live gates and one that takes connections and never answers: at most 8 may be lost, each as outcome unknown, before faults keep the entry away.

--- a/internal/request/entry/failure_test.go
+++ b/internal/request/entry/failure_test.go
@@ -331,3 +331,39 @@
 		}
 	}
 }
+
+func TestHostThatVanishesSilentlyCostsFewCalls(t *testing.T) {
+	g := newRig(t, 2, func(_ *host, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	hole, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hole.Close()
+	go func() {
+		for {
+			conn, err := hole.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+	}()
+	g.entry.Members.Merge(member.Record{
+		Address: hole.Addr().String(), DataCentre: "dc", Incarnation: 1, State: member.Alive,
+		Service: testService, Version: "v1", Upstream: api.UpstreamReady, Slots: rigSlots,
+	})
+	lost := 0
+	for range 60 {
+		got := g.do("POST", "/credit", strings.NewReader("x"), func(r *http.Request) { r.Header.Set(call.HeaderTimeLeft, "1000") })
+		switch {
+		case got.body == "whole":
+		case got.code == codeOf(api.CallTimeout) && got.ran == "unknown":
+			lost++
+		default:
+			t.Errorf("%+v", got)
+		}
+	}
+	if lost == 0 || lost > 8 {
+		t.Errorf("%d of 60 calls were lost", lost)
+	}
+}
