Move the links in memory to the stand-ins

What stands in for the network between nodes is of use to other tests too. It is the same code with exported names; its faults are called so.

--- a/internal/process/spread/bounds_test.go
+++ b/internal/process/spread/bounds_test.go
@@ -119,9 +119,9 @@
 
 // over counts what is sent while fn runs.
 func (f *testFleet) over(fn func()) (messages, bytes int) {
-	m, b := f.net.counts()
+	m, b := f.net.Counts()
 	fn()
-	messages, bytes = f.net.counts()
+	messages, bytes = f.net.Counts()
 	return messages - m, bytes - b
 }
 
--- a/internal/process/spread/faults_test.go
+++ b/internal/process/spread/faults_test.go
@@ -12,6 +12,7 @@
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/provider"
+	"github.com/daisytide/daisytide/internal/standin/links"
 	"github.com/daisytide/daisytide/internal/standin/store"
 )
 
@@ -78,7 +79,7 @@
 func TestPausedNodeWakesWithOldNews(t *testing.T) {
 	inFleet(t, func(f *testFleet) {
 		paused := f.names[4]
-		f.net.pause(paused)
+		f.net.Pause(paused)
 		time.Sleep(30 * time.Second)
 		if r, _ := f.node(f.names[0]).members.Get(paused); r.State != member.Gone {
 			t.Errorf("the paused node is %v", r.State)
@@ -86,7 +87,7 @@
 		if out := f.apply(f.names[0], 2); out.Outcome != api.ApplyAccepted {
 			t.Fatalf("apply: %+v", out)
 		}
-		f.net.wake(paused)
+		f.net.Wake(paused)
 		time.Sleep(20 * time.Second)
 		f.wantNumber(2, "after the pause")
 		f.wantMembers("after the pause")
@@ -95,7 +96,7 @@
 
 func TestRegionCutAndHealed(t *testing.T) {
 	inFleet(t, func(f *testFleet) {
-		f.net.part(1, f.names[1], f.names[4], f.names[7])
+		f.net.Part(1, f.names[1], f.names[4], f.names[7])
 		time.Sleep(40 * time.Second)
 		if out := f.apply(f.names[0], 2); out.Outcome != api.ApplyAccepted {
 			t.Fatalf("apply: %+v", out)
@@ -104,7 +105,7 @@
 		// The store is reached from both sides, so the watch brings it over.
 		f.wantNumber(2, "while cut")
 		f.store.SetFaults(store.Faults{Down: true})
-		f.net.part(0, f.names...)
+		f.net.Part(0, f.names...)
 		time.Sleep(40 * time.Second)
 		f.wantMembers("after the cut")
 	})
@@ -128,7 +129,7 @@
 	inFleet(t, func(f *testFleet) {
 		f.store.SetFaults(store.Faults{Down: true})
 		f.crash(f.names[4])
-		f.net.part(1, f.names[4])
+		f.net.Part(1, f.names[4])
 		f.start(f.names[4])
 		time.Sleep(time.Minute)
 		if n := f.node(f.names[4]).holder.Current().Number(); n != 0 {
@@ -174,14 +175,14 @@
 
 func TestDamagedMessagesDoNoHarm(t *testing.T) {
 	inFleet(t, func(f *testFleet) {
-		f.net.setWeather(weather{corrupt: 0.1, double: 0.2, reorder: 0.2, loss: 0.05, delay: 50 * time.Millisecond})
+		f.net.SetFaults(links.Faults{Corrupt: 0.1, Double: 0.2, Reorder: 0.2, Loss: 0.05, Delay: 50 * time.Millisecond})
 		for i := 2; i < 6; i++ {
 			if out := f.apply(f.names[i], i); out.Outcome != api.ApplyAccepted {
 				t.Fatalf("apply %d: %+v", i, out)
 			}
 			time.Sleep(3 * time.Second)
 		}
-		f.net.setWeather(weather{delay: 5 * time.Millisecond})
+		f.net.SetFaults(links.Faults{Delay: 5 * time.Millisecond})
 		time.Sleep(30 * time.Second)
 		f.wantNumber(5, "after the damage")
 		f.wantMembers("after the damage")
@@ -254,7 +255,7 @@
 		before := f.node(f.names[0]).spread.Counters()
 		refused := 0
 		for i := range 100 {
-			conn, err := fakeDialer{net: f.net, from: fmt.Sprint("10.8.0.", i, ":1")}.Dial(context.Background(), f.names[0])
+			conn, err := f.net.Dialer(fmt.Sprint("10.8.0.", i, ":1")).Dial(context.Background(), f.names[0])
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/process/spread/fleet_test.go
+++ b/internal/process/spread/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/provider"
 	"github.com/daisytide/daisytide/internal/process/spread"
+	"github.com/daisytide/daisytide/internal/standin/links"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
@@ -54,7 +55,7 @@
 // centre each, with the checks that always hold.
 type testFleet struct {
 	t     *testing.T
-	net   *fakeNet
+	net   *links.Net
 	store *store.Store
 	nodes map[string]*testNode
 	names []string
@@ -71,10 +72,10 @@
 
 func newTestFleet(t *testing.T, seed uint64, n int) *testFleet {
 	f := &testFleet{
-		t: t, net: newFakeNet(seed), store: store.New(seed), nodes: map[string]*testNode{},
+		t: t, net: links.New(seed), store: store.New(seed), nodes: map[string]*testNode{},
 		hashes: map[uint64]document.Hash{}, accepted: map[uint64]time.Time{},
 	}
-	f.net.setWeather(weather{delay: 5 * time.Millisecond})
+	f.net.SetFaults(links.Faults{Delay: 5 * time.Millisecond})
 	for i := range n {
 		f.names = append(f.names, fmt.Sprintf("10.0.%d.%d:7946", i%3, i))
 	}
@@ -87,12 +88,12 @@
 // pausedStore holds the calls of a paused node.
 type pausedStore struct {
 	platform.Store
-	net     *fakeNet
+	net     *links.Net
 	address string
 }
 
 func (s pausedStore) await(ctx context.Context) error {
-	for !s.net.reaches(s.address, s.address) {
+	for !s.net.Reaches(s.address, s.address) {
 		select {
 		case <-ctx.Done():
 			return &platform.Error{Outcome: platform.OutcomeUnknown, Err: ctx.Err()}
@@ -131,7 +132,7 @@
 	}
 	n.spread = spread.NewManager(spread.Config{
 		Self: n.self.Record, Members: n.members, Holder: n.holder, Configs: n.provider, Seed: f.starts,
-		Dialer: fakeDialer{net: f.net, from: address},
+		Dialer: f.net.Dialer(address),
 		Seeds:  func() []string { return append([]string(nil), f.names[:3]...) },
 		Reach:  func(ctx context.Context, helper, to string) (bool, error) { return f.reach(ctx, address, helper, to) },
 	})
@@ -142,7 +143,7 @@
 	f.checkSwaps(n)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	f.net.listen(address, func(c link.Conn) { n.spread.Accept(c) })
+	f.net.Listen(address, func(c link.Conn) { n.spread.Accept(c) })
 	f.mu.Lock()
 	f.nodes[address] = n
 	f.mu.Unlock()
@@ -154,7 +155,7 @@
 
 func (f *testFleet) reach(ctx context.Context, from, helper, to string) (bool, error) {
 	n := f.node(helper)
-	if n == nil || !f.net.reaches(from, helper) {
+	if n == nil || !f.net.Reaches(from, helper) {
 		<-ctx.Done()
 		return false, errNoAnswer
 	}
@@ -212,7 +213,7 @@
 	var floor uint64
 	for a, n := range f.nodes {
 		number := n.holder.Current().Number()
-		if a != address && f.net.reaches(address, a) && time.Since(f.accepted[number]) > knownAfter {
+		if a != address && f.net.Reaches(address, a) && time.Since(f.accepted[number]) > knownAfter {
 			floor = max(floor, number)
 		}
 	}
@@ -228,8 +229,8 @@
 	if n == nil {
 		return
 	}
-	f.net.listen(address, nil)
-	f.net.wake(address)
+	f.net.Listen(address, nil)
+	f.net.Wake(address)
 	n.spread.Abort()
 	n.cancel()
 }
--- a/internal/process/spread/schedule_test.go
+++ b/internal/process/spread/schedule_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/standin/links"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/internal/version/document"
 )
@@ -139,21 +140,21 @@
 	one := s.names[s.rng.IntN(len(s.names))]
 	dc := s.rng.IntN(3)
 	centre := []string{s.names[dc], s.names[dc+3], s.names[dc+6]}
-	calm := func() { s.net.setWeather(weather{delay: 5 * time.Millisecond}) }
-	storm := func(w weather) func() { return func() { s.net.setWeather(w) } }
+	healthy := func() { s.net.SetFaults(links.Faults{Delay: 5 * time.Millisecond}) }
+	faulty := func(w links.Faults) func() { return func() { s.net.SetFaults(w) } }
 	storeFaults := func(f store.Faults) func() { return func() { s.store.SetFaults(f) } }
 	return []fault{
 		{"outage", storeFaults(store.Faults{Down: true}), storeFaults(store.Faults{})},
 		{"slow-store", storeFaults(store.Faults{Delay: 3 * time.Second}), storeFaults(store.Faults{})},
 		{"lost-replies", storeFaults(store.Faults{LostReplies: 0.7}), storeFaults(store.Faults{})},
 		{"operators", s.operate, s.operate},
-		{"pause", func() { s.net.pause(one) }, func() { s.net.wake(one) }},
-		{"cut", func() { s.net.part(dc+1, centre...) }, func() { s.net.part(0, s.names...) }},
+		{"pause", func() { s.net.Pause(one) }, func() { s.net.Wake(one) }},
+		{"cut", func() { s.net.Part(dc+1, centre...) }, func() { s.net.Part(0, s.names...) }},
 		{"restart", func() { s.crash(one) }, func() { s.revive(one) }},
 		{"bounce", func() { s.crash(one); s.revive(one) }, func() {}},
 		{"herd", func() { s.each(centre, s.crash) }, func() { s.each(centre, s.revive) }},
-		{"corrupt", storm(weather{corrupt: 0.2, delay: 20 * time.Millisecond}), calm},
-		{"loss", storm(weather{loss: 0.3, double: 0.3, reorder: 0.3, delay: 500 * time.Millisecond}), calm},
+		{"corrupt", faulty(links.Faults{Corrupt: 0.2, Delay: 20 * time.Millisecond}), healthy},
+		{"loss", faulty(links.Faults{Loss: 0.3, Double: 0.3, Reorder: 0.3, Delay: 500 * time.Millisecond}), healthy},
 	}
 }
 
@@ -173,9 +174,9 @@
 // the fleet is at rest.
 func (s *schedule) heal() {
 	s.store.SetFaults(store.Faults{})
-	s.net.setWeather(weather{delay: 5 * time.Millisecond})
-	s.net.part(0, s.names...)
-	s.each(s.names, s.net.wake)
+	s.net.SetFaults(links.Faults{Delay: 5 * time.Millisecond})
+	s.net.Part(0, s.names...)
+	s.each(s.names, s.net.Wake)
 	s.each(s.names, s.revive)
 	s.operators.Wait()
 	time.Sleep(healTime)
--- a/internal/process/spread/fakenet_test.go
+++ b/internal/standin/links/links.go
@@ -1,4 +1,7 @@
-package spread_test
+// Package links is a stand-in of the network between nodes: links in memory
+// with loss, delay, reordering, doubling, damage, cuts and pauses, drawn from a
+// seed.
+package links
 
 import (
 	"context"
@@ -11,21 +14,21 @@
 	"github.com/daisytide/daisytide/internal/conn/link"
 )
 
-// weather is what messages meet on their way, each as a probability.
-type weather struct {
-	loss, double, corrupt, reorder float64
-	// delay is the longest time on the way.
-	delay time.Duration
+// Faults are what messages meet on their way, each as a probability.
+type Faults struct {
+	Loss, Double, Corrupt, Reorder float64
+	// Delay is the longest time on the way.
+	Delay time.Duration
 }
 
 // inboxSize is the number of messages that wait at an end.
 const inboxSize = 128
 
-// fakeNet carries links between the nodes of one test in memory.
-type fakeNet struct {
+// Net carries links in memory.
+type Net struct {
 	mu      sync.Mutex
 	rng     *rand.Rand
-	weather weather
+	faults Faults
 	accept  map[string]func(link.Conn)
 	// group parts the network: addresses of different groups are cut off.
 	group  map[string]int
@@ -34,8 +37,9 @@
 	messages, bytes int
 }
 
-func newFakeNet(seed uint64) *fakeNet {
-	return &fakeNet{
+// New returns a network whose random choices come from seed.
+func New(seed uint64) *Net {
+	return &Net{
 		rng:    rand.New(rand.NewPCG(seed, 7)),
 		accept: map[string]func(link.Conn){},
 		group:  map[string]int{},
@@ -43,11 +47,11 @@
 	}
 }
 
-// fakeConn is one end of a link in memory.
-type fakeConn struct {
-	net      *fakeNet
+// conn is one end of a link in memory.
+type conn struct {
+	net      *Net
 	from, to string
-	peer     *fakeConn
+	peer     *conn
 	inbox    chan []byte
 	closed   chan struct{}
 	once     sync.Once
@@ -58,13 +62,17 @@
 
 var errCut = errors.New("the link is cut")
 
-type fakeDialer struct {
-	net  *fakeNet
+// Dialer dials for one address.
+type Dialer struct {
+	net  *Net
 	from string
 }
 
+// Dialer returns the dialer of an address.
+func (n *Net) Dialer(from string) Dialer { return Dialer{net: n, from: from} }
+
 // Dial implements spread.Dialer.
-func (d fakeDialer) Dial(ctx context.Context, to string) (link.Conn, error) {
+func (d Dialer) Dial(ctx context.Context, to string) (link.Conn, error) {
 	n := d.net
 	n.mu.Lock()
 	accept := n.accept[to]
@@ -78,8 +86,8 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	a := &fakeConn{net: n, from: d.from, to: to, inbox: make(chan []byte, inboxSize), closed: make(chan struct{})}
-	b := &fakeConn{net: n, from: to, to: d.from, inbox: make(chan []byte, inboxSize), closed: make(chan struct{}), peer: a}
+	a := &conn{net: n, from: d.from, to: to, inbox: make(chan []byte, inboxSize), closed: make(chan struct{})}
+	b := &conn{net: n, from: to, to: d.from, inbox: make(chan []byte, inboxSize), closed: make(chan struct{}), peer: a}
 	a.peer = b
 	n.mu.Unlock()
 	go accept(b)
@@ -87,7 +95,7 @@
 }
 
 // Send implements link.Conn.
-func (c *fakeConn) Send(_ context.Context, m *link.Message) error {
+func (c *conn) Send(_ context.Context, m *link.Message) error {
 	b, err := link.Encode(m)
 	if err != nil {
 		return err
@@ -101,27 +109,27 @@
 	return nil
 }
 
-// carry brings one message to the other end as the weather has it.
-func (n *fakeNet) carry(c *fakeConn, b []byte) {
+// carry brings one message to the other end with the faults in force.
+func (n *Net) carry(c *conn, b []byte) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	w := n.weather
+	w := n.faults
 	n.messages++
 	n.bytes += link.FrameBytes(len(b), true)
-	if n.group[c.from] != n.group[c.to] || n.rng.Float64() < w.loss {
+	if n.group[c.from] != n.group[c.to] || n.rng.Float64() < w.Loss {
 		return
 	}
-	if n.rng.Float64() < w.corrupt {
+	if n.rng.Float64() < w.Corrupt {
 		b[n.rng.IntN(len(b))] ^= byte(1 + n.rng.IntN(255))
 		b = b[:len(b)-n.rng.IntN(len(b))/8]
 	}
 	copies := 1
-	if n.rng.Float64() < w.double {
+	if n.rng.Float64() < w.Double {
 		copies = 2
 	}
 	for range copies {
-		at := time.Now().Add(time.Duration(n.rng.Int64N(int64(w.delay) + 1)))
-		if n.rng.Float64() >= w.reorder && at.Before(c.last) {
+		at := time.Now().Add(time.Duration(n.rng.Int64N(int64(w.Delay) + 1)))
+		if n.rng.Float64() >= w.Reorder && at.Before(c.last) {
 			at = c.last
 		}
 		c.last = at
@@ -130,7 +138,7 @@
 }
 
 // deliver hands over a message; a paused end gets it when it wakes.
-func (n *fakeNet) deliver(c *fakeConn, b []byte) {
+func (n *Net) deliver(c *conn, b []byte) {
 	n.mu.Lock()
 	for _, a := range []string{c.from, c.to} {
 		if held, ok := n.paused[a]; ok {
@@ -148,7 +156,7 @@
 }
 
 // Receive implements link.Conn.
-func (c *fakeConn) Receive(ctx context.Context) (*link.Message, error) {
+func (c *conn) Receive(ctx context.Context) (*link.Message, error) {
 	select {
 	case b := <-c.inbox:
 		return link.Decode(b)
@@ -166,7 +174,7 @@
 
 // Close implements link.Conn; the other end learns of it, after what was sent,
 // unless it is cut.
-func (c *fakeConn) Close() error {
+func (c *conn) Close() error {
 	c.once.Do(func() {
 		close(c.closed)
 		c.net.mu.Lock()
@@ -180,7 +188,8 @@
 	return nil
 }
 
-func (n *fakeNet) listen(address string, accept func(link.Conn)) {
+// Listen lets links to an address be accepted; nil ends it.
+func (n *Net) Listen(address string, accept func(link.Conn)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if accept == nil {
@@ -190,14 +199,15 @@
 	n.accept[address] = accept
 }
 
-func (n *fakeNet) setWeather(w weather) {
+// SetFaults changes what messages meet from now on.
+func (n *Net) SetFaults(w Faults) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.weather = w
+	n.faults = w
 }
 
-// part puts addresses into a group of their own; group 0 is the rest.
-func (n *fakeNet) part(group int, addresses ...string) {
+// Part puts addresses into a group of their own; group 0 is the rest.
+func (n *Net) Part(group int, addresses ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, a := range addresses {
@@ -205,7 +215,8 @@
 	}
 }
 
-func (n *fakeNet) reaches(a, b string) bool {
+// Reaches tells whether two addresses are neither cut off nor paused.
+func (n *Net) Reaches(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	_, pausedA := n.paused[a]
@@ -213,8 +224,8 @@
 	return n.group[a] == n.group[b] && !pausedA && !pausedB
 }
 
-// pause holds all messages from and to an address until wake.
-func (n *fakeNet) pause(address string) {
+// Pause holds all messages from and to an address until wake.
+func (n *Net) Pause(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, ok := n.paused[address]; !ok {
@@ -222,7 +233,8 @@
 	}
 }
 
-func (n *fakeNet) wake(address string) {
+// Wake delivers what a pause held.
+func (n *Net) Wake(address string) {
 	n.mu.Lock()
 	held := n.paused[address]
 	delete(n.paused, address)
@@ -232,7 +244,8 @@
 	}
 }
 
-func (n *fakeNet) counts() (messages, bytes int) {
+// Counts returns what was sent so far, with frames.
+func (n *Net) Counts() (messages, bytes int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.messages, n.bytes
