--- a/internal/standin/links/links.go
+++ b/internal/standin/links/links.go
@@ -26,10 +26,10 @@
 
 // Net carries links in memory.
 type Net struct {
-	mu      sync.Mutex
-	rng     *rand.Rand
+	mu     sync.Mutex
+	rng    *rand.Rand
 	faults Faults
-	accept  map[string]func(link.Conn)
+	accept map[string]func(link.Conn)
 	// group parts the network: addresses of different groups are cut off.
 	group  map[string]int
 	paused map[string][]func()
