--- a/internal/process/provider/start_test.go
+++ b/internal/process/provider/start_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,14 +45,14 @@
 }
 
 // inStart runs a provider against a store with faults while a test drives it.
-func inStart(t *testing.T, f store.Faults, settled *bool, test func(p *provider.Provider, s *store.Store)) {
+func inStart(t *testing.T, f store.Faults, settled *atomic.Bool, test func(p *provider.Provider, s *store.Store)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New(1)
 		s.SetFaults(f)
 		p := &provider.Provider{
 			Store:   platform.NewGuard(s, raceRate),
 			Holder:  &snapshot.Holder{},
-			Settled: func() bool { return *settled },
+			Settled: settled.Load,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
@@ -63,7 +64,7 @@
 }
 
 func TestStartHoldsBackPeersUntilAllAreHeard(t *testing.T) {
-	settled := false
+	var settled atomic.Bool
 	inStart(t, store.Faults{Down: true}, &settled, func(p *provider.Provider, _ *store.Store) {
 		p.Take(configuration(t, 5))
 		time.Sleep(time.Hour)
@@ -72,7 +73,7 @@
 		}
 		p.Take(configuration(t, 7))
 		p.Take(configuration(t, 6))
-		settled = true
+		settled.Store(true)
 		time.Sleep(time.Minute)
 		if n := p.Holder.Current().Number(); n != 7 || p.Source() != provider.SourcePeers {
 			t.Errorf("%d in force from the %s, want 7 from the peers", n, p.Source())
@@ -81,7 +82,8 @@
 }
 
 func TestStartReadsTheStoreEvenWhenPeersAreHeard(t *testing.T) {
-	settled := true
+	var settled atomic.Bool
+	settled.Store(true)
 	inStart(t, store.Faults{Delay: time.Second}, &settled, func(p *provider.Provider, s *store.Store) {
 		envelope := configuration(t, 9).Envelope
 		if _, err := s.CompareAndSwap(context.Background(), platform.KeyConfig, 0, envelope, ""); err != nil {
@@ -96,7 +98,7 @@
 }
 
 func TestStartOnAnEmptyStoreTakesWhatPeersHold(t *testing.T) {
-	settled := false
+	var settled atomic.Bool
 	inStart(t, store.Faults{}, &settled, func(p *provider.Provider, _ *store.Store) {
 		p.Take(configuration(t, 3))
 		time.Sleep(time.Second)
