--- a/cmd/daisytide/demo.go
+++ b/cmd/daisytide/demo.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/standin/demo"
+	"github.com/daisytide/daisytide/internal/standin/quiet"
 )
 
 // demoStartLimit bounds what the demo takes beyond its seconds of load.
@@ -36,7 +35,7 @@
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
 	if !c.Verbose {
-		quietLog()
+		quiet.Logs()
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -65,18 +64,3 @@
 	}
 	return nil
 }
-
-// quietLog keeps the nodes' logs out of the demo's output.
-func quietLog() {
-	set := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(set)
-	_ = set.Set("logtostderr", "false")
-	_ = set.Set("stderrthreshold", "FATAL")
-	klog.SetOutput(discard{})
-}
-
-// discard drops what is written to it.
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
--- a/internal/standin/capacity/bench.go
+++ b/internal/standin/capacity/bench.go
@@ -21,7 +21,7 @@
 // Metrics of the benchmarks.
 const (
 	convergeMetric = "converge_ms_p99"
-	addedMetric    = "added-p99-ms"
+	addedMetric    = "added-p99-window-ms"
 )
 
 // Result is one line of `go test -bench`.
@@ -35,7 +35,8 @@
 	// Converge is the time, in milliseconds, from a document's acceptance to
 	// its being in force on the last node, over the number of nodes.
 	Converge Line
-	// AddedP99 is the time in milliseconds added to a call for 99 in 100.
+	// AddedP99 is the time in milliseconds added to a call for 99 in 100: the
+	// median of windows, so that a pause of the machine spoils one of them.
 	AddedP99 float64
 	Results  []Result
 }
--- a/internal/standin/capacity/sample.go
+++ b/internal/standin/capacity/sample.go
@@ -12,7 +12,7 @@
 // clockTicks is the number of processor-time ticks in a second on Linux.
 const clockTicks = 100
 
-// frameOverheadBytes are the WebSocket, TCP and IP headers of one message.
+// frameOverheadBytes are the TCP and IP headers of one message.
 const frameOverheadBytes = 66
 
 // Fields of /proc/PID/stat after the command's closing bracket, from 0.
