Measure fleets of up to 200 processes and connect before calls are timed

Cause: lines from 50 to 125 nodes still held the links that nodes gain up to some 100, and the processor time of a call held the connections of its first seconds. Change: sizes 10, 50, 100, 150 and 200, lines from 100; calls are measured after a phase of first calls.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -17,7 +17,7 @@
 // options of the command line.
 type options struct {
 	Binary     string   `long:"binary" required:"true" description:"daisytided to start"`
-	Sizes      []int    `long:"size" description:"numbers of processes (default: 10, 25, 50, 75, 100, 125)"`
+	Sizes      []int    `long:"size" description:"numbers of processes (default: 10, 50, 100, 150, 200)"`
 	Benchmarks bool     `long:"benchmarks" description:"run the benchmarks in one process too"`
 	Packages   []string `long:"package" description:"packages with the benchmarks"`
 }
@@ -28,7 +28,7 @@
 		os.Exit(2)
 	}
 	if len(o.Sizes) == 0 {
-		o.Sizes = []int{10, 25, 50, 75, 100, 125}
+		o.Sizes = []int{10, 50, 100, 150, 200}
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/standin/capacity/bench.go
+++ b/internal/standin/capacity/bench.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		n, err := strconv.ParseFloat(m[1], 64)
-		if err == nil {
+		if err == nil && n >= fullFrom {
 			points = append(points, Point{X: n, Y: y})
 		}
 	}
--- a/internal/standin/capacity/phases.go
+++ b/internal/standin/capacity/phases.go
@@ -21,7 +21,7 @@
 	churnTime   = 6 * time.Second
 	changeCount = 16
 	changeEvery = 250 * time.Millisecond
-	callTime    = 6 * time.Second
+	callTime    = 5 * time.Second
 	// callsPerNode is the rate of calls at each entry, per second.
 	callsPerNode = 50
 )
@@ -33,8 +33,10 @@
 	Churn Rates
 	// Changes is the phase of changeCount documents.
 	Changes Rates
-	// Calls is the phase of calls at every entry.
-	Calls Rates
+	// FirstCalls is the phase in which entries and gates connect, Calls the
+	// same load after it.
+	FirstCalls Rates
+	Calls      Rates
 	// CallCount and CallsFailed are of the phase of calls.
 	CallCount   uint64
 	CallsFailed uint64
@@ -63,6 +65,7 @@
 		{"rest", &m.Rest, func(ctx context.Context) error { return pause(ctx, restTime) }},
 		{"churn", &m.Churn, f.churn},
 		{"changes", &m.Changes, f.changes},
+		{"first calls", &m.FirstCalls, func(ctx context.Context) error { return f.calls(ctx, &m) }},
 		{"calls", &m.Calls, func(ctx context.Context) error { return f.calls(ctx, &m) }},
 	} {
 		from, err := f.take(ctx)
--- a/internal/standin/capacity/tables.go
+++ b/internal/standin/capacity/tables.go
@@ -15,7 +15,7 @@
 		for _, p := range []struct {
 			name string
 			r    Rates
-		}{{"rest", m.Rest}, {"churn", m.Churn}, {"changes", m.Changes}, {"calls", m.Calls}} {
+		}{{"rest", m.Rest}, {"churn", m.Churn}, {"changes", m.Changes}, {"first calls", m.FirstCalls}, {"calls", m.Calls}} {
 			fmt.Fprintf(w, "| %d | %s | %.2f | %.0f | %.1f | %.1f | %.2f | %.1f |\n", m.Nodes, p.name,
 				p.r.ProcessorShare, p.r.BytesPerSecond, p.r.ResidentMB, p.r.HeapMB, p.r.StoreCalls, p.r.Links)
 		}
--- a/internal/standin/capacity/target.go
+++ b/internal/standin/capacity/target.go
@@ -61,10 +61,10 @@
 	CallProcessor   Line // core microseconds of one call, entry and gate together
 }
 
-// fullFrom is the smallest fleet that lines are fitted from. Below it a data
-// centre has fewer nodes than a node wants links and than watch the store, so
-// that costs rise for another reason than the number of nodes.
-const fullFrom = 5 * dataCentres
+// fullFrom is the smallest fleet that lines are fitted from. Below it nodes
+// have fewer links than they want, since a data centre has few nodes to choose
+// from, so that costs rise for another reason than the number of nodes.
+const fullFrom = 100
 
 // targetPeers is the number of nodes that an entry calls while its own data
 // centre takes its calls.
