--- a/internal/request/entry/chain_test.go
+++ b/internal/request/entry/chain_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -63,19 +62,7 @@
 			TimeLimit: document.Duration(time.Minute), Caller: document.Buyer,
 		})
 	}
-	text, err := json.Marshal(doc)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	envelope, err := document.Next(nil, nil, text, doc, "s", "test", time.Unix(0, 0)).Envelope()
-	if err != nil {
-		tb.Fatal(err)
-	}
-	s, err := snapshot.Build(envelope)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	c.holder.Offer(s)
+	c.holder.Offer(snapshotOf(tb, doc))
 	for d := range chainDepth {
 		for range chainReplicas {
 			c.host(d)
--- a/internal/request/entry/rig_test.go
+++ b/internal/request/entry/rig_test.go
@@ -82,17 +82,23 @@
 		Services: []document.Service{{Name: testService, Versions: []string{"v1"}, Current: "v1"}},
 		Routes:   []document.Route{route("look", true, document.Buyer), route("credit", false, document.Clerk), route("photo", false, document.Driver)},
 	}
+	return snapshotOf(t, doc)
+}
+
+// snapshotOf puts a document in the form that requests use.
+func snapshotOf(tb testing.TB, doc *document.Document) *snapshot.Snapshot {
+	tb.Helper()
 	text, err := json.Marshal(doc)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	envelope, err := document.Next(nil, nil, text, doc, "s", "test", time.Unix(0, 0)).Envelope()
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	s, err := snapshot.Build(envelope)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return s
 }
