--- a/cmd/daisytided/main.go
+++ b/cmd/daisytided/main.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -15,8 +16,11 @@
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
+	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/process/node"
+	"github.com/daisytide/daisytide/internal/process/operated"
 	"github.com/daisytide/daisytide/internal/process/settings"
+	"github.com/daisytide/daisytide/platform"
 )
 
 // options of the command line that are no settings.
@@ -43,6 +47,10 @@
 // an upstream and has 64 MB. It is soft; what is in use is never refused.
 const memoryLimit = 52 << 20
 
+// operatedMemory is the tenths of its memory from which an operated node
+// collects garbage ever more often.
+const operatedMemory = 6
+
 func limitMemory() {
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(memoryLimit)
@@ -71,6 +79,35 @@
 	_ = set.Set("v", fmt.Sprint(verbosity))
 }
 
+// daemon is a node of either kind.
+type daemon interface {
+	Metrics() *expvar.Map
+	Run(ctx context.Context) error
+}
+
+// serve runs the node that the settings describe until ctx ends.
+func serve(ctx context.Context, cfg *settings.Settings) error {
+	n, err := build(cfg)
+	if err != nil {
+		return err
+	}
+	expvar.Publish("daisytide", n.Metrics())
+	return n.Run(ctx)
+}
+
+func build(cfg *settings.Settings) (daemon, error) {
+	dialer := h1.Dialer(cfg.Store.Timeout)
+	store := &platform.Client{
+		Base: cfg.Store.Address, Timeout: cfg.Store.Timeout,
+		HTTP: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
+	}
+	if !cfg.Operated.Enabled {
+		return node.New(cfg, store)
+	}
+	debug.SetMemoryLimit(int64(cfg.Operated.MemoryMB) << 20 / 10 * operatedMemory)
+	return operated.New(cfg, store, platform.Adapter{})
+}
+
 func run(o options, overrides []string) int {
 	cfg, faults := settings.Load(o.File, overrides...)
 	if len(faults) > 0 {
@@ -81,11 +118,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	n, err := node.New(cfg, nil)
-	if err == nil {
-		expvar.Publish("daisytide", n.Metrics())
-		err = n.Run(ctx)
-	}
+	err := serve(ctx, cfg)
 	klog.Flush()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "daisytided:", err)
--- a/internal/conn/platform/guard.go
+++ b/internal/conn/platform/guard.go
@@ -16,7 +16,8 @@
 	// guardBurst is the number of calls that may follow each other at once:
 	// an operator's document takes a read, a write and a few repeats.
 	guardBurst = 10
-	// backoffFirst and backoffMost bound the wait after failures in a row.
+	// backoffFirst and backoffMost bound the wait after failures in a row,
+	// unless the guard has another bound.
 	backoffFirst = 100 * time.Millisecond
 	backoffMost  = 30 * time.Second
 )
@@ -27,6 +28,9 @@
 // bucket, one read per key at a time, and after a failure a wait with full
 // jitter. A call whose context ends before the wait does is refused at once.
 type Guard struct {
+	// BackoffMost bounds the wait after failures in a row.
+	BackoffMost time.Duration
+
 	store   Store
 	limiter *rate.Limiter
 	flights singleflight.Group
@@ -42,7 +46,7 @@
 
 // NewGuard guards store with a rate in calls per second.
 func NewGuard(store Store, perSecond float64) *Guard {
-	return &Guard{store: store, limiter: rate.NewLimiter(rate.Limit(perSecond), guardBurst), readings: map[string]*reading{}}
+	return &Guard{BackoffMost: backoffMost, store: store, limiter: rate.NewLimiter(rate.Limit(perSecond), guardBurst), readings: map[string]*reading{}}
 }
 
 // Reached tells whether the last call that ended was answered by the store.
@@ -108,13 +112,15 @@
 		return
 	}
 	g.reached = false
-	wait := min(backoffMost, backoffFirst<<min(g.fails, 16))
+	wait := min(g.BackoffMost, backoffFirst<<min(g.fails, 16))
 	g.fails++
 	g.until = time.Now().Add(rand.N(wait))
 }
 
 // answered tells whether an outcome shows a store at work.
-func answered(o Outcome) bool { return o == OutcomeRefused || o == OutcomeConflict }
+func answered(o Outcome) bool {
+	return o == OutcomeRefused || o == OutcomeConflict || o == OutcomeHistoryLost
+}
 
 // guarded makes one call behind the guard.
 func guarded[T any](ctx context.Context, g *Guard, op, key string, call func() (T, error)) (T, error) {
@@ -133,8 +139,16 @@
 }
 
 // List implements Store.
-func (g *Guard) List(ctx context.Context, prefix string) ([]Entry, error) {
-	return shared(ctx, g, "list", prefix, g.store.List)
+func (g *Guard) List(ctx context.Context, prefix string, stale bool) ([]Entry, uint64, error) {
+	op := "list"
+	if stale {
+		op = "list-stale"
+	}
+	out, err := shared(ctx, g, op, prefix, func(ctx context.Context, prefix string) (changes, error) {
+		entries, revision, err := g.store.List(ctx, prefix, stale)
+		return changes{entries, revision}, err
+	})
+	return out.entries, out.revision, err
 }
 
 // reading is a read under way that several callers may wait for.
@@ -207,16 +221,16 @@
 	})
 }
 
-// changes is what a watch returned.
+// changes is what a watch or a list returned.
 type changes struct {
 	entries  []Entry
 	revision uint64
 }
 
 // Watch implements Store.
-func (g *Guard) Watch(ctx context.Context, prefix string, after uint64) ([]Entry, uint64, error) {
+func (g *Guard) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error) {
 	out, err := guarded(ctx, g, "watch", prefix, func() (changes, error) {
-		entries, revision, err := g.store.Watch(ctx, prefix, after)
+		entries, revision, err := g.store.Watch(ctx, prefix, after, wait)
 		return changes{entries, revision}, err
 	})
 	return out.entries, out.revision, err
--- a/internal/conn/platform/store.go
+++ b/internal/conn/platform/store.go
@@ -12,6 +12,9 @@
 // MaxValueBytes is the largest value that the store holds.
 const MaxValueBytes = 1_000_000
 
+// MaxWatch is the longest that the store lets one watch wait.
+const MaxWatch = 30 * time.Second
+
 // Entry is one key with its value.
 type Entry struct {
 	Key   string `json:"key"`
@@ -20,6 +23,8 @@
 	Revision uint64 `json:"revision"`
 	// Lease names the lease that the entry goes with, if any.
 	Lease string `json:"lease,omitempty"`
+	// Deleted marks a change that a watch tells of: the key is gone.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Lease is a time-limited right that must be kept alive.
@@ -33,15 +38,17 @@
 type Store interface {
 	// Get reads one key. An absent key gives an Entry with Revision 0.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List reads all keys with a prefix, in key order.
-	List(ctx context.Context, prefix string) ([]Entry, error)
+	// List reads all keys with a prefix, in key order, and the store's revision
+	// before it. A stale read may be seconds old and costs the store less.
+	List(ctx context.Context, prefix string, stale bool) ([]Entry, uint64, error)
 	// CompareAndSwap writes value if the key's revision is still revision;
 	// 0 creates only. A nil value deletes. lease may be empty.
 	CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte, lease string) (Entry, error)
 	// Watch waits until a key with the prefix has a revision above after, and
-	// returns the changed entries and the store's revision. It returns early
-	// with no entries when the store's own wait ends.
-	Watch(ctx context.Context, prefix string, after uint64) ([]Entry, uint64, error)
+	// returns the changes and the store's revision. It returns with no entries
+	// when wait, at most MaxWatch, is over. OutcomeHistoryLost means that the
+	// store no longer knows all changes since after: list the keys anew.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
 	// Grant makes a lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// KeepAlive renews a lease; a lapsed one gives OutcomeRefused.
@@ -66,6 +73,9 @@
 	// OutcomeUnknown: the call was sent and its reply was lost, so a write may
 	// have taken effect.
 	OutcomeUnknown
+	// OutcomeHistoryLost: a watch began at a revision that the store has
+	// forgotten.
+	OutcomeHistoryLost
 )
 
 // String names the outcome.
@@ -79,6 +89,8 @@
 		return "limited"
 	case OutcomeNotReached:
 		return "not reached"
+	case OutcomeHistoryLost:
+		return "history lost"
 	default:
 		return "unknown"
 	}
@@ -125,6 +137,8 @@
 	KeySeeds = "daisytide/seeds"
 	// PrefixMoves holds one entry per ended move.
 	PrefixMoves = "daisytide/moves/"
+	// PrefixNodes holds one leased entry per live node.
+	PrefixNodes = "daisytide/nodes/"
 	// PrefixGates holds, per service, the table of gates that may run keyed calls.
 	PrefixGates = "daisytide/gates/"
 )
--- a/internal/process/member/record.go
+++ b/internal/process/member/record.go
@@ -52,6 +52,9 @@
 	Version  string            `cbor:"9,keyasint,omitempty"`
 	Upstream api.UpstreamState `cbor:"10,keyasint,omitempty"`
 	Slots    int               `cbor:"11,keyasint,omitempty"`
+	// Gate is where the node takes the requests of other nodes; empty where
+	// that is the peer listener.
+	Gate string `cbor:"12,keyasint,omitempty"`
 }
 
 // Supersedes tells whether r replaces old under the merge rule: the higher
@@ -84,7 +87,7 @@
 	if r.Address == "" || r.State < Alive || r.State > Gone {
 		return api.Errorf(api.PeerFrame, "a member record without address or state")
 	}
-	for _, s := range []string{r.Address, r.Region, r.DataCentre, r.Rack, r.Service, r.Version, string(r.Upstream)} {
+	for _, s := range []string{r.Address, r.Region, r.DataCentre, r.Rack, r.Service, r.Version, string(r.Upstream), r.Gate} {
 		if len(s) > maxTextBytes {
 			return api.Errorf(api.PeerFrame, "a member record with a text of %d bytes", len(s))
 		}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/daisytide/daisytide/internal/request/once"
 	"github.com/daisytide/daisytide/internal/request/quarantine"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
+	adapter "github.com/daisytide/daisytide/platform"
 )
 
 const logPrefix = "node: "
@@ -105,7 +106,7 @@
 		return nil, err
 	}
 	if store == nil {
-		store = &platform.Client{Base: cfg.Store.Address, HTTP: &http.Client{}, Timeout: cfg.Store.Timeout}
+		store = &adapter.Client{Base: cfg.Store.Address, HTTP: &http.Client{}, Timeout: cfg.Store.Timeout}
 	}
 	n.wire(store)
 	return n, nil
--- /dev/null
+++ b/internal/process/operated/operated.go
@@ -0,0 +1,404 @@
+// Package operated wires and runs a node whose operator keeps configuration
+// and orders in the store, and whose upstream reports by heartbeat.
+package operated
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/dial"
+	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/conn/link"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/orders"
+	"github.com/daisytide/daisytide/internal/process/provider"
+	"github.com/daisytide/daisytide/internal/process/registry"
+	"github.com/daisytide/daisytide/internal/process/settings"
+	"github.com/daisytide/daisytide/internal/process/spread"
+	"github.com/daisytide/daisytide/internal/process/upstreams"
+	"github.com/daisytide/daisytide/internal/request/egress"
+	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/request/ingress"
+	"github.com/daisytide/daisytide/internal/request/pick"
+	"github.com/daisytide/daisytide/internal/request/quarantine"
+	"github.com/daisytide/daisytide/internal/request/retry"
+	"github.com/daisytide/daisytide/internal/version/ramp"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+const logPrefix = "operated: "
+
+// Sizes and times of a node.
+const (
+	// storeBackoff bounds the wait after failed calls to the store: entries
+	// must be back, and changes in force, within two seconds of its return.
+	storeBackoff = time.Second
+	// heldPart of the memory may hold the bodies of requests.
+	heldPart = 5
+	// idlePeers and idleUpstream bound the connections kept for one address.
+	idlePeers    = 16
+	idleUpstream = 64
+	// peerDial and upstreamDial bound the opening of a connection: a packet
+	// that was lost is sent again after a second, another node answers sooner.
+	peerDial     = 400 * time.Millisecond
+	upstreamDial = 300 * time.Millisecond
+	// retryPart of the permitted retries is used, since calls that a repeated
+	// run makes count as repeats too.
+	retryPart = 0.5
+	// fleetOf is the size of a fleet over which the retries beyond the ratio
+	// are shared before the members are known.
+	fleetOf = 12
+	// peerHeaderTimeout and peerIdle bound connections between nodes.
+	peerHeaderTimeout = 5 * time.Second
+	peerIdle          = time.Minute
+	peerBodyBytes     = 1 << 30
+)
+
+// Limits of callers before the first configuration.
+var firstLimits = h1.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// Adapter translates between the product and the platform that it runs on.
+type Adapter interface {
+	hop.Dialect
+	orders.Statuses
+	// Operator says where the operator writes.
+	Operator() provider.OperatorKeys
+	// Order reads an order.
+	Order(key string, revision uint64, value []byte) (ramp.Order, error)
+	// Reports returns the handler of the upstream's calls, which gives what it
+	// reads to take.
+	Reports(take func(upstreams.Report) error) http.Handler
+	// ReadyPath is where the platform asks whether the node is ready.
+	ReadyPath() string
+}
+
+// Node is one daisytided that an operator runs through the store.
+type Node struct {
+	cfg     *settings.Settings
+	adapter Adapter
+	metrics *expvar.Map
+
+	holder   *snapshot.Holder
+	members  *member.Table
+	self     *member.Self
+	spread   *spread.Manager
+	provider *provider.Operated
+	registry *registry.Registry
+	orders   *orders.Manager
+	ledger   *quarantine.Ledger
+	upstream *upstreams.Local
+	gate     *egress.Gate
+	ingress  *ingress.Ingress
+	store    *platform.Guard
+	rpc      *rpc.Client
+	traffic  *link.Traffic
+
+	callers, gates, ready *h1.Server
+	peers, control        *http.Server
+	listeners             [listenerCount]net.Listener
+	leaving               atomic.Bool
+}
+
+// The listeners, in the order in which they open.
+const (
+	forCallers = iota
+	forGates
+	forPeers
+	forControl
+	forReady
+	listenerCount
+)
+
+// New builds a node from checked settings and listens.
+func New(cfg *settings.Settings, store platform.Store, adapter Adapter) (*Node, error) {
+	n := &Node{
+		cfg: cfg, adapter: adapter, metrics: new(expvar.Map).Init(),
+		holder: &snapshot.Holder{}, members: member.NewTable(), traffic: &link.Traffic{},
+		store: platform.NewGuard(store, cfg.Store.Rate),
+	}
+	n.store.BackoffMost = storeBackoff
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.wireMembers()
+	n.wireRequests()
+	n.wireServers()
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	for i, address := range [listenerCount]string{
+		forCallers: n.cfg.Callers.Listen, forGates: n.cfg.Operated.Gate, forPeers: n.cfg.Peers.Listen,
+		forControl: n.cfg.Operators.Listen, forReady: n.cfg.Operated.Ready,
+	} {
+		l, err := h1.Listen(address)
+		if err != nil {
+			for _, open := range n.listeners[:i] {
+				_ = open.Close()
+			}
+			return fmt.Errorf("listen: %w", err)
+		}
+		n.listeners[i] = l
+	}
+	return nil
+}
+
+// Metrics returns the node's counters.
+func (n *Node) Metrics() *expvar.Map { return n.metrics }
+
+// wireMembers builds what the nodes know of each other and of the configuration.
+func (n *Node) wireMembers() {
+	incarnation := uint64(time.Now().UnixMilli())
+	n.self = member.NewSelf(member.Record{
+		Address: n.cfg.Peers.Listen, Region: n.cfg.Node.Region, DataCentre: n.cfg.Node.DataCentre,
+		Gate: n.cfg.Operated.Gate,
+	}, n.members, incarnation)
+	n.rpc = &rpc.Client{HTTP: &http.Client{Transport: dial.Peers(nil)}, Key: n.cfg.Peers.Secret, Scheme: "http"}
+	keys := n.adapter.Operator()
+	n.provider = &provider.Operated{Store: n.store, Holder: n.holder, Keys: keys, Order: n.takeOrder}
+	n.registry = &registry.Registry{
+		Store: n.store, Self: n.self.Record, Members: n.members, TTL: n.cfg.Operated.LeaseTTL,
+		Hosts: n.cfg.Operated.SeedHostList(),
+	}
+	n.spread = spread.NewManager(spread.Config{
+		Self: n.self.Record, Members: n.members, Holder: n.holder, Configs: n.provider,
+		Dialer:  &link.Dialer{Key: n.cfg.Peers.Secret, Traffic: n.traffic},
+		Traffic: n.traffic, Seeds: n.registry.Peers, Reach: n.askReach,
+	})
+	n.registry.Links = n.spread.Links
+	n.self.Publisher = n.spread
+	n.orders = orders.NewManager(orders.Config{
+		Self: n.cfg.Peers.Listen, Incarnation: incarnation, Members: n.members, Store: n.store,
+		Statuses: n.adapter, Publisher: n.spread,
+	})
+	n.ledger = quarantine.NewLedger(time.Now)
+	n.spread.Register(member.Topic{Table: n.members})
+	n.spread.Register(orders.Moves{Manager: n.orders})
+	n.spread.Register(orders.Tallies{Manager: n.orders})
+	n.spread.Register(n.ledger)
+	n.holder.OnSwap(n.spread.ConfigChanged)
+}
+
+// wireRequests builds the way of a request.
+func (n *Node) wireRequests() {
+	n.upstream = &upstreams.Local{Service: n.cfg.Operated.Service, Address: n.cfg.Operated.Address}
+	n.gate = &egress.Gate{
+		Upstream: n.upstream, Client: &h1.Client{DialTimeout: upstreamDial, MaxIdle: idleUpstream}, Dialect: n.adapter,
+		Allowed: n.orders.Allowed, Ledger: n.ledger, Crashed: n.publishCrash, Observer: n.orders,
+	}
+	n.upstream.Changed = func(i upstreams.Instance) {
+		n.gate.Changed(i)
+		n.self.Announce(api.Announcement{Service: i.Service, Version: i.Version, Address: i.Address, State: i.State, Slots: i.Slots})
+	}
+	o := n.cfg.Operated
+	n.ingress = &ingress.Ingress{
+		Self: n.cfg.Peers.Listen, Service: o.Service, Holder: n.holder, Members: n.members, Versions: n.orders,
+		Picker:     &pick.Picker{Self: n.cfg.Peers.Listen, DataCentre: n.cfg.Node.DataCentre, Region: n.cfg.Node.Region},
+		Budget:     retry.NewBudgetOf(max(1, retryPart*o.RetrySlack/fleetOf)),
+		RetryShare: 100 * retryPart * o.RetryRatio,
+		Local:      n.gate, Client: &h1.Client{DialTimeout: peerDial, MaxIdle: idlePeers}, Dialect: n.adapter,
+	}
+}
+
+// wireServers builds the servers of the listeners.
+func (n *Node) wireServers() {
+	held := int64(n.cfg.Operated.MemoryMB) << 20 / heldPart
+	n.callers = &h1.Server{Handler: n.ingress.Serve, Limits: n.callerLimits, Refuse: refuse, MaxHeld: held}
+	between := func() h1.Limits {
+		return h1.Limits{HeaderBytes: 64 << 10, BodyBytes: peerBodyBytes, HeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdle}
+	}
+	n.gates = &h1.Server{Handler: n.gate.Serve, Limits: between, Refuse: refuse, MaxHeld: held, Lazy: true}
+	n.ready = &h1.Server{Handler: n.serveReady, Limits: between, Refuse: refuse, MaxHeld: held}
+	peers := http.NewServeMux()
+	peers.Handle(link.Path, n.spread)
+	peers.Handle(rpc.Prefix+reachMethod, rpc.Handle(n.reach))
+	n.peers = server(n.withKey(peers))
+	control := http.NewServeMux()
+	control.Handle("/", n.adapter.Reports(func(r upstreams.Report) error { return n.upstream.Take(r, time.Now()) }))
+	control.Handle("GET /debug/vars", expvar.Handler())
+	n.control = server(control)
+	n.wireMetrics()
+}
+
+// server serves HTTP/1.1 and cleartext HTTP/2, which questions between nodes use.
+func server(h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: &p, ReadHeaderTimeout: peerHeaderTimeout}
+}
+
+// withKey checks the peer key.
+func (n *Node) withKey(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !link.KeyMatches(r, n.cfg.Peers.Secret) {
+			http.Error(w, api.PeerKey.String(), api.Info(api.PeerKey).HTTP)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) wireMetrics() {
+	c := &n.ingress.Counts
+	for name, read := range map[string]func() any{
+		"configuration": func() any { return n.holder.Current().Number() },
+		"members":       func() any { return len(n.members.Index().Members) },
+		"links":         func() any { return n.spread.Links() },
+		"store_calls":   func() any { return n.store.Calls() },
+		"requests":      func() any { return c.Requests.Load() },
+		"answered":      func() any { return c.Answered.Load() },
+		"refused":       func() any { return c.Refused.Load() },
+		"failed":        func() any { return c.Failed.Load() },
+		"retries":       func() any { return c.Retries.Load() },
+		"over_budget":   func() any { return c.OverBudget.Load() },
+		"gate_load":     func() any { return n.gate.Load().String() },
+	} {
+		n.metrics.Set(name, expvar.Func(read))
+	}
+}
+
+// callerLimits returns what the configuration in force allows callers.
+func (n *Node) callerLimits() h1.Limits {
+	snap := n.holder.Current()
+	if snap == nil || snap.Traffic == nil {
+		return firstLimits
+	}
+	c := snap.Traffic.Config.Callers
+	out := firstLimits
+	if c.HeaderBytes > 0 {
+		out.HeaderBytes = c.HeaderBytes
+	}
+	if c.BodyBytes > 0 {
+		out.BodyBytes = c.BodyBytes
+	}
+	if c.HeaderTimeout > 0 {
+		out.HeaderTimeout = c.HeaderTimeout
+	}
+	if c.IdleTimeout > 0 {
+		out.IdleTimeout = c.IdleTimeout
+	}
+	return out
+}
+
+// refuse answers a request that breaks a limit of its connection.
+func refuse(status int, _ string) *h1.Response {
+	return &h1.Response{Status: status, Header: http.Header{}}
+}
+
+// serveReady tells whether callers should come.
+func (n *Node) serveReady(_ context.Context, r *h1.Request) *h1.Response {
+	status := http.StatusOK
+	switch {
+	case r.Path() != n.adapter.ReadyPath():
+		status = http.StatusNotFound
+	case n.leaving.Load() || n.holder.Current() == nil:
+		status = http.StatusServiceUnavailable
+	}
+	return &h1.Response{Status: status, Header: http.Header{}}
+}
+
+// takeOrder takes an order that was read in the store. One that was listed
+// may have ended long ago: then the store holds its status.
+func (n *Node) takeOrder(e platform.Entry, listed bool) {
+	o, err := n.adapter.Order(e.Key, e.Revision, e.Value)
+	if err != nil {
+		klog.Errorf(logPrefix+"the order at revision %d is not usable: %v", e.Revision, err)
+		return
+	}
+	n.orders.Order(o, time.Now())
+	if listed {
+		go n.readStatus(o)
+	}
+}
+
+// statusTimeout bounds the reading of one status.
+const statusTimeout = 2 * time.Second
+
+func (n *Node) readStatus(o ramp.Order) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	key := n.adapter.Key(o.Service)
+	e, err := n.store.Get(ctx, key)
+	if err != nil || e.Revision == 0 {
+		if err != nil {
+			klog.Warningf(logPrefix+"read the status of %s: %v", o.Service, err)
+		}
+		return
+	}
+	target, phase, err := n.adapter.ReadStatus(key, e.Value)
+	if err != nil {
+		klog.Errorf(logPrefix+"%v", err)
+		return
+	}
+	n.orders.Recorded(o.Service, target, phase, e.Revision)
+}
+
+// publishCrash spreads that an upstream died.
+func (n *Node) publishCrash(f quarantine.Fact) {
+	item, err := wire.Marshal(f)
+	if err != nil {
+		klog.Errorf(logPrefix+"%v", err)
+		return
+	}
+	n.spread.Publish(quarantine.TopicName, item)
+}
+
+// reachMethod asks a node whether it reaches another.
+const reachMethod = "reach"
+
+func (n *Node) reach(_ context.Context, address string) (bool, error) {
+	return n.spread.Reach(address), nil
+}
+
+func (n *Node) askReach(ctx context.Context, helper, address string) (bool, error) {
+	var reached bool
+	err := n.rpc.Call(ctx, helper, reachMethod, address, &reached)
+	return reached, err
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (n *Node) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	running, stopRunners := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopRunners()
+	for i, s := range map[int]*h1.Server{forCallers: n.callers, forGates: n.gates, forReady: n.ready} {
+		g.Go(func() error { return s.Serve(n.listeners[i]) })
+	}
+	for i, s := range map[int]*http.Server{forPeers: n.peers, forControl: n.control} {
+		g.Go(func() error {
+			if err := s.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+				return fmt.Errorf("serve %s: %w", n.listeners[i].Addr(), err)
+			}
+			return nil
+		})
+	}
+	for _, run := range []func(context.Context) error{n.spread.Run, n.provider.Run, n.registry.Run, n.orders.Run} {
+		g.Go(func() error { return run(running) })
+	}
+	g.Go(func() error {
+		n.ledger.Run(running)
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		n.stop(stopRunners)
+		return nil
+	})
+	klog.Infof(logPrefix+"node %s of %s in %s, upstream at %s: callers on %s, gate on %s",
+		n.cfg.Peers.Listen, n.cfg.Operated.Service, n.cfg.Node.DataCentre, n.cfg.Operated.Address, n.cfg.Callers.Listen, n.cfg.Operated.Gate)
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/process/operated/stop.go
@@ -0,0 +1,63 @@
+package operated
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/process/member"
+)
+
+// Times of a stop, as parts of the grace that the settings give.
+const (
+	// listenPart of the grace new callers are still taken: until the platform
+	// has seen twice, a second apart, that the node is not ready.
+	listenPart = 0.55
+	// endPart of the grace requests in progress get.
+	endPart = 0.9
+	// stopQuiet is how long no request may have arrived before a node that is
+	// out of use stops early.
+	stopQuiet = 700 * time.Millisecond
+	stopPoll  = 20 * time.Millisecond
+)
+
+// stop ends the node without cutting a request, in this order: it is not ready
+// any more, and other nodes send it no more; callers that still come are
+// served on connections that end with their answers; then the listener closes,
+// idle connections end, and requests in progress finish.
+func (n *Node) stop(stopRunners func()) {
+	klog.Info(logPrefix + "stopping")
+	began := time.Now()
+	grace := n.cfg.Upstream.StopGrace
+	n.leaving.Store(true)
+	n.callers.CloseAfterAnswers()
+	n.self.SetState(member.Leaving)
+	until(began.Add(time.Duration(listenPart*float64(grace))), func() bool { return false })
+	_ = n.listeners[forCallers].Close()
+	n.callers.CloseIdle()
+	until(began.Add(time.Duration(endPart*float64(grace))), n.idle)
+	n.gates.CloseAfterAnswers()
+	n.gates.CloseIdle()
+	stopRunners()
+	n.spread.CloseLinks()
+	for _, l := range n.listeners {
+		// The callers' listener is closed already, and says so.
+		_ = l.Close()
+	}
+	_ = n.peers.Close()
+	_ = n.control.Close()
+	klog.Infof(logPrefix+"stopped after %v with %d requests in progress", time.Since(began).Round(time.Millisecond), n.callers.Active())
+}
+
+// idle tells that nothing is in progress and nothing has come for a while.
+func (n *Node) idle() bool {
+	return n.callers.Active() == 0 && n.gates.Active() == 0 &&
+		time.Since(n.callers.LastRequest()) > stopQuiet && time.Since(n.gates.LastRequest()) > stopQuiet
+}
+
+// until waits for a condition, or a moment.
+func until(at time.Time, done func() bool) {
+	for time.Now().Before(at) && !done() {
+		time.Sleep(stopPoll)
+	}
+}
--- /dev/null
+++ b/internal/process/orders/orders.go
@@ -0,0 +1,443 @@
+// Package orders carries out the operator's orders to move a service to
+// another version: it counts runs at this node's upstream, spreads the counts,
+// chooses versions for requests, and records how each move ended.
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/upstreams"
+	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/version/ramp"
+)
+
+const logPrefix = "orders: "
+
+// Periods of the loop.
+const (
+	activeTick = 100 * time.Millisecond
+	idleTick   = 500 * time.Millisecond
+	// publishEvery bounds how often a node spreads its counts: a bad version
+	// is found within a second of its first runs.
+	publishEvery = 250 * time.Millisecond
+	// recent is the span of the runs that are judged apart from all runs, so
+	// that good runs of the past do not hide a fault that comes late.
+	recent = 3 * time.Second
+	// recordLag is how much later each next node by rank writes an end to the
+	// store, so that as a rule one does.
+	recordLag = 800 * time.Millisecond
+	// lastRank bounds that delay.
+	lastRank = 4
+	// recordTimeout bounds one exchange with the store.
+	recordTimeout = 2 * time.Second
+)
+
+// Publisher spreads a fact; spread.Manager implements it.
+type Publisher interface {
+	Publish(topic string, item []byte)
+}
+
+// Statuses translates the ends of moves for the store.
+type Statuses interface {
+	// Key is where the status of a service's move stands.
+	Key(service string) string
+	// Status writes the status of an order's move.
+	Status(o ramp.Order, p ramp.Phase) ([]byte, error)
+	// ReadStatus reads it.
+	ReadStatus(key string, value []byte) (target string, p ramp.Phase, err error)
+}
+
+// Config is what a Manager works with.
+type Config struct {
+	// Self is this node's address, Incarnation tells its starts apart.
+	Self        string
+	Incarnation uint64
+	Members     *member.Table
+	Store       platform.Store
+	Statuses    Statuses
+	Publisher   Publisher
+}
+
+// Manager runs the moves of one node. It implements ingress.Versions and
+// egress.Observer.
+type Manager struct {
+	cfg  Config
+	wake chan struct{}
+
+	mu    sync.Mutex
+	moves map[string]*move
+	// base are the versions that a service's requests go to outside a move.
+	base map[string]map[string]bool
+}
+
+// move is one move as this node knows it.
+type move struct {
+	order ramp.Order
+	since time.Time
+	phase ramp.Phase
+	// recorded tells that the store holds the phase; running is not kept.
+	recorded bool
+	// decided is when this node learned of the phase, tryAt when it may next
+	// write it.
+	decided, tryAt time.Time
+	began          bool
+
+	tallies map[tallyKey]tally
+	own     map[string]map[string]ramp.Tally
+	dirty   bool
+	sentAt  time.Time
+	seq     uint64
+	// past are sums of the counts, the oldest first.
+	past []sums
+}
+
+type sums struct {
+	at           time.Time
+	older, newer map[string]ramp.Tally
+}
+
+// NewManager returns a manager without moves.
+func NewManager(cfg Config) *Manager {
+	return &Manager{cfg: cfg, wake: make(chan struct{}, 1), moves: map[string]*move{}, base: map[string]map[string]bool{}}
+}
+
+// Order takes an order of the operator.
+func (m *Manager) Order(o ramp.Order, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.order(o, now)
+}
+
+// order begins a move unless a later one is known; the caller holds mu.
+func (m *Manager) order(o ramp.Order, now time.Time) *move {
+	mv := m.moves[o.Service]
+	if mv != nil && mv.order.Revision >= o.Revision {
+		return mv
+	}
+	if mv != nil {
+		m.adoptBase(mv)
+	}
+	mv = &move{order: o, since: now, tallies: map[tallyKey]tally{}, own: map[string]map[string]ramp.Tally{}}
+	m.moves[o.Service] = mv
+	klog.Infof(logPrefix+"%s is to move to %s within %v (order %d)", o.Service, o.Target, o.Within, o.Revision)
+	m.nudge()
+	return mv
+}
+
+// adoptBase keeps what an ended move has made of the versions; the caller
+// holds mu.
+func (m *Manager) adoptBase(mv *move) {
+	switch mv.phase {
+	case ramp.Completed:
+		m.base[mv.order.Service] = map[string]bool{mv.order.Target: true}
+	case ramp.Withdrawn:
+		delete(m.base[mv.order.Service], mv.order.Target)
+	}
+}
+
+// Recorded takes the status that the store holds of a service's move.
+func (m *Manager) Recorded(service, target string, p ramp.Phase, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mv := m.moves[service]
+	if mv == nil || mv.order.Target != target || revision < mv.order.Revision {
+		return
+	}
+	if p == ramp.Running {
+		mv.began = true
+		return
+	}
+	if mv.phase != p || !mv.recorded {
+		mv.phase, mv.recorded = p, true
+		klog.Infof(logPrefix+"the move of %s to %s is recorded as %s", service, target, p)
+		m.publishState(mv, time.Now())
+	}
+}
+
+// Allowed tells whether requests may go to a version.
+func (m *Manager) Allowed(service, version string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mv := m.moves[service]
+	return mv == nil || mv.phase != ramp.Withdrawn || mv.order.Target != version
+}
+
+// Choose implements ingress.Versions.
+func (m *Manager) Choose(x *member.Index, service string, u float64) string {
+	serving := servingVersions(x, service)
+	if len(serving) == 0 {
+		return ""
+	}
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	target, share := "", 0.0
+	if mv := m.moves[service]; mv != nil {
+		target = mv.order.Target
+		share = mv.share(now)
+	}
+	if n := serving[target]; n > 0 && u < share {
+		return target
+	}
+	if share < 1 {
+		u = (u - share) / (1 - share)
+	}
+	old := m.others(service, target, serving)
+	if v := draw(old, u); v != "" {
+		return v
+	}
+	if share > 0 && serving[target] > 0 {
+		return target
+	}
+	return ""
+}
+
+func (mv *move) share(now time.Time) float64 {
+	switch mv.phase {
+	case ramp.Completed:
+		return 1
+	case ramp.Withdrawn:
+		return 0
+	default:
+		return mv.order.Share(now.Sub(mv.since))
+	}
+}
+
+func servingVersions(x *member.Index, service string) map[string]int {
+	out := map[string]int{}
+	for k, records := range x.Serving {
+		if k.Service == service && len(records) > 0 {
+			out[k.Version] = len(records)
+		}
+	}
+	return out
+}
+
+// others returns the versions that serve outside the move. A version that
+// appears without an order gets nothing while one that was there before
+// serves: its order is on its way. The caller holds mu.
+func (m *Manager) others(service, target string, serving map[string]int) map[string]int {
+	base := m.base[service]
+	if base == nil {
+		base = map[string]bool{}
+		m.base[service] = base
+	}
+	known, all := map[string]int{}, map[string]int{}
+	for v, n := range serving {
+		if v == target {
+			continue
+		}
+		all[v] = n
+		if base[v] {
+			known[v] = n
+		}
+	}
+	if len(known) > 0 {
+		return known
+	}
+	for v := range all {
+		base[v] = true
+	}
+	return all
+}
+
+// draw picks a version by its number of upstreams.
+func draw(versions map[string]int, u float64) string {
+	total := 0
+	for _, n := range versions {
+		total += n
+	}
+	left := u * float64(total)
+	last := ""
+	for v, n := range versions {
+		if last = v; left < float64(n) {
+			return v
+		}
+		left -= float64(n)
+	}
+	return last
+}
+
+// Observe implements egress.Observer. Runs in a cold upstream tell nothing of
+// its version's speed, only of its failures.
+func (m *Manager) Observe(i *upstreams.Instance, r *hop.Request, res hop.Result, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mv := m.moves[r.Service]
+	if mv == nil || mv.phase != ramp.Running {
+		return
+	}
+	failed := res.Code != api.OK || res.Answer.Status >= 500
+	if !failed && time.Now().Before(i.ColdUntil) {
+		return
+	}
+	routes := mv.own[i.Version]
+	if routes == nil {
+		routes = map[string]ramp.Tally{}
+		mv.own[i.Version] = routes
+	}
+	t := routes[r.Route]
+	t.Times[ramp.BucketOf(took)]++
+	if failed {
+		t.Failed++
+	}
+	routes[r.Route] = t
+	mv.dirty = true
+}
+
+// Run publishes, judges and records until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	for {
+		wait := m.tick(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.wake:
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (m *Manager) nudge() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// tick does what is due and returns the wait until the next.
+func (m *Manager) tick(ctx context.Context, now time.Time) time.Duration {
+	m.mu.Lock()
+	wait := idleTick
+	var due []*move
+	for _, mv := range m.moves {
+		if mv.phase == ramp.Running {
+			wait = activeTick
+			m.publishTallies(mv, now)
+			m.judge(mv, now)
+		}
+		if m.recordDue(mv, now) {
+			due = append(due, mv)
+		}
+	}
+	m.mu.Unlock()
+	for _, mv := range due {
+		m.record(ctx, mv, now)
+	}
+	return wait
+}
+
+// judge ends a move when it is time to; the caller holds mu.
+func (m *Manager) judge(mv *move, now time.Time) {
+	older, newer := mv.totals()
+	bad := ramp.Bad(older, newer)
+	if base := mv.before(now.Add(-recent)); !bad && base != nil {
+		bad = ramp.Bad(less(older, base.older), less(newer, base.newer))
+	}
+	mv.past = append(mv.past, sums{at: now, older: older, newer: newer})
+	serving := servingVersions(m.cfg.Members.Index(), mv.order.Service)[mv.order.Target]
+	switch {
+	case bad:
+		m.end(mv, ramp.Withdrawn, now)
+	case mv.order.Complete(now.Sub(mv.since)) && serving > 0:
+		m.end(mv, ramp.Completed, now)
+	}
+}
+
+// before returns the sums of a moment, and forgets older ones.
+func (mv *move) before(at time.Time) *sums {
+	for len(mv.past) > 1 && !mv.past[1].at.After(at) {
+		mv.past = mv.past[1:]
+	}
+	if len(mv.past) == 0 || mv.past[0].at.After(at) {
+		return nil
+	}
+	return &mv.past[0]
+}
+
+func less(all, part map[string]ramp.Tally) map[string]ramp.Tally {
+	out := make(map[string]ramp.Tally, len(all))
+	for route, t := range all {
+		t.Sub(part[route])
+		out[route] = t
+	}
+	return out
+}
+
+// end sets and spreads the end of a move; the caller holds mu.
+func (m *Manager) end(mv *move, p ramp.Phase, now time.Time) {
+	older, newer := mv.totals()
+	klog.Infof(logPrefix+"the move of %s to %s is %s after %v: new %s, old %s",
+		mv.order.Service, mv.order.Target, p, now.Sub(mv.since).Round(time.Millisecond), describe(newer), describe(older))
+	mv.phase, mv.decided = p, now
+	m.publishState(mv, now)
+}
+
+// recordDue tells whether this node is to write a move's phase now; the
+// caller holds mu.
+func (m *Manager) recordDue(mv *move, now time.Time) bool {
+	if mv.phase == ramp.Running && mv.began || mv.recorded || now.Before(mv.tryAt) {
+		return false
+	}
+	since := mv.since
+	if mv.phase != ramp.Running {
+		since = mv.decided
+	}
+	return now.Sub(since) >= time.Duration(m.rank(mv))*recordLag
+}
+
+// rank is this node's place among the members for a move's record.
+func (m *Manager) rank(mv *move) int {
+	own := rankHash(mv, m.cfg.Self)
+	n := 0
+	for _, r := range m.cfg.Members.Index().Members {
+		if r.State == member.Alive && r.Address != m.cfg.Self && rankHash(mv, r.Address) < own {
+			n++
+		}
+	}
+	return min(n, lastRank)
+}
+
+func rankHash(mv *move, address string) uint64 {
+	return xxhash.Sum64String(mv.order.Service + "/" + mv.order.Target + "/" + address)
+}
+
+// record writes a move's phase to the store, unless an end stands there.
+func (m *Manager) record(ctx context.Context, mv *move, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	m.mu.Lock()
+	order, phase := mv.order, mv.phase
+	mv.tryAt = now.Add(recordLag)
+	m.mu.Unlock()
+	key := m.cfg.Statuses.Key(order.Service)
+	e, err := m.cfg.Store.Get(ctx, key)
+	if err != nil {
+		klog.Warningf(logPrefix+"read the status of %s: %v", order.Service, err)
+		return
+	}
+	if e.Revision > order.Revision {
+		target, p, err := m.cfg.Statuses.ReadStatus(key, e.Value)
+		if err == nil && target == order.Target && (p != ramp.Running || phase == ramp.Running) {
+			m.Recorded(order.Service, target, p, e.Revision)
+			return
+		}
+	}
+	value, err := m.cfg.Statuses.Status(order, phase)
+	if err == nil {
+		e, err = m.cfg.Store.CompareAndSwap(ctx, key, e.Revision, value, "")
+	}
+	if err != nil {
+		klog.Warningf(logPrefix+"write the status of %s: %v", order.Service, err)
+		return
+	}
+	m.Recorded(order.Service, order.Target, phase, e.Revision)
+}
--- /dev/null
+++ b/internal/process/provider/operated.go
@@ -0,0 +1,150 @@
+package provider
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+	"github.com/daisytide/daisytide/internal/version/traffic"
+)
+
+// Times of an operated provider.
+const (
+	// operatedWait is how long one watch waits: below the store's bound, so
+	// that a watch which died in silence is noticed.
+	operatedWait = 25 * time.Second
+	// operatedPause bounds the wait after a failed call, which the guard of the
+	// store lengthens.
+	operatedPause = 200 * time.Millisecond
+	// listTimeout bounds one reading of all keys.
+	listTimeout = 3 * time.Second
+)
+
+// OperatorKeys says where an operator writes and how to read it.
+type OperatorKeys struct {
+	// Prefix holds all keys of the operator, Config the configuration, Orders
+	// the orders to move services.
+	Prefix, Config, Orders string
+	// Decode reads a configuration.
+	Decode func(value []byte) (number uint64, c traffic.Config, err error)
+}
+
+// Operated brings the configuration and the orders that an operator keeps in
+// the store into force. It implements spread.Configs, by which peers bring
+// the configuration too.
+type Operated struct {
+	Store  platform.Store
+	Holder *snapshot.Holder
+	Keys   OperatorKeys
+	// Order takes the value of a key under Keys.Orders; listed tells that it
+	// was read with all others and may be old.
+	Order func(e platform.Entry, listed bool)
+}
+
+// Held implements spread.Configs.
+func (p *Operated) Held() uint64 { return p.Holder.Current().Number() }
+
+// Take implements spread.Configs.
+func (p *Operated) Take(s *snapshot.Snapshot) { p.offer(s, "a peer") }
+
+func (p *Operated) offer(s *snapshot.Snapshot, from string) {
+	if p.Holder.Offer(s) {
+		klog.Infof(logPrefix+"configuration %d of %s is in force", s.Number(), from)
+	}
+}
+
+// Run follows the operator's keys until ctx ends.
+func (p *Operated) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		after, err := p.list(ctx)
+		for err == nil && ctx.Err() == nil {
+			after, err = p.watch(ctx, after)
+		}
+		klog.V(1).Infof(logPrefix+"%v", err)
+		sleep(ctx, rand.N(operatedPause))
+	}
+	return nil
+}
+
+// list reads all keys anew: a change may hide in what a watch has missed.
+func (p *Operated) list(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, revision, err := p.Store.List(ctx, p.Keys.Prefix, false)
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range entries {
+		p.take(e, true)
+	}
+	return revision, nil
+}
+
+// watch waits for changes once. A failure that lost no history goes on where
+// it was.
+func (p *Operated) watch(ctx context.Context, after uint64) (uint64, error) {
+	entries, revision, err := p.Store.Watch(ctx, p.Keys.Prefix, after, operatedWait)
+	if err != nil {
+		if platform.OutcomeOf(err) == platform.OutcomeHistoryLost {
+			return 0, err
+		}
+		klog.V(1).Infof(logPrefix+"%v", err)
+		sleep(ctx, rand.N(operatedPause))
+		return after, nil
+	}
+	// Of several configurations in one answer only the newest counts.
+	newest := -1
+	for i, e := range entries {
+		if e.Key == p.Keys.Config {
+			newest = i
+		}
+	}
+	for i, e := range entries {
+		if e.Key != p.Keys.Config || i == newest {
+			p.take(e, false)
+		}
+	}
+	return revision, nil
+}
+
+func (p *Operated) take(e platform.Entry, listed bool) {
+	switch {
+	case e.Deleted:
+	case e.Key == p.Keys.Config:
+		if err := p.config(e.Value); err != nil {
+			klog.Errorf(logPrefix+"the store's configuration at revision %d is not usable: %v", e.Revision, err)
+		}
+	case strings.HasPrefix(e.Key, p.Keys.Orders):
+		p.Order(e, listed)
+	}
+}
+
+// config takes a configuration whole, or not at all.
+func (p *Operated) config(value []byte) error {
+	number, c, err := p.Keys.Decode(value)
+	if err != nil {
+		return err
+	}
+	if number <= p.Held() {
+		return nil
+	}
+	a := document.Accepted{Number: number, Operator: "the operator", Traffic: &c}
+	envelope, err := a.Envelope()
+	if err != nil {
+		return api.Errorf(api.StoreCorrupt, "encode configuration %d: %w", number, err)
+	}
+	s, err := snapshot.BuildFrom(p.Holder.Current(), envelope)
+	if err != nil {
+		return errors.Join(errors.New("build a snapshot"), err)
+	}
+	p.offer(s, "the store")
+	return nil
+}
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -254,7 +254,7 @@
 func (p *Provider) watchOnce(ctx context.Context, after uint64) ([]platform.Entry, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
-	return p.Store.Watch(ctx, platform.KeyConfig, after)
+	return p.Store.Watch(ctx, platform.KeyConfig, after, platform.MaxWatch)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/process/registry/registry.go
@@ -0,0 +1,213 @@
+// Package registry keeps this node's entry in the store and finds the others
+// by theirs. The links between nodes spread news faster; the entries are how
+// nodes that start, or were cut off, find each other.
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/process/member"
+)
+
+const logPrefix = "registry: "
+
+// Times of the registry.
+const (
+	// renewPart of a lease's life is the time between renewals: two may fail.
+	renewPart = 0.3
+	// listFirst is how long after its own entry a node reads the others':
+	// nodes of one fleet start within 0.3 s of each other.
+	listFirst = 400 * time.Millisecond
+	// listAlone is the time between readings of a node without links, and
+	// listEvery that of any other.
+	listAlone = 1500 * time.Millisecond
+	listEvery = 12 * time.Second
+	// retryPause is the wait after a failed call: entries must be back within
+	// two seconds of the store's return.
+	retryPause = 500 * time.Millisecond
+	// callTimeout bounds one exchange.
+	callTimeout = 2 * time.Second
+)
+
+// Registry keeps one node's entry.
+type Registry struct {
+	Store   platform.Store
+	Self    func() member.Record
+	Members *member.Table
+	// Links returns the number of links that stand.
+	Links func() int
+	TTL   time.Duration
+	// Hosts are addresses on hosts of other nodes; with the port of this
+	// node's own address they are peers.
+	Hosts []string
+
+	mu    sync.Mutex
+	found []string
+}
+
+// Peers lists the addresses to start from.
+func (r *Registry) Peers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.found)
+}
+
+// Run keeps the entry and reads the others' until ctx ends; then it takes the
+// entry back.
+func (r *Registry) Run(ctx context.Context) error {
+	r.addHosts()
+	go r.listLoop(ctx)
+	for ctx.Err() == nil {
+		lease, err := r.register(ctx)
+		if err != nil {
+			klog.Warningf(logPrefix+"%v", err)
+			sleep(ctx, retryPause/2+rand.N(retryPause))
+			continue
+		}
+		r.keep(ctx, lease)
+		if ctx.Err() != nil {
+			r.revoke(lease)
+		}
+	}
+	return nil
+}
+
+func (r *Registry) addHosts() {
+	_, port, err := net.SplitHostPort(r.Self().Address)
+	if err != nil {
+		klog.Errorf(logPrefix+"own address: %v", err)
+		return
+	}
+	for _, h := range r.Hosts {
+		if host, _, err := net.SplitHostPort(h); err == nil {
+			r.add(net.JoinHostPort(host, port))
+		}
+	}
+}
+
+func (r *Registry) add(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if address != r.Self().Address && !slices.Contains(r.found, address) {
+		r.found = append(r.found, address)
+	}
+}
+
+// register writes the entry under a new lease. One of an earlier start is
+// replaced.
+func (r *Registry) register(ctx context.Context) (platform.Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := r.Store.Grant(ctx, r.TTL)
+	if err != nil {
+		return lease, err
+	}
+	self := r.Self()
+	value, err := wire.Marshal(self)
+	if err != nil {
+		return lease, err
+	}
+	key := platform.PrefixNodes + self.Address
+	_, err = r.Store.CompareAndSwap(ctx, key, 0, value, lease.ID)
+	if platform.OutcomeOf(err) == platform.OutcomeConflict {
+		e, getErr := r.Store.Get(ctx, key)
+		if getErr != nil {
+			return lease, getErr
+		}
+		_, err = r.Store.CompareAndSwap(ctx, key, e.Revision, value, lease.ID)
+	}
+	if err == nil {
+		klog.V(1).Infof(logPrefix+"entered under lease %s for %v", lease.ID, lease.TTL)
+	}
+	return lease, err
+}
+
+// keep renews a lease until it has lapsed or ctx ends.
+func (r *Registry) keep(ctx context.Context, lease platform.Lease) {
+	ttl := lease.TTL
+	if ttl <= 0 {
+		ttl = r.TTL
+	}
+	wait := time.Duration(renewPart * float64(ttl))
+	for {
+		sleep(ctx, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		err := r.renew(ctx, lease.ID)
+		switch {
+		case err == nil:
+			wait = time.Duration(renewPart * float64(ttl))
+		case platform.OutcomeOf(err) == platform.OutcomeRefused:
+			klog.Warningf(logPrefix+"the lease has lapsed: %v", err)
+			return
+		default:
+			wait = retryPause/2 + rand.N(retryPause)
+		}
+	}
+}
+
+func (r *Registry) renew(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Store.KeepAlive(ctx, id)
+}
+
+// revoke takes the entry back when the node stops.
+func (r *Registry) revoke(lease platform.Lease) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout/4)
+	defer cancel()
+	if err := r.Store.Revoke(ctx, lease.ID); err != nil {
+		klog.V(1).Infof(logPrefix+"%v", err)
+	}
+}
+
+func (r *Registry) listLoop(ctx context.Context) {
+	sleep(ctx, listFirst+rand.N(listFirst/2))
+	for first := true; ctx.Err() == nil; first = false {
+		r.list(ctx, !first)
+		wait := listEvery/2 + rand.N(listEvery)
+		if r.Links() == 0 {
+			wait = listAlone/2 + rand.N(listAlone)
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// list takes the entries of all nodes as news of them.
+func (r *Registry) list(ctx context.Context, stale bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, _, err := r.Store.List(ctx, platform.PrefixNodes, stale)
+	if err != nil {
+		klog.V(1).Infof(logPrefix+"%v", err)
+		return
+	}
+	for _, e := range entries {
+		var rec member.Record
+		if err := wire.Unmarshal(e.Value, &rec); err != nil || rec.Address == "" {
+			klog.Warningf(logPrefix+"the entry %q is not usable: %v", e.Key, err)
+			continue
+		}
+		r.Members.Merge(rec)
+		r.add(rec.Address)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/process/rollouts/fleet_test.go
+++ b/internal/process/rollouts/fleet_test.go
@@ -326,7 +326,7 @@
 // ends reads the records in the store.
 func (f *fleet) ends() []End {
 	f.t.Helper()
-	entries, err := f.store.List(context.Background(), "daisytide/moves/")
+	entries, _, err := f.store.List(context.Background(), "daisytide/moves/", false)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -20,6 +20,11 @@
 	maxStopGrace   = time.Hour
 	minRate        = 0.1
 	maxRate        = 1000.0
+	minMemoryMB    = 16.0
+	maxMemoryMB    = 1 << 20
+	maxRetrySlack  = 1e6
+	minLeaseTTL    = time.Second
+	maxLeaseTTL    = 10 * time.Minute
 )
 
 // Check returns everything that is missing, out of range or contradictory,
@@ -38,6 +43,7 @@
 	c.seeds(s.Peers)
 	c.store(s.Store)
 	between(c, "upstream.stop-grace", s.Upstream.StopGrace, 0, maxStopGrace)
+	c.operated(s.Operated)
 	c.tls("callers", s.Callers.TLS)
 	c.tls("peers", s.Peers.TLS)
 	c.tls("operators", s.Operators.TLS)
@@ -88,7 +94,7 @@
 	if !a.IsValid() {
 		return a
 	}
-	for _, other := range []string{"callers.listen", "peers.listen", "operators.listen"} {
+	for _, other := range []string{"callers.listen", "peers.listen", "operators.listen", "operated.gate", "operated.ready"} {
 		b, ok := c.listeners[other]
 		if ok && a.Port() == b.Port() && (a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()) {
 			c.note(api.SettingsClash, path, "%s clashes with %s, which is %s", a, other, b)
@@ -121,6 +127,26 @@
 	between(c, "store.rate", s.Rate, minRate, maxRate)
 }
 
+// operated checks what an operated node needs; the section may be absent.
+func (c *checker) operated(o Operated) {
+	if !o.Enabled {
+		return
+	}
+	c.listen("operated.gate", o.Gate)
+	c.listen("operated.ready", o.Ready)
+	c.required("operated.service", o.Service)
+	if c.required("operated.upstream", o.Address) {
+		c.address("operated.upstream", o.Address)
+	}
+	for _, host := range o.SeedHostList() {
+		c.address("operated.seed-hosts", host)
+	}
+	between(c, "operated.memory-mb", float64(o.MemoryMB), minMemoryMB, maxMemoryMB)
+	between(c, "operated.retry-ratio", o.RetryRatio, 0, 1)
+	between(c, "operated.retry-slack", o.RetrySlack, 0, maxRetrySlack)
+	between(c, "operated.lease-ttl", o.LeaseTTL, minLeaseTTL, maxLeaseTTL)
+}
+
 // tls checks that a listener's files go together and can be read.
 func (c *checker) tls(section string, t TLS) {
 	certificate := c.file(section+".certificate", t.Certificate)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -14,6 +14,23 @@
 	Operators Operators `group:"operators" namespace:"operators"`
 	Store     Store     `group:"store" namespace:"store"`
 	Upstream  Upstream  `group:"upstream" namespace:"upstream"`
+	Operated  Operated  `group:"operated" namespace:"operated"`
+}
+
+// Operated is what a node needs where the operator keeps the configuration in
+// the store and the upstream beside the node reports by heartbeat.
+type Operated struct {
+	Enabled bool   `long:"enabled" ini-name:"enabled" description:"take configuration and orders from the store"`
+	Gate    string `long:"gate" ini-name:"gate" description:"IP and port for the requests of other nodes"`
+	Ready   string `long:"ready" ini-name:"ready" description:"IP and port that tell whether the node is ready"`
+	Service string `long:"service" ini-name:"service" description:"service of the upstream beside the node"`
+	Address string `long:"upstream" ini-name:"upstream" description:"IP and port of the upstream beside the node"`
+	// SeedHosts are addresses of other nodes' hosts; only their IPs count.
+	SeedHosts  string        `long:"seed-hosts" ini-name:"seed-hosts" description:"addresses on hosts of other nodes, separated by commas"`
+	MemoryMB   int           `long:"memory-mb" ini-name:"memory-mb" default:"128" description:"memory of the process in MB"`
+	RetryRatio float64       `long:"retry-ratio" ini-name:"retry-ratio" default:"0.2" description:"part of a service's requests that may reach a second upstream, over the fleet"`
+	RetrySlack float64       `long:"retry-slack" ini-name:"retry-slack" default:"60" description:"requests beyond that part, over the fleet"`
+	LeaseTTL   time.Duration `long:"lease-ttl" ini-name:"lease-ttl" default:"10s" description:"life of the node's entry in the store without renewal"`
 }
 
 // Node places the node.
@@ -64,9 +81,14 @@
 }
 
 // SeedList splits the seeds.
-func (p Peers) SeedList() []string {
+func (p Peers) SeedList() []string { return split(p.Seeds) }
+
+// SeedHostList splits the seed hosts.
+func (o Operated) SeedHostList() []string { return split(o.SeedHosts) }
+
+func split(list string) []string {
 	var out []string
-	for s := range strings.SplitSeq(p.Seeds, ",") {
+	for s := range strings.SplitSeq(list, ",") {
 		if s = strings.TrimSpace(s); s != "" {
 			out = append(out, s)
 		}
--- a/internal/process/spread/fleet_test.go
+++ b/internal/process/spread/fleet_test.go
@@ -104,8 +104,8 @@
 	return s.Store.CompareAndSwap(ctx, key, revision, value, lease)
 }
 
-func (s pausedStore) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Entry, uint64, error) {
-	entries, revision, err := s.Store.Watch(ctx, prefix, after)
+func (s pausedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Entry, uint64, error) {
+	entries, revision, err := s.Store.Watch(ctx, prefix, after, wait)
 	if waitErr := s.await(ctx); waitErr != nil {
 		return nil, 0, waitErr
 	}
--- /dev/null
+++ b/internal/request/egress/answer.go
@@ -0,0 +1,60 @@
+package egress
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/process/upstreams"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/request/gate"
+	"github.com/daisytide/daisytide/internal/request/hop"
+)
+
+// headerAfter carries, in milliseconds, when a refused request may return.
+const headerAfter = "Daisytide-After"
+
+// Respond writes a result for the node that sent the request.
+func Respond(res hop.Result, l gate.Load) *h1.Response {
+	if res.Code == api.OK {
+		out := &h1.Response{Status: res.Answer.Status, Header: h1.Forwardable(res.Answer.Header), Body: res.Answer.Body}
+		out.Header[call.HeaderLoad] = []string{l.String()}
+		delete(out.Header, call.HeaderCode)
+		return out
+	}
+	h := http.Header{
+		call.HeaderCode: {strconv.Itoa(int(res.Code))},
+		call.HeaderRun:  {string(res.Ran)},
+		call.HeaderLoad: {l.String()},
+		headerAfter:     {strconv.FormatInt(res.After.Milliseconds(), 10)},
+	}
+	return &h1.Response{Status: api.Info(res.Code).HTTP, Header: h}
+}
+
+// Read reads what Respond wrote, and the load where it stands.
+func Read(resp *h1.Response) (hop.Result, gate.Load, bool) {
+	l, err := gate.ParseLoad(resp.Header.Get(call.HeaderLoad))
+	delete(resp.Header, call.HeaderLoad)
+	text := resp.Header.Get(call.HeaderCode)
+	if text == "" {
+		return hop.Result{Code: api.OK, Ran: api.RanYes, Answer: resp}, l, err == nil
+	}
+	code, codeErr := strconv.ParseUint(text, 10, 16)
+	if codeErr != nil {
+		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: codeErr}, l, err == nil
+	}
+	// A missing time reads as zero: the sender then takes its own.
+	after, _ := strconv.ParseInt(resp.Header.Get(headerAfter), 10, 32)
+	return hop.Result{
+		Code: api.Code(code), Ran: api.Ran(resp.Header.Get(call.HeaderRun)), After: time.Duration(after) * time.Millisecond,
+	}, l, err == nil
+}
+
+// instanceHash names an instance in facts.
+func instanceHash(i *upstreams.Instance) uint64 {
+	return xxhash.Sum64String(i.ID + " " + strconv.FormatInt(i.Born, 10))
+}
--- /dev/null
+++ b/internal/request/egress/gate.go
@@ -0,0 +1,260 @@
+// Package egress is the only way into the upstream beside a node: it queues,
+// refuses and sends, and tells truthfully what ran.
+package egress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/process/upstreams"
+	"github.com/daisytide/daisytide/internal/request/gate"
+	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/request/quarantine"
+	"github.com/daisytide/daisytide/internal/version/traffic"
+)
+
+const logPrefix = "egress: "
+
+// Times of sending.
+const (
+	// freshFor is how lately a connection must have been used to carry a
+	// request that must run once: an upstream may forget idle connections, and
+	// a reset would leave it unknown whether the request ran.
+	freshFor = time.Second
+	// reachTimeout bounds the test whether an upstream still listens.
+	reachTimeout = 200 * time.Millisecond
+	// downAfter is when a refused request may return to a service whose
+	// upstream here is gone.
+	downAfter = 100 * time.Millisecond
+)
+
+// Observer hears how each run ended; took is the time in the upstream.
+type Observer interface {
+	Observe(i *upstreams.Instance, r *hop.Request, res hop.Result, took time.Duration)
+}
+
+// Gate sends requests to the upstream beside the node.
+type Gate struct {
+	Upstream *upstreams.Local
+	Client   *h1.Client
+	Dialect  hop.Dialect
+	// Allowed tells whether requests may go to a version of a service.
+	Allowed func(service, version string) bool
+	// Ledger knows the requests that crash upstreams; Crashed spreads a fact.
+	Ledger  *quarantine.Ledger
+	Crashed func(quarantine.Fact)
+	// Observer may be nil.
+	Observer Observer
+
+	mu      sync.Mutex
+	queue   Queue
+	prints  map[string]map[quarantine.Fingerprint]int
+	leaving bool
+}
+
+// Changed takes what the upstream says of itself.
+func (g *Gate) Changed(i upstreams.Instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i.State != api.UpstreamReady {
+		g.queue.Refuse(Verdict{Code: api.CallLeaving, After: downAfter})
+		return
+	}
+	g.queue.Slots = i.Slots
+	g.queue.Fill(time.Now())
+}
+
+// Load returns what the gate tells of itself.
+func (g *Gate) Load() gate.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return gate.Load{Busy: g.queue.Running() + g.queue.Waiting(), Slots: max(1, g.queue.Slots), Held: g.queue.Held()}
+}
+
+// Handle runs one request, or tells why not. The body is asked for when the
+// request is admitted.
+func (g *Gate) Handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	if v := g.admit(ctx, r); v.Code != api.OK {
+		return hop.Refuse(v.Code, v.After, nil)
+	}
+	began := time.Now()
+	telling := false
+	defer func() {
+		now := time.Now()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.queue.Done(now, r.Route, now.Sub(began), telling)
+	}()
+	body, err := in.ReadBody()
+	if err != nil {
+		return hop.Refuse(api.CallBody, 0, err)
+	}
+	i, res := g.serving(r)
+	if i == nil {
+		return res
+	}
+	print := quarantine.PrintOf(in.Method, in.Target, r.From, int64(len(body)), body)
+	if verdict, _ := g.Ledger.Judge(r.Service, print); verdict == quarantine.Quarantined {
+		return hop.Refuse(api.CallQuarantined, 0, nil)
+	}
+	g.running(i, print, 1)
+	defer g.running(i, print, -1)
+	sent := time.Now()
+	res = g.send(ctx, i, r, in, body)
+	took := time.Since(sent)
+	telling = res.Ran != api.RanNo && !errors.Is(ctx.Err(), context.Canceled)
+	if res.Code == api.CallCut {
+		g.inquire(i, r.Service)
+	}
+	if g.Observer != nil && telling {
+		g.Observer.Observe(i, r, res, took)
+	}
+	return res
+}
+
+// serving returns the instance that may run a request, or the refusal.
+func (g *Gate) serving(r *hop.Request) (*upstreams.Instance, hop.Result) {
+	i := g.Upstream.Current()
+	switch {
+	case !i.Ready():
+		return nil, hop.Refuse(api.CallLeaving, downAfter, nil)
+	case i.Service != r.Service || i.Version != r.Version:
+		return nil, hop.Refuse(api.CallNoUpstream, downAfter, nil)
+	case !g.Allowed(i.Service, i.Version):
+		return nil, hop.Refuse(api.CallWithdrawn, downAfter, nil)
+	}
+	return i, hop.Result{}
+}
+
+// admit takes a slot, waits for one, or says why not.
+func (g *Gate) admit(ctx context.Context, r *hop.Request) Verdict {
+	if i, res := g.serving(r); i == nil {
+		return Verdict{Code: res.Code, After: res.After}
+	}
+	g.mu.Lock()
+	t, v := g.queue.Arrive(time.Now(), Want{Route: r.Route, Priority: r.Priority, Deadline: r.Deadline})
+	g.mu.Unlock()
+	if t == nil {
+		return v
+	}
+	select {
+	case v := <-t.Verdict:
+		return v
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	withdrawn := g.queue.Withdraw(t)
+	g.mu.Unlock()
+	if !withdrawn {
+		return <-t.Verdict
+	}
+	return Verdict{Code: api.CallNoTime}
+}
+
+// send makes one exchange with the upstream.
+func (g *Gate) send(ctx context.Context, i *upstreams.Instance, r *hop.Request, in *h1.Request, body []byte) hop.Result {
+	header := h1.Forwardable(in.Header)
+	g.Dialect.ToUpstream(header, r.Left(time.Now()), i.ID, r.From)
+	idHeader, id := g.Dialect.ID(header)
+	c := &h1.Call{
+		Method: in.Method, Target: in.Target, Host: in.Host, Header: header, Body: body,
+		IDHeader: idHeader, ID: id,
+	}
+	if r.Repeat != traffic.Idempotent {
+		c.Fresh = freshFor
+	}
+	resp, err := g.Client.Do(ctx, i.Address, c)
+	if err != nil {
+		return g.failed(ctx, i, err)
+	}
+	notRun, other := g.Dialect.NotRun(resp)
+	switch {
+	case other:
+		g.Upstream.Replaced(i.ID)
+		return hop.Refuse(api.CallNoUpstream, downAfter, errors.New("another instance answers"))
+	case notRun:
+		return hop.Refuse(api.CallShed, downAfter, errors.New("the upstream refused"))
+	}
+	return hop.Result{Code: api.OK, Ran: api.RanYes, Answer: resp}
+}
+
+// failed says what is known of an exchange without an answer.
+func (g *Gate) failed(ctx context.Context, i *upstreams.Instance, err error) hop.Result {
+	var e *h1.Error
+	if !errors.As(err, &e) {
+		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
+	}
+	switch {
+	case !e.Sent && e.Failure == h1.Refused:
+		g.Upstream.Unreachable(i.ID)
+		return hop.Refuse(api.CallNotReached, downAfter, err)
+	case !e.Sent:
+		return hop.Refuse(api.CallNotReached, downAfter, err)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return hop.Result{Code: api.CallTimeout, Ran: api.RanUnknown, Err: err}
+	case ctx.Err() != nil:
+		return hop.Result{Code: api.CallCancelled, Ran: api.RanUnknown, Err: err}
+	default:
+		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
+	}
+}
+
+// running notes the requests that run in an instance, by fingerprint.
+func (g *Gate) running(i *upstreams.Instance, p quarantine.Fingerprint, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.prints == nil {
+		g.prints = map[string]map[quarantine.Fingerprint]int{}
+	}
+	if g.prints[i.ID] == nil {
+		g.prints[i.ID] = map[quarantine.Fingerprint]int{}
+	}
+	g.prints[i.ID][p] += n
+	if g.prints[i.ID][p] == 0 {
+		delete(g.prints[i.ID], p)
+	}
+	if len(g.prints[i.ID]) == 0 {
+		delete(g.prints, i.ID)
+	}
+}
+
+// inquire finds out whether the instance died with the request whose
+// connection broke, and blames all that ran in it.
+func (g *Gate) inquire(i *upstreams.Instance, service string) {
+	conn, err := net.DialTimeout("tcp", i.Address, reachTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	now := time.Now()
+	f := quarantine.Fact{ID: instanceHash(i), Service: service, Until: now.Add(quarantine.SuspectFor).Unix()}
+	g.mu.Lock()
+	for p := range g.prints[i.ID] {
+		f.Prints = append(f.Prints, p)
+	}
+	g.mu.Unlock()
+	g.Upstream.Unreachable(i.ID)
+	if g.Ledger.Add(f) {
+		klog.Warningf(logPrefix+"instance %q of %s died with %d requests", i.ID, service, len(f.Prints))
+		g.Crashed(f)
+	}
+}
+
+// Serve answers the calls of other nodes.
+func (g *Gate) Serve(ctx context.Context, in *h1.Request) *h1.Response {
+	r, err := hop.AtGate(in.Header, in.Arrived)
+	if err != nil {
+		return Respond(hop.Refuse(api.CallHeader, 0, err), g.Load())
+	}
+	_, r.ID = g.Dialect.ID(in.Header)
+	return Respond(g.Handle(ctx, r, in), g.Load())
+}
--- /dev/null
+++ b/internal/request/ingress/ingress.go
@@ -0,0 +1,352 @@
+// Package ingress takes requests from callers, finds the node whose upstream
+// is to run each, and answers.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/request/egress"
+	"github.com/daisytide/daisytide/internal/request/gate"
+	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/request/pick"
+	"github.com/daisytide/daisytide/internal/request/retry"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+	"github.com/daisytide/daisytide/internal/version/traffic"
+)
+
+const logPrefix = "ingress: "
+
+// Bounds of placing.
+const (
+	// maxPlaces is the most nodes that one request is offered to. A refusal
+	// costs the upstream nothing, only the caller's time.
+	maxPlaces = 4
+	// signPart of the time left is what a node may take to show that it has a
+	// request, within signMin and signMax: above a round trip between data
+	// centres and a busy node's pause, below half of a short deadline.
+	signPart = 0.25
+	signMin  = 100 * time.Millisecond
+	signMax  = 500 * time.Millisecond
+	// backPart bounds the time after which a caller is told to return: callers
+	// do not wait longer than a third of the time that they have left.
+	backPart = 0.33
+	// backDefault is that time where no node gave one.
+	backDefault = 100 * time.Millisecond
+)
+
+// Versions chooses the version of a service that gets a request.
+type Versions interface {
+	// Choose returns a version; u is uniform in [0, 1). Empty means that no
+	// upstream of the service is ready.
+	Choose(x *member.Index, service string, u float64) string
+}
+
+// Local is the gate of this node.
+type Local interface {
+	Handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result
+	Load() gate.Load
+}
+
+// Ingress is the handler of the caller listener.
+type Ingress struct {
+	// Self is this node's address in the member table, Service that of the
+	// upstream beside it.
+	Self, Service string
+	Holder        *snapshot.Holder
+	Members       *member.Table
+	Versions      Versions
+	Picker        *pick.Picker
+	Budget        *retry.Budget
+	// RetryShare is the percentage of a service's requests that may be sent to
+	// a second upstream.
+	RetryShare float64
+	Local      Local
+	Client     *h1.Client
+	Dialect    hop.Dialect
+
+	Counts Counts
+}
+
+// Counts are the counters since the start.
+type Counts struct {
+	Requests, Answered, Refused, Failed, Retries, OverBudget atomic.Uint64
+}
+
+// Serve implements h1.Handler.
+func (e *Ingress) Serve(ctx context.Context, in *h1.Request) *h1.Response {
+	e.Counts.Requests.Add(1)
+	snap := e.Holder.Current()
+	if snap == nil || snap.Traffic == nil {
+		return e.respond(in, hop.Refuse(api.CallNotReady, backDefault, nil), nil)
+	}
+	route := snap.Traffic.Find(in.Host, in.Path())
+	if route == nil {
+		return e.respond(in, hop.Refuse(api.CallNoRoute, 0, nil), nil)
+	}
+	r := e.request(in, route, snap)
+	if r.Left(time.Now()) <= 0 {
+		return e.respond(in, hop.Refuse(api.CallNoTime, backDefault, nil), r)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	t := &trial{e: e, in: in, r: r, route: route}
+	return e.respond(in, t.run(ctx), r)
+}
+
+// request makes what the request carries to the next node.
+func (e *Ingress) request(in *h1.Request, route *traffic.Route, snap *snapshot.Snapshot) *hop.Request {
+	limit := route.TimeLimit
+	if left, ok := e.Dialect.TimeLeft(in.Header); ok {
+		limit = min(limit, left)
+	}
+	_, id := e.Dialect.ID(in.Header)
+	return &hop.Request{
+		ID: id, Service: route.Pick(rand.Float64()), Route: route.Name, Repeat: route.Repeat, Priority: route.Priority,
+		Deadline: in.Arrived.Add(limit), Objective: in.Arrived.Add(route.Objective),
+		From: e.Service, Config: snap.Number(),
+	}
+}
+
+// respond turns a result into the caller's answer.
+func (e *Ingress) respond(in *h1.Request, res hop.Result, r *hop.Request) *h1.Response {
+	if res.Code == api.OK {
+		e.Counts.Answered.Add(1)
+		return &h1.Response{Status: res.Answer.Status, Header: h1.Forwardable(res.Answer.Header), Body: res.Answer.Body}
+	}
+	h := http.Header{call.HeaderCode: {strconv.Itoa(int(res.Code))}, call.HeaderRun: {string(res.Ran)}}
+	name, id := e.Dialect.ID(in.Header)
+	if id != "" {
+		h[name] = []string{id}
+	}
+	status := statusOf(res)
+	if status == http.StatusServiceUnavailable {
+		e.Counts.Refused.Add(1)
+		e.Dialect.ComeBack(h, comeBack(res, r, time.Now()))
+	} else {
+		e.Counts.Failed.Add(1)
+	}
+	if klog.V(1).Enabled() && res.Code != api.CallCancelled {
+		klog.Infof(logPrefix+"request=%q path=%q code=%q ran=%s status=%d err=%v", id, in.Target, res.Code, res.Ran, status, res.Err)
+	}
+	return &h1.Response{Status: status, Header: h}
+}
+
+// statusOf chooses the status of a failure. Only a request that surely was
+// not run is answered by one that says so.
+func statusOf(res hop.Result) int {
+	switch {
+	case res.Code == api.CallNoRoute:
+		return http.StatusNotFound
+	case res.Ran == api.RanNo:
+		return http.StatusServiceUnavailable
+	case res.Code == api.CallTimeout, res.Code == api.CallNoTime:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// comeBack is when a refused caller should return: when there may be room,
+// but early enough for another try.
+func comeBack(res hop.Result, r *hop.Request, now time.Time) time.Duration {
+	after := res.After
+	if after <= 0 {
+		after = backDefault
+	}
+	if r != nil {
+		after = min(after, time.Duration(backPart*float64(r.Left(now))))
+	}
+	return max(after, time.Millisecond)
+}
+
+// trial is the attempts at one request.
+type trial struct {
+	e     *Ingress
+	in    *h1.Request
+	r     *hop.Request
+	route *traffic.Route
+
+	tried []string
+	// reached counts the upstreams that may have got the request.
+	reached int
+	// doubt is the last failure after which the request may have run.
+	doubt *hop.Result
+	// back is the earliest time after which a node expects room.
+	back time.Duration
+}
+
+// run brings the request to one node after another while that is safe.
+func (t *trial) run(ctx context.Context) hop.Result {
+	e := t.e
+	e.Budget.Earn(t.r.Service, e.RetryShare)
+	for {
+		res, found := t.once(ctx)
+		if !found {
+			return t.settle(hop.Refuse(api.CallNoUpstream, t.back, nil))
+		}
+		switch {
+		case res.Code == api.OK && !t.worthAnother(res):
+			return res
+		case ctx.Err() != nil:
+			return t.settle(t.late(ctx, res))
+		case res.Ran == api.RanNo:
+			t.refused(res)
+			if len(t.tried) >= maxPlaces || final(res.Code) {
+				return t.settle(res)
+			}
+		default:
+			t.reached++
+			if res.Code != api.OK {
+				t.doubt = &res
+			}
+			if !t.again() {
+				return t.settle(res)
+			}
+		}
+	}
+}
+
+// final tells that no other node would take the request either.
+func final(c api.Code) bool { return c == api.CallQuarantined || c == api.CallNoTime }
+
+// worthAnother tells that an upstream's own answer is a failure which another
+// upstream may turn into an answer.
+func (t *trial) worthAnother(res hop.Result) bool {
+	return res.Answer.Status >= http.StatusInternalServerError && t.r.Repeat == traffic.Idempotent
+}
+
+// again tells whether the request may go to another upstream, and pays for it.
+func (t *trial) again() bool {
+	if t.r.Repeat != traffic.Idempotent || t.reached >= max(1, t.route.Attempts) {
+		return false
+	}
+	if !t.e.Budget.Take(t.r.Service, 1) {
+		t.e.Counts.OverBudget.Add(1)
+		return false
+	}
+	t.e.Counts.Retries.Add(1)
+	return true
+}
+
+func (t *trial) refused(res hop.Result) {
+	if res.After > 0 && (t.back == 0 || res.After < t.back) {
+		t.back = res.After
+	}
+}
+
+// settle ends the request with res, unless an attempt before may have run.
+func (t *trial) settle(res hop.Result) hop.Result {
+	if res.Ran == api.RanNo && t.doubt != nil {
+		return *t.doubt
+	}
+	if res.Ran == api.RanNo && t.back > 0 {
+		res.After = t.back
+	}
+	return res
+}
+
+// late is the result when the time is up or the caller has left.
+func (t *trial) late(ctx context.Context, res hop.Result) hop.Result {
+	if res.Ran == api.RanNo {
+		return hop.Refuse(api.CallNoTime, 0, res.Err)
+	}
+	code := api.CallTimeout
+	if errors.Is(ctx.Err(), context.Canceled) {
+		code = api.CallCancelled
+	}
+	return hop.Result{Code: code, Ran: api.RanUnknown, Err: res.Err}
+}
+
+// once makes one attempt; false when no node is left to try.
+func (t *trial) once(ctx context.Context) (hop.Result, bool) {
+	e := t.e
+	x := e.Members.Index()
+	t.r.Version = e.Versions.Choose(x, t.r.Service, rand.Float64())
+	if t.r.Version == "" {
+		return hop.Result{}, false
+	}
+	key := member.UpstreamKey{Service: t.r.Service, Version: t.r.Version}
+	picked, ok := e.Picker.Pick(x, key, t.tried, time.Now(), rand.New(globalRandom{}))
+	if !ok {
+		return hop.Result{}, false
+	}
+	t.tried = append(t.tried, picked.Record.Address)
+	if picked.Record.Address == e.Self {
+		in := *t.in
+		res := e.Local.Handle(ctx, t.r, &in)
+		picked.Done(time.Now(), faultOf(res), e.Local.Load(), true)
+		return res, true
+	}
+	res, load, carried := t.remote(ctx, picked.Record)
+	picked.Done(time.Now(), faultOf(res), load, carried)
+	return res, true
+}
+
+// globalRandom makes the goroutine-safe global generator a source.
+type globalRandom struct{}
+
+// Uint64 implements rand.Source.
+func (globalRandom) Uint64() uint64 { return rand.Uint64() }
+
+// remote sends the request to the gate of another node.
+func (t *trial) remote(ctx context.Context, to member.Record) (hop.Result, gate.Load, bool) {
+	now := time.Now()
+	header := h1.Forwardable(t.in.Header)
+	t.r.ToGate(header, now)
+	sign := time.Duration(signPart * float64(t.r.Left(now)))
+	c := &h1.Call{
+		Method: t.in.Method, Target: t.in.Target, Host: t.in.Host, Header: header, Body: t.in.Body,
+		Ask: true, Sign: min(max(sign, signMin), signMax),
+	}
+	resp, err := t.e.Client.Do(ctx, to.Gate, c)
+	if err == nil {
+		return egress.Read(resp)
+	}
+	return t.lost(to, err), gate.Load{}, false
+}
+
+// lost says what is known after an exchange with a node brought no answer. A
+// body that the node did not ask for cannot have been run.
+func (t *trial) lost(to member.Record, err error) hop.Result {
+	var e *h1.Error
+	if !errors.As(err, &e) {
+		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
+	}
+	if e.Failure == h1.Silent {
+		t.e.Client.CloseIdle(to.Gate)
+	}
+	if !e.Sent || len(t.in.Body) > 0 && !e.Complete {
+		return hop.Refuse(api.CallNotReached, backDefault, err)
+	}
+	return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
+}
+
+// faultOf reads what an attempt has shown of the node and its upstream.
+func faultOf(res hop.Result) pick.Fault {
+	switch res.Code {
+	case api.OK:
+		if res.Answer.Status >= http.StatusInternalServerError {
+			return pick.Failed
+		}
+		return pick.NoFault
+	case api.CallNotReached:
+		return pick.NotReached
+	case api.CallLeaving, api.CallNoUpstream:
+		return pick.Leaving
+	case api.CallCut, api.CallTimeout:
+		return pick.Failed
+	}
+	return pick.Neutral
+}
--- a/internal/request/quarantine/print.go
+++ b/internal/request/quarantine/print.go
@@ -54,13 +54,19 @@
 
 // print returns the fingerprint.
 func (s *subject) print() Fingerprint {
+	return PrintOf(s.method, s.url.RequestURI(), s.kind, s.length, s.head)
+}
+
+// PrintOf returns the fingerprint of a request with a body of length bytes
+// that begins with head.
+func PrintOf(method, target, kind string, length int64, head []byte) Fingerprint {
 	d := xxhash.New()
-	for _, part := range []string{s.method, s.url.RequestURI(), s.kind} {
+	for _, part := range []string{method, target, kind} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(s.length)))
-	_, _ = d.Write(s.head)
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(length)))
+	_, _ = d.Write(head[:min(len(head), prefixBytes)])
 	return Fingerprint(d.Sum64())
 }
 
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -12,7 +12,7 @@
 	// DefaultShare is the percentage of calls that may be retries where the
 	// document sets none.
 	DefaultShare = 10.0
-	// burst is how many retries a service may save up.
+	// burst is how many retries a service may save up, unless told otherwise.
 	burst = 20.0
 	// shardCount spreads services over locks.
 	shardCount = 16
@@ -20,7 +20,9 @@
 
 // Budget holds the retries that each service has earned by its calls.
 type Budget struct {
-	seed   maphash.Seed
+	seed maphash.Seed
+	// burst is how many retries a service may save up.
+	burst  float64
 	shards [shardCount]shard
 }
 
@@ -30,8 +32,11 @@
 }
 
 // NewBudget returns a budget in which each service starts with a full burst.
-func NewBudget() *Budget {
-	b := &Budget{seed: maphash.MakeSeed()}
+func NewBudget() *Budget { return NewBudgetOf(burst) }
+
+// NewBudgetOf is NewBudget with another burst.
+func NewBudgetOf(burst float64) *Budget {
+	b := &Budget{seed: maphash.MakeSeed(), burst: burst}
 	for i := range b.shards {
 		b.shards[i].tokens = map[string]float64{}
 	}
@@ -51,7 +56,7 @@
 	s := b.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tokens[service] = min(burst, s.left(service)+share/100)
+	s.tokens[service] = min(b.burst, s.left(service, b.burst)+share/100)
 }
 
 // Take spends cost retries of a service; false when it has not enough left.
@@ -59,7 +64,7 @@
 	s := b.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	left := s.left(service)
+	left := s.left(service, b.burst)
 	if left < cost {
 		return false
 	}
@@ -68,7 +73,7 @@
 }
 
 // left returns a service's tokens; the caller holds mu.
-func (s *shard) left(service string) float64 {
+func (s *shard) left(service string, burst float64) float64 {
 	if v, ok := s.tokens[service]; ok {
 		return v
 	}
--- a/internal/standin/distribution/baseline.go
+++ b/internal/standin/distribution/baseline.go
@@ -14,6 +14,7 @@
 	"github.com/daisytide/daisytide/internal/process/spread"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
+	adapter "github.com/daisytide/daisytide/platform"
 )
 
 // Times of the baselines.
@@ -112,14 +113,14 @@
 		}
 		return countedConn{Conn: c, traffic: &s.traffic}, nil
 	}
-	client := &platform.Client{
+	client := &adapter.Client{
 		Base: s.base, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}, Timeout: storeTimeout,
 	}
 	h := s.holder()
 	s.loops.Go(func() {
 		var after uint64
 		for s.ctx.Err() == nil {
-			entries, revision, err := client.Watch(s.ctx, platform.KeyConfig, after)
+			entries, revision, err := client.Watch(s.ctx, platform.KeyConfig, after, platform.MaxWatch)
 			if err != nil {
 				continue
 			}
@@ -216,7 +217,7 @@
 func (s *served) follow(f *flooder) {
 	var after uint64
 	for s.ctx.Err() == nil {
-		entries, revision, err := s.store.Watch(s.ctx, platform.KeyConfig, after)
+		entries, revision, err := s.store.Watch(s.ctx, platform.KeyConfig, after, platform.MaxWatch)
 		if err != nil {
 			continue
 		}
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -8,39 +9,25 @@
 	"time"
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	wire "github.com/daisytide/daisytide/platform"
 )
 
-// Handler serves the store over HTTP.
+// pageItems is the most items of one page of a range.
+const pageItems = 500
+
+// Handler serves the store over HTTP, in the platform's protocol.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathGet, func(w http.ResponseWriter, r *http.Request) {
-		e, err := s.Get(r.Context(), r.FormValue("key"))
-		reply(w, platform.Reply{Entry: e}, err)
-	})
-	mux.HandleFunc("GET "+platform.PathList, func(w http.ResponseWriter, r *http.Request) {
-		es, err := s.List(r.Context(), r.FormValue("prefix"))
-		reply(w, platform.Reply{Entries: es}, err)
-	})
-	mux.HandleFunc("GET "+platform.PathWatch, func(w http.ResponseWriter, r *http.Request) {
-		after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
-		es, rev, err := s.Watch(r.Context(), r.FormValue("prefix"), after)
-		reply(w, platform.Reply{Entries: es, Revision: rev}, err)
+	mux.HandleFunc("GET "+wire.PathKey, s.serveKey)
+	mux.HandleFunc("GET "+wire.PathRange, s.serveRange)
+	mux.HandleFunc("GET "+wire.PathWatch, s.serveWatch)
+	mux.HandleFunc("POST "+wire.PathTxn, s.serveTxn)
+	mux.HandleFunc("POST "+wire.PathLease, s.serveGrant)
+	mux.HandleFunc("POST "+wire.PathKeep+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		s.serveLease(w, r, s.KeepAlive)
 	})
-	mux.HandleFunc("POST "+platform.PathSwap, func(w http.ResponseWriter, r *http.Request) {
-		var in platform.SwapRequest
-		if !read(w, r, &in) {
-			return
-		}
-		e, err := s.CompareAndSwap(r.Context(), in.Key, in.Revision, in.Value, in.Lease)
-		reply(w, platform.Reply{Entry: e}, err)
-	})
-	mux.HandleFunc("POST "+platform.PathLease, func(w http.ResponseWriter, r *http.Request) {
-		var in platform.LeaseRequest
-		if !read(w, r, &in) {
-			return
-		}
-		l, err := s.lease(r, in)
-		reply(w, platform.Reply{Lease: l}, err)
+	mux.HandleFunc("DELETE "+wire.PathLeaseEnd+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		s.serveLease(w, r, s.Revoke)
 	})
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(s.Counts())
@@ -54,15 +41,98 @@
 	return mux
 }
 
-func (s *Store) lease(r *http.Request, in platform.LeaseRequest) (platform.Lease, error) {
-	switch in.Op {
-	case platform.LeaseKeepAlive:
-		return platform.Lease{ID: in.ID}, s.KeepAlive(r.Context(), in.ID)
-	case platform.LeaseRevoke:
-		return platform.Lease{ID: in.ID}, s.Revoke(r.Context(), in.ID)
-	default:
-		return s.Grant(r.Context(), time.Duration(in.TTLMillis)*time.Millisecond)
+func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
+	e, err := s.Get(r.Context(), r.FormValue(wire.QueryKey))
+	if err == nil && e.Revision == 0 {
+		answer(w, http.StatusNotFound, wire.ErrorReply{Error: "no such key"})
+		return
+	}
+	reply(w, wire.KeyReply{Item: item(e), StoreRevision: s.at()}, err)
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	all, revision, err := s.List(r.Context(), r.FormValue(wire.QueryPrefix), r.FormValue(wire.QueryStale) == "1")
+	out := wire.RangeReply{Items: []wire.Item{}, StoreRevision: revision}
+	for _, e := range all {
+		if e.Key <= r.FormValue(wire.QueryAfter) {
+			continue
+		}
+		if len(out.Items) == pageItems {
+			out.More = true
+			break
+		}
+		out.Items = append(out.Items, item(e))
+	}
+	reply(w, out, err)
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, errAfter := strconv.ParseUint(r.FormValue(wire.QueryAfter), 10, 64)
+	wait, errWait := strconv.ParseInt(r.FormValue(wire.QueryWait), 10, 64)
+	if err := errors.Join(errAfter, errWait); err != nil {
+		answer(w, http.StatusBadRequest, wire.ErrorReply{Error: err.Error()})
+		return
+	}
+	events, revision, err := s.Watch(r.Context(), r.FormValue(wire.QueryPrefix), after, time.Duration(wait)*time.Millisecond)
+	out := wire.WatchReply{Events: []wire.Item{}, StoreRevision: revision}
+	for _, e := range events {
+		out.Events = append(out.Events, item(e))
 	}
+	reply(w, out, err)
+}
+
+// serveTxn takes the transactions that the product makes: one condition and
+// one write or deletion, of the same key.
+func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var in wire.TxnRequest
+	if !read(w, r, &in) {
+		return
+	}
+	if len(in.Expected) != 1 || len(in.Writes)+len(in.Deletes) != 1 {
+		answer(w, http.StatusBadRequest, wire.ErrorReply{Error: "the stand-in takes one key a transaction"})
+		return
+	}
+	var value []byte
+	lease := ""
+	if len(in.Writes) == 1 {
+		value = append([]byte{}, in.Writes[0].Value...)
+		if in.Writes[0].Lease != 0 {
+			lease = strconv.FormatUint(in.Writes[0].Lease, 10)
+		}
+	}
+	e, err := s.CompareAndSwap(r.Context(), in.Expected[0].Key, in.Expected[0].Revision, value, lease)
+	var failed *platform.Error
+	if errors.As(err, &failed) && failed.Outcome == platform.OutcomeConflict {
+		answer(w, http.StatusPreconditionFailed, wire.TxnReply{Items: []wire.Item{item(failed.Current)}})
+		return
+	}
+	reply(w, wire.TxnReply{Revision: e.Revision}, err)
+}
+
+func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var in wire.LeaseMessage
+	if !read(w, r, &in) {
+		return
+	}
+	l, err := s.Grant(r.Context(), in.TTL.Duration())
+	id, _ := strconv.ParseUint(l.ID, 10, 64)
+	reply(w, wire.LeaseMessage{Lease: id, TTL: wire.Seconds(l.TTL.Seconds())}, err)
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request, act func(context.Context, string) error) {
+	reply(w, wire.LeaseMessage{}, act(r.Context(), r.PathValue("id")))
+}
+
+func (s *Store) at() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+func item(e platform.Entry) wire.Item {
+	i := wire.Item{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+	i.Lease, _ = strconv.ParseUint(e.Lease, 10, 64)
+	return i
 }
 
 func read(w http.ResponseWriter, r *http.Request, in any) bool {
@@ -74,27 +144,31 @@
 	return true
 }
 
-// reply writes an answer; a lost one closes the connection without a word.
-func reply(w http.ResponseWriter, out platform.Reply, err error) {
-	status := http.StatusOK
-	var e *platform.Error
-	if errors.As(err, &e) {
-		out.Entry = e.Current
-		switch e.Outcome {
-		case platform.OutcomeConflict:
-			status = http.StatusConflict
-		case platform.OutcomeLimited:
-			status = http.StatusTooManyRequests
-		case platform.OutcomeRefused:
-			status = http.StatusBadRequest
-			out.Message = e.Error()
-		case platform.OutcomeNotReached:
-			status = http.StatusServiceUnavailable
-		default:
-			panic(http.ErrAbortHandler)
-		}
-	}
+func answer(w http.ResponseWriter, status int, out any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(out)
 }
+
+// reply writes an answer; a lost one closes the connection without a word.
+func reply(w http.ResponseWriter, out any, err error) {
+	var e *platform.Error
+	if !errors.As(err, &e) {
+		answer(w, http.StatusOK, out)
+		return
+	}
+	status := 0
+	switch e.Outcome {
+	case platform.OutcomeLimited:
+		status = http.StatusTooManyRequests
+	case platform.OutcomeRefused:
+		status = http.StatusNotFound
+	case platform.OutcomeNotReached:
+		status = http.StatusServiceUnavailable
+	case platform.OutcomeHistoryLost:
+		status = http.StatusGone
+	default:
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, status, wire.ErrorReply{Error: e.Error()})
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -6,9 +6,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,8 +16,8 @@
 	"github.com/daisytide/daisytide/internal/conn/platform"
 )
 
-// watchWait is how long a watch waits before it returns empty.
-const watchWait = 30 * time.Second
+// maxChanges is how many changes the store remembers for watches.
+const maxChanges = 4096
 
 // Store is the stand-in, usable in one process as platform.Store.
 type Store struct {
@@ -32,6 +32,10 @@
 	reads    window
 	writes   window
 	onPut    func(platform.Entry)
+	// history holds the latest changes, the oldest first; forgotten is the
+	// revision up to which watches can no longer begin.
+	history   []platform.Entry
+	forgotten uint64
 }
 
 type lease struct {
@@ -170,6 +174,7 @@
 		if e.Lease == id {
 			s.revision++
 			delete(s.entries, k)
+			s.remember(platform.Entry{Key: k, Revision: s.revision, Deleted: true})
 		}
 	}
 }
@@ -193,24 +198,47 @@
 }
 
 // List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (s *Store) List(ctx context.Context, prefix string, _ bool) ([]platform.Entry, uint64, error) {
 	if err := s.enter(ctx, "list", prefix, &s.counts.Reads, &s.reads, readLimit); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.after(prefix, 0), nil
+	var out []platform.Entry
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, s.revision, nil
+}
+
+// Forget drops the history of changes, as the platform's store may at any time.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.revision
+	s.wake()
 }
 
-// after lists entries above a revision in key order; the caller holds mu.
+// remember notes a change for watches; the caller holds mu.
+func (s *Store) remember(e platform.Entry) {
+	s.history = append(s.history, e)
+	if n := len(s.history) - maxChanges; n > 0 {
+		s.forgotten = s.history[n-1].Revision
+		s.history = append([]platform.Entry(nil), s.history[n:]...)
+	}
+}
+
+// after lists the changes under a prefix above a revision; the caller holds mu.
 func (s *Store) after(prefix string, revision uint64) []platform.Entry {
 	var out []platform.Entry
-	for k, e := range s.entries {
-		if strings.HasPrefix(k, prefix) && e.Revision > revision {
+	for _, e := range s.history {
+		if strings.HasPrefix(e.Key, prefix) && e.Revision > revision {
 			out = append(out, e)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
 	return out
 }
 
@@ -243,10 +271,12 @@
 	s.revision++
 	e := platform.Entry{Key: key, Value: value, Revision: s.revision, Lease: leaseID}
 	if value == nil {
+		e.Deleted = true
 		delete(s.entries, key)
 	} else {
 		s.entries[key] = e
 	}
+	s.remember(e)
 	if s.onPut != nil {
 		s.onPut(e)
 	}
@@ -255,15 +285,19 @@
 }
 
 // Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Entry, uint64, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Entry, uint64, error) {
 	if err := s.enter(ctx, "watch", prefix, &s.counts.Watches, &s.reads, readLimit); err != nil {
 		return nil, 0, err
 	}
-	deadline := time.After(watchWait)
+	deadline := time.After(min(wait, platform.MaxWatch))
 	for {
 		s.mu.Lock()
 		found, revision, changed, down := s.after(prefix, after), s.revision, s.changed, s.faults.Down
+		lost := after < s.forgotten
 		s.mu.Unlock()
+		if lost {
+			return nil, 0, &platform.Error{Op: "watch", Key: prefix, Outcome: platform.OutcomeHistoryLost}
+		}
 		if down {
 			return nil, 0, &platform.Error{Op: "watch", Key: prefix, Outcome: platform.OutcomeUnknown, Err: errDown}
 		}
@@ -288,7 +322,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	id := fmt.Sprintf("lease-%d", s.revision)
+	id := strconv.FormatUint(s.revision, 10)
 	s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
 	return platform.Lease{ID: id, TTL: ttl}, nil
 }
--- a/internal/version/document/accepted.go
+++ b/internal/version/document/accepted.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/version/traffic"
 )
 
 // Accepted is the envelope stored under the configuration key: one document
@@ -29,6 +30,9 @@
 	// its document was accepted even when a later one has replaced it.
 	Past     []Past          `json:"past,omitempty"`
 	Document json.RawMessage `json:"document"`
+	// Traffic stands in place of the document where the operator keeps the
+	// configuration in the store himself; the number is then the operator's.
+	Traffic *traffic.Config `json:"traffic,omitempty"`
 }
 
 // PastLimit bounds Accepted.Past.
@@ -70,6 +74,12 @@
 	if err := json.Unmarshal(envelope, &a); err != nil {
 		return nil, nil, api.Errorf(api.StoreCorrupt, "decode the accepted document: %w", err)
 	}
+	if a.Traffic != nil {
+		if err := a.Traffic.Check(); err != nil {
+			return nil, nil, api.Errorf(api.StoreCorrupt, "configuration %d: %w", a.Number, err)
+		}
+		return &a, &Document{}, nil
+	}
 	if doc, ok := decodeChecked(a.Document); ok {
 		return &a, doc, nil
 	}
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -11,6 +11,7 @@
 
 	"github.com/daisytide/daisytide/internal/request/route"
 	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/traffic"
 	"github.com/daisytide/daisytide/internal/version/validate"
 )
 
@@ -22,7 +23,10 @@
 	Envelope []byte
 	Hash     document.Hash
 	// Routes finds a request's route without a lock.
-	Routes   *route.Table
+	Routes *route.Table
+	// Traffic is set where the operator keeps the configuration in the store;
+	// the document is then empty.
+	Traffic  *traffic.Table
 	services map[string]*document.Service
 	moves    map[string]Move
 }
@@ -50,6 +54,12 @@
 	if len(a.Moves) != len(doc.Rollouts) {
 		return nil, errors.Join(ErrInvalid, errors.New("the envelope's moves do not match the document's rollouts"))
 	}
+	if a.Traffic != nil {
+		return &Snapshot{
+			Accepted: a, Document: doc, Envelope: envelope, Hash: document.HashOf(envelope),
+			Routes: route.NewTable(nil), Traffic: traffic.NewTable(*a.Traffic),
+		}, nil
+	}
 	if faults := validate.Document(doc); len(faults) > 0 {
 		return nil, errors.Join(ErrInvalid, errors.New(faults[0].String()))
 	}
