Read the settings again on SIGHUP and when the file has changed

Change: settings.Watch reads the file on a signal and when its content differs, parses it whole, and keeps what was in force when it has a fault. Seeds are taken over while running.

--- a/cmd/daisytided/main.go
+++ b/cmd/daisytided/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/h1"
@@ -83,16 +84,23 @@
 type daemon interface {
 	Metrics() *expvar.Map
 	Run(ctx context.Context) error
+	// ApplySettings takes settings that were read again.
+	ApplySettings(cfg *settings.Settings)
 }
 
 // serve runs the node that the settings describe until ctx ends.
-func serve(ctx context.Context, cfg *settings.Settings) error {
+func serve(ctx context.Context, o options, overrides []string, cfg *settings.Settings) error {
 	n, err := build(cfg)
 	if err != nil {
 		return err
 	}
 	expvar.Publish("daisytide", n.Metrics())
-	return n.Run(ctx)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return settings.Watch(ctx, o.File, overrides, hangups, n.ApplySettings) })
+	g.Go(func() error { return n.Run(ctx) })
+	return g.Wait()
 }
 
 func build(cfg *settings.Settings) (daemon, error) {
@@ -118,7 +126,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	err := serve(ctx, cfg)
+	err := serve(ctx, o, overrides, cfg)
 	klog.Flush()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "daisytided:", err)
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/settings"
 )
 
 // Times of a stop.
@@ -35,6 +36,12 @@
 	return fmt.Errorf("serve %s: %w", l.Addr(), err)
 }
 
+// ApplySettings takes settings that were read again. A node of this kind takes
+// none while it runs; it says so.
+func (n *Node) ApplySettings(*settings.Settings) {
+	klog.Warning(logPrefix + "changed settings take effect at the next start")
+}
+
 // Abort ends the links and closes the listeners at once, as a crash would;
 // the context of Run must then be ended. It is for tests and measurements.
 func (n *Node) Abort() {
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -156,6 +156,12 @@
 	return nil
 }
 
+// ApplySettings takes settings that were read again: other seeds. What stands
+// with the listeners takes effect at the next start.
+func (n *Node) ApplySettings(cfg *settings.Settings) {
+	n.registry.AddHosts(cfg.Operated.SeedHostList())
+}
+
 // Metrics returns the node's counters.
 func (n *Node) Metrics() *expvar.Map { return n.metrics }
 
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -64,7 +64,7 @@
 // Run keeps the entry and reads the others' until ctx ends; then it takes the
 // entry back.
 func (r *Registry) Run(ctx context.Context) error {
-	r.addHosts()
+	r.AddHosts(r.Hosts)
 	go r.listLoop(ctx)
 	for ctx.Err() == nil {
 		lease, err := r.register(ctx)
@@ -81,13 +81,14 @@
 	return nil
 }
 
-func (r *Registry) addHosts() {
+// AddHosts adds addresses on hosts of other nodes.
+func (r *Registry) AddHosts(hosts []string) {
 	_, port, err := net.SplitHostPort(r.Self().Address)
 	if err != nil {
 		klog.Errorf(logPrefix+"own address: %v", err)
 		return
 	}
-	for _, h := range r.Hosts {
+	for _, h := range hosts {
 		if host, _, err := net.SplitHostPort(h); err == nil {
 			r.add(net.JoinHostPort(host, port))
 		}
