Begin watches anew often enough that a forgotten change is found

Ruled out: a lost pull between peers; no node knew of the version. Change: a watch waits for half a second per member, 4 to 25 s, drawn by half around it, and 2 s on a node without links.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -185,6 +185,8 @@
 		Traffic: n.traffic, Seeds: n.registry.Peers, Reach: n.askReach,
 	})
 	n.registry.Links = n.spread.Links
+	n.provider.Links = n.spread.Links
+	n.provider.Size = func() int { return len(n.members.Index().Members) }
 	n.self.Publisher = n.spread
 	n.orders = orders.NewManager(orders.Config{
 		Self: n.cfg.Peers.Listen, Incarnation: incarnation, Members: n.members, Store: n.store,
--- a/internal/process/provider/operated.go
+++ b/internal/process/provider/operated.go
@@ -18,9 +18,14 @@
 
 // Times of an operated provider.
 const (
-	// operatedWait is how long one watch waits: below the store's bound, so
-	// that a watch which died in silence is noticed.
-	operatedWait = 25 * time.Second
+	// A store may forget a change before a waiting watch has heard of it, and
+	// say so only to the next watch. So watches are short enough that somewhere
+	// in the fleet one begins about twice a second; the peers hear of what it
+	// finds at once. A node without peers watches for waitAlone.
+	waitPerMember = 500 * time.Millisecond
+	waitLeast     = 4 * time.Second
+	waitMost      = 25 * time.Second
+	waitAlone     = 2 * time.Second
 	// operatedPause bounds the wait after a failed call, which the guard of the
 	// store lengthens.
 	operatedPause = 200 * time.Millisecond
@@ -47,6 +52,18 @@
 	// Order takes the value of a key under Keys.Orders; listed tells that it
 	// was read with all others and may be old.
 	Order func(e platform.Entry, listed bool)
+	// Links and Size return the number of links to peers that stand, and of
+	// members of the fleet.
+	Links, Size func() int
+}
+
+// wait is how long the next watch waits.
+func (p *Operated) wait() time.Duration {
+	if p.Links() == 0 {
+		return waitAlone
+	}
+	w := min(max(time.Duration(p.Size())*waitPerMember, waitLeast), waitMost)
+	return w/2 + rand.N(w)
 }
 
 // Held implements spread.Configs.
@@ -91,7 +108,7 @@
 // watch waits for changes once. A failure that lost no history goes on where
 // it was.
 func (p *Operated) watch(ctx context.Context, after uint64) (uint64, error) {
-	entries, revision, err := p.Store.Watch(ctx, p.Keys.Prefix, after, operatedWait)
+	entries, revision, err := p.Store.Watch(ctx, p.Keys.Prefix, after, min(p.wait(), platform.MaxWatch))
 	if err != nil {
 		if platform.OutcomeOf(err) == platform.OutcomeHistoryLost {
 			return 0, err
