Queue by objective, place by expected time, pay for upstreams' own refusals

Change: requests that can meet their objective wait by rank and latest beginning, a few late ones behind them, the rest are refused at once. A place is chosen by expected time; the own data centre is left only when the objective is in danger. A refusal that reached an upstream is paid from the budget.

--- a/internal/process/provider/operated.go
+++ b/internal/process/provider/operated.go
@@ -22,8 +22,8 @@
 	// say so only to the next watch. So watches are short enough that somewhere
 	// in the fleet one begins about twice a second; the peers hear of what it
 	// finds at once. A node without peers watches for waitAlone.
-	waitPerMember = 500 * time.Millisecond
-	waitLeast     = 4 * time.Second
+	waitPerMember = 350 * time.Millisecond
+	waitLeast     = 3 * time.Second
 	waitMost      = 25 * time.Second
 	waitAlone     = 2 * time.Second
 	// operatedPause bounds the wait after a failed call, which the guard of the
@@ -162,6 +162,7 @@
 	if err != nil {
 		return errors.Join(errors.New("build a snapshot"), err)
 	}
+
 	p.offer(s, "the store")
 	return nil
 }
--- a/internal/request/egress/answer.go
+++ b/internal/request/egress/answer.go
@@ -15,8 +15,13 @@
 	"github.com/daisytide/daisytide/internal/request/hop"
 )
 
-// headerAfter carries, in milliseconds, when a refused request may return.
-const headerAfter = "Daisytide-After"
+// Headers between nodes.
+const (
+	// headerAfter carries, in milliseconds, when a refused request may return.
+	headerAfter = "Daisytide-After"
+	// headerReached tells that the upstream itself refused the request.
+	headerReached = "Daisytide-Reached"
+)
 
 // Respond writes a result for the node that sent the request.
 func Respond(res hop.Result, l gate.Load) *h1.Response {
@@ -32,6 +37,9 @@
 		call.HeaderLoad: {l.String()},
 		headerAfter:     {strconv.FormatInt(res.After.Milliseconds(), 10)},
 	}
+	if res.Reached {
+		h[headerReached] = []string{"1"}
+	}
 	return &h1.Response{Status: api.Info(res.Code).HTTP, Header: h}
 }
 
@@ -51,6 +59,7 @@
 	after, _ := strconv.ParseInt(resp.Header.Get(headerAfter), 10, 32)
 	return hop.Result{
 		Code: api.Code(code), Ran: api.Ran(resp.Header.Get(call.HeaderRun)), After: time.Duration(after) * time.Millisecond,
+		Reached: resp.Header.Get(headerReached) != "",
 	}, l, err == nil
 }
 
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -141,7 +141,7 @@
 		return Verdict{Code: res.Code, After: res.After}
 	}
 	g.mu.Lock()
-	t, v := g.queue.Arrive(time.Now(), Want{Route: r.Route, Priority: r.Priority, Deadline: r.Deadline})
+	t, v := g.queue.Arrive(time.Now(), Want{Route: r.Route, Priority: r.Priority, Deadline: r.Deadline, Objective: r.Objective})
 	g.mu.Unlock()
 	if t == nil {
 		return v
@@ -182,7 +182,9 @@
 		g.Upstream.Replaced(i.ID)
 		return hop.Refuse(api.CallNoUpstream, downAfter, errors.New("another instance answers"))
 	case notRun:
-		return hop.Refuse(api.CallShed, downAfter, errors.New("the upstream refused"))
+		res := hop.Refuse(api.CallShed, downAfter, errors.New("the upstream refused"))
+		res.Reached = true
+		return res
 	}
 	return hop.Result{Code: api.OK, Ran: api.RanYes, Answer: resp}
 }
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -13,13 +13,19 @@
 	heldWeight = 1.0 / 32
 	// needWeight is the weight of one run in a route's usual time.
 	needWeight = 1.0 / 16
-	// needPart of a route's usual time must be left for a run to begin: runs
-	// vary, and one that is begun in vain holds a slot for nothing.
+	// needPart of a route's usual time must be left before the deadline for a
+	// run to begin: runs vary, and one begun in vain holds a slot for nothing.
 	needPart = 0.7
 	// heldFirst is the time that a slot is taken to be held before any run ended.
 	heldFirst = 100 * time.Millisecond
 	// backMin is the shortest time after which a refused request may return.
 	backMin = 20 * time.Millisecond
+	// latePart of the slots is how many requests may wait that will be answered
+	// after their objective: they begin only when no other waits.
+	latePart = 4
+	// urgent is the rank of requests that wait until their deadline: calls that
+	// running upstreams make, whose refusal wastes the run that made them.
+	urgent = 0
 )
 
 // Want is what the queue needs to know of a request.
@@ -27,7 +33,9 @@
 	Route string
 	// Priority is the route's rank; 0 is the highest.
 	Priority int
-	Deadline time.Time
+	// Deadline is when an answer is of no more use, Objective until when it is
+	// of full use.
+	Deadline, Objective time.Time
 }
 
 // Ticket is a place in the queue.
@@ -35,6 +43,10 @@
 	Want
 	// Verdict receives the decision once: api.OK admits.
 	Verdict chan Verdict
+	// begin is until when the request must begin to meet its objective, or,
+	// late or urgent, its deadline.
+	begin   time.Time
+	late    bool
 	decided bool
 }
 
@@ -46,21 +58,24 @@
 }
 
 // Queue decides which requests run, wait or are refused at one upstream. It
-// answers more load than the upstream has slots for: requests wait by rank and
-// deadline, and one that cannot begin in time is refused as soon as that is
-// known. It is a state machine without locks or clocks.
+// answers more load than the upstream has slots for. Work done for a request
+// that misses its objective is worth little, so those that can meet theirs
+// wait by rank and by when they must begin, a few late ones wait behind them,
+// and all others are refused as soon as that is known. It is a state machine
+// without locks or clocks.
 type Queue struct {
 	// Slots is how many requests run at once.
 	Slots int
 
 	running int
-	// waiting is ordered by rank, then deadline.
+	// waiting is in the order of Ticket.before, the late ones last.
 	waiting []*Ticket
+	late    int
 	held    float64
 	need    map[string]float64
 }
 
-// Running returns the requests in progress, Waiting those in the queue.
+// Running returns the requests in progress.
 func (q *Queue) Running() int { return q.running }
 
 // Waiting returns the length of the queue.
@@ -86,47 +101,94 @@
 
 // Arrive decides on a request: it runs now, waits with a ticket, or is refused.
 func (q *Queue) Arrive(now time.Time, w Want) (*Ticket, Verdict) {
-	if !q.reachable(now, w, 0) {
+	if now.After(q.latest(w)) {
 		return nil, Verdict{Code: api.CallNoTime}
 	}
 	if q.running < q.Slots && len(q.waiting) == 0 {
 		q.running++
 		return nil, Verdict{Code: api.OK}
 	}
-	t := &Ticket{Want: w, Verdict: make(chan Verdict, 1)}
-	place := sort.Search(len(q.waiting), func(i int) bool { return t.before(q.waiting[i]) })
-	if !q.reachable(now, w, q.Wait(place)) {
+	t := &Ticket{Want: w, Verdict: make(chan Verdict, 1), begin: q.inTime(w)}
+	if !q.enter(now, t) && !q.enterLate(now, t) {
 		return nil, Verdict{Code: api.CallShed, After: q.back()}
 	}
-	q.waiting = append(q.waiting, nil)
-	copy(q.waiting[place+1:], q.waiting[place:])
-	q.waiting[place] = t
-	q.shed(now, place+1)
 	return t, Verdict{Code: api.OK}
 }
 
-// reachable tells whether a request that waits so long can still be answered.
-func (q *Queue) reachable(now time.Time, w Want, wait time.Duration) bool {
-	need := time.Duration(needPart * float64(q.Need(w.Route)))
-	return now.Add(wait + need).Before(w.Deadline)
+// latest is when a request must begin to be answered at all.
+func (q *Queue) latest(w Want) time.Time {
+	return w.Deadline.Add(-time.Duration(needPart * float64(q.Need(w.Route))))
+}
+
+// inTime is when a request must begin to meet its objective.
+func (q *Queue) inTime(w Want) time.Time {
+	latest := q.latest(w)
+	if objective := w.Objective.Add(-q.Need(w.Route)); w.Priority != urgent && objective.Before(latest) {
+		return objective
+	}
+	return latest
+}
+
+// enter puts a request among those that can begin in time.
+func (q *Queue) enter(now time.Time, t *Ticket) bool {
+	place := sort.Search(len(q.waiting), func(i int) bool { return t.before(q.waiting[i]) })
+	if now.Add(q.Wait(place)).After(t.begin) {
+		return false
+	}
+	q.insert(place, t)
+	q.review(now, place+1)
+	return true
+}
+
+// enterLate puts a request behind all others, while few are there.
+func (q *Queue) enterLate(now time.Time, t *Ticket) bool {
+	begin := q.latest(t.Want)
+	if q.late >= max(1, q.Slots/latePart) || now.Add(q.Wait(len(q.waiting))).After(begin) {
+		return false
+	}
+	t.late, t.begin = true, begin
+	q.late++
+	q.insert(sort.Search(len(q.waiting), func(i int) bool { return t.before(q.waiting[i]) }), t)
+	return true
+}
+
+func (q *Queue) insert(place int, t *Ticket) {
+	q.waiting = append(q.waiting, nil)
+	copy(q.waiting[place+1:], q.waiting[place:])
+	q.waiting[place] = t
 }
 
 // back estimates when a request that found no room may find some: when what
 // waits now has begun.
 func (q *Queue) back() time.Duration { return max(backMin, q.Wait(len(q.waiting))) }
 
-// shed refuses the requests from a place on that can no longer begin in time.
-func (q *Queue) shed(now time.Time, from int) {
+// review finds those from a place on that can no longer begin in time.
+func (q *Queue) review(now time.Time, from int) {
+	var out []*Ticket
 	kept := q.waiting[:from]
 	for _, t := range q.waiting[from:] {
-		if q.reachable(now, t.Want, q.Wait(len(kept))) {
-			kept = append(kept, t)
+		if now.Add(q.Wait(len(kept))).After(t.begin) {
+			out = append(out, t)
 			continue
 		}
-		t.decide(Verdict{Code: api.CallShed, After: q.back()})
+		kept = append(kept, t)
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
+	for _, t := range out {
+		q.missed(now, t)
+	}
+}
+
+// missed lets a request that left its place wait among the late ones, or
+// refuses it.
+func (q *Queue) missed(now time.Time, t *Ticket) {
+	if t.late {
+		q.late--
+	} else if q.enterLate(now, t) {
+		return
+	}
+	t.decide(Verdict{Code: api.CallShed, After: q.back()})
 }
 
 // Done takes the end of a run and admits the next request. A run that did not
@@ -158,10 +220,13 @@
 	for q.running < q.Slots && len(q.waiting) > 0 {
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
-		if !q.reachable(now, t.Want, 0) {
-			t.decide(Verdict{Code: api.CallNoTime, After: q.back()})
+		if now.After(t.begin) {
+			q.missed(now, t)
 			continue
 		}
+		if t.late {
+			q.late--
+		}
 		q.running++
 		t.decide(Verdict{Code: api.OK})
 	}
@@ -179,6 +244,9 @@
 			break
 		}
 	}
+	if t.late {
+		q.late--
+	}
 	t.decided = true
 	return true
 }
@@ -188,7 +256,7 @@
 	for _, t := range q.waiting {
 		t.decide(v)
 	}
-	q.waiting = nil
+	q.waiting, q.late = nil, 0
 }
 
 func (t *Ticket) decide(v Verdict) {
@@ -197,8 +265,12 @@
 }
 
 func (t *Ticket) before(o *Ticket) bool {
-	if t.Priority != o.Priority {
+	switch {
+	case t.late != o.late:
+		return !t.late
+	case t.Priority != o.Priority:
 		return t.Priority < o.Priority
+	default:
+		return t.begin.Before(o.begin)
 	}
-	return t.Deadline.Before(o.Deadline)
 }
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -111,8 +111,11 @@
 	// Code is api.OK when Answer is the upstream's own, whole.
 	Code api.Code
 	// Ran tells whether an upstream ran the request.
-	Ran    api.Ran
-	Answer *h1.Response
+	Ran api.Ran
+	// Reached tells that the upstream itself refused the request: it got it,
+	// and did not run it.
+	Reached bool
+	Answer  *h1.Response
 	// After is when a refused request may be sent again.
 	After time.Duration
 	Err   error
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -32,7 +32,7 @@
 const (
 	// maxPlaces is the most nodes that one request is offered to. A refusal
 	// costs the upstream nothing, only the caller's time.
-	maxPlaces = 4
+	maxPlaces = 3
 	// signPart of the time left is what a node may take to show that it has a
 	// request, within signMin and signMax: above a round trip between data
 	// centres and a busy node's pause, below half of a short deadline.
@@ -206,6 +206,12 @@
 			if len(t.tried) >= maxPlaces || final(res.Code) {
 				return t.settle(res)
 			}
+			if res.Reached {
+				t.reached++
+				if !t.pay() {
+					return t.settle(res)
+				}
+			}
 		default:
 			t.reached++
 			if res.Code != api.OK {
@@ -229,7 +235,12 @@
 
 // again tells whether the request may go to another upstream, and pays for it.
 func (t *trial) again() bool {
-	if t.r.Repeat != traffic.Idempotent || t.reached >= max(1, t.route.Attempts) {
+	return t.r.Repeat == traffic.Idempotent && t.pay()
+}
+
+// pay takes what sending the request to another upstream costs of the budget.
+func (t *trial) pay() bool {
+	if t.reached >= max(1, t.route.Attempts) {
 		return false
 	}
 	if !t.e.Budget.Take(t.r.Service, 1) {
@@ -278,7 +289,9 @@
 		return hop.Result{}, false
 	}
 	key := member.UpstreamKey{Service: t.r.Service, Version: t.r.Version}
-	picked, ok := e.Picker.Pick(x, key, t.tried, time.Now(), rand.New(globalRandom{}))
+	now := time.Now()
+	want := pick.Want{Objective: max(0, t.r.Objective.Sub(now)), Size: len(t.in.Body)}
+	picked, ok := e.Picker.Place(x, key, t.tried, now, rand.New(globalRandom{}), want)
 	if !ok {
 		return hop.Result{}, false
 	}
--- a/internal/request/pick/choose.go
+++ b/internal/request/pick/choose.go
@@ -54,7 +54,7 @@
 // slots are nearly all in use or its calls fail: then the better of two of
 // the next group is weighed against it.
 func (p Policy) Choose(groups *[distances][]Candidate, now time.Time, rng *rand.Rand) (Distance, int, bool) {
-	var best option
+	var best weighed
 	for d := range groups {
 		o := p.better(groups[d], now, rng)
 		if !o.found {
@@ -73,7 +73,7 @@
 }
 
 // option is a candidate with what it is expected to cost.
-type option struct {
+type weighed struct {
 	found    bool
 	distance Distance
 	place    int
@@ -84,10 +84,10 @@
 
 // better takes two open candidates of a group at random and returns the one
 // that costs less.
-func (p Policy) better(group []Candidate, now time.Time, rng *rand.Rand) option {
+func (p Policy) better(group []Candidate, now time.Time, rng *rand.Rand) weighed {
 	first := p.draw(group, now, rng, -1)
 	if first < 0 {
-		return option{}
+		return weighed{}
 	}
 	second := p.draw(group, now, rng, first)
 	if second < 0 {
@@ -106,10 +106,10 @@
 	return use
 }
 
-func weigh(group []Candidate, place int, now time.Time, reference float64) option {
+func weigh(group []Candidate, place int, now time.Time, reference float64) weighed {
 	c := &group[place]
 	use := c.Sight.use(now, c.Slots, reference)
-	return option{found: true, place: place, cost: c.Sight.cost(now, use), use: use, faulty: c.Sight.faulty(now)}
+	return weighed{found: true, place: place, cost: c.Sight.cost(now, use), use: use, faulty: c.Sight.faulty(now)}
 }
 
 // draw returns a random open candidate among the first p.Subset untried
--- /dev/null
+++ b/internal/request/pick/place.go
@@ -0,0 +1,152 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/process/member"
+)
+
+// Parameters of placing by expected time.
+const (
+	// comfort is how far the expected time must stay below the objective for a
+	// request to stay in its data centre whatever others offer: times vary by
+	// half of their mean, and an answer in time is of full use however quick.
+	comfort = 1.6
+	// comfortLarge is the same for a body from largeBody bytes on, whose way to
+	// another data centre costs more than a late answer now and then.
+	comfortLarge = 1.2
+	largeBody    = 16 << 10
+	// farPart of a request's objective is what leaving the data centre costs
+	// beside the time of the way: bytes between data centres are paid for.
+	farPart = 0.15
+	// farPerKB is the same for each kilobyte of the body, up to farMost of the
+	// objective.
+	farPerKB = 400 * time.Microsecond
+	farMost  = 0.25
+	// fullSlowdown is how much longer runs take in an upstream whose slots are
+	// all in use, as a part.
+	fullSlowdown = 0.5
+	// sampled is how many upstreams beyond those of the own data centre one
+	// choice looks at.
+	sampled = 6
+	// spreadPart varies each estimate, so that entries that know the same do
+	// not all choose the same upstream.
+	spreadPart = 0.15
+)
+
+// Want is what placing needs to know of a request.
+type Want struct {
+	// Objective is the time left until its answer is of less use.
+	Objective time.Duration
+	// Size is the length of its body in bytes.
+	Size int
+}
+
+// Place chooses the node at which the request is expected to be answered
+// first, among those of key that are not in tried; false where none is left.
+// It answers upstreams of different speeds and loads in several data centres.
+func (p *Picker) Place(x *member.Index, key member.UpstreamKey, tried []string, now time.Time, rng *rand.Rand, w Want) (Picked, bool) {
+	nodes := p.view(x).groups[key]
+	if nodes == nil {
+		return Picked{}, false
+	}
+	s := scratches.Get().(*scratch)
+	defer scratches.Put(s)
+	s.fill(nodes, tried)
+	d, place, ok := cheapest(&s.groups, now, rng, w)
+	if !ok {
+		return Picked{}, false
+	}
+	n := nodes[d][place]
+	n.state.mu.Lock()
+	defer n.state.mu.Unlock()
+	n.state.sight.Begin()
+	return Picked{Record: n.record, state: n.state}, true
+}
+
+// option is a candidate with its expected cost in seconds.
+type option struct {
+	distance Distance
+	place    int
+	cost     float64
+	found    bool
+}
+
+// cheapest returns the candidate with the lowest expected time. The own data
+// centre is left only when it may miss the objective.
+func cheapest(groups *[distances][]Candidate, now time.Time, rng *rand.Rand, w Want) (distance Distance, place int, found bool) {
+	reference := meanUse(groups, now)
+	best := cheapestOf(groups, SameDataCentre, reference, now, rng, w)
+	margin := comfort
+	if w.Size >= largeBody {
+		margin = comfortLarge
+	}
+	if !best.found || best.cost*margin > w.Objective.Seconds() {
+		for d := SameRegion; d < distances; d++ {
+			if o := cheapestOf(groups, d, reference, now, rng, w); o.found && (!best.found || o.cost < best.cost) {
+				best = o
+			}
+		}
+	}
+	return best.distance, best.place, best.found
+}
+
+// cheapestOf returns the cheapest candidate of one distance.
+func cheapestOf(groups *[distances][]Candidate, d Distance, reference float64, now time.Time, rng *rand.Rand, w Want) option {
+	best := option{distance: d}
+	group := groups[d]
+	spare := spared(group, now)
+	first, n := 0, len(group)
+	if d != SameDataCentre && n > sampled {
+		first, n = rng.IntN(n), sampled
+	}
+	for k := range n {
+		i := (first + k) % len(group)
+		c := &group[i]
+		if c.Tried || c.Sight.Ejected(now) && i != spare {
+			continue
+		}
+		cost := c.Sight.expected(now, c.Slots, reference) + far(d, w).Seconds()
+		cost *= 1 + spreadPart*rng.Float64()
+		if !best.found || cost < best.cost {
+			best.place, best.cost, best.found = i, cost, true
+		}
+	}
+	return best
+}
+
+// meanUse is the mean use of the upstreams whose load was heard of lately; it
+// stands for those of which nothing is known.
+func meanUse(groups *[distances][]Candidate, now time.Time) float64 {
+	sum, n := usualUse, 1.0
+	for _, group := range groups {
+		for i := range group {
+			if s := group[i].Sight; now.Sub(s.loadAt) < staleAfter {
+				use, _ := s.known(now, group[i].Slots, usualUse)
+				sum, n = sum+use, n+1
+			}
+		}
+	}
+	return sum / n
+}
+
+// expected estimates the time until the answer, in seconds, without the way.
+func (s *Sight) expected(now time.Time, announced int, reference float64) float64 {
+	use := s.use(now, announced, reference)
+	held := max(s.load.Held, heldFloor).Seconds()
+	if s.loadAt.IsZero() {
+		held = 0
+	}
+	wait := max(0, use-1) * held
+	return (wait + held*(1+fullSlowdown*min(1, use*use)) + heldFloor.Seconds()*use) * s.penalty(now)
+}
+
+// far is what a distance costs a request, as time.
+func far(d Distance, w Want) time.Duration {
+	if d == SameDataCentre {
+		return 0
+	}
+	body := min(time.Duration(w.Size)*farPerKB/1024, time.Duration(farMost*float64(w.Objective)))
+	return farCost[d] + time.Duration(farPart*float64(w.Objective)) + body
+}
