Begin runs well before the objective and know a returning request

Change: 1.5 usual times must be left before the objective; the objective of a request whose caller gives less time than others of its route is that much nearer.

--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -16,6 +16,9 @@
 	// needPart of a route's usual time must be left before the deadline for a
 	// run to begin: runs vary, and one begun in vain holds a slot for nothing.
 	needPart = 0.7
+	// timely times a route's usual time must be left before the objective: an
+	// answer just after it is of little use, and runs vary by half of their mean.
+	timely = 1.5
 	// heldFirst is the time that a slot is taken to be held before any run ended.
 	heldFirst = 100 * time.Millisecond
 	// backMin is the shortest time after which a refused request may return.
@@ -123,7 +126,7 @@
 // inTime is when a request must begin to meet its objective.
 func (q *Queue) inTime(w Want) time.Time {
 	latest := q.latest(w)
-	if objective := w.Objective.Add(-q.Need(w.Route)); w.Priority != urgent && objective.Before(latest) {
+	if objective := w.Objective.Add(-time.Duration(timely * float64(q.Need(w.Route)))); w.Priority != urgent && objective.Before(latest) {
 		return objective
 	}
 	return latest
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,9 @@
 	Dialect    hop.Dialect
 
 	Counts Counts
+
+	// patience holds, by route, the longest time that a caller gave.
+	patience sync.Map
 }
 
 // Counts are the counters since the start.
@@ -108,17 +112,31 @@
 // request makes what the request carries to the next node.
 func (e *Ingress) request(in *h1.Request, route *traffic.Route, snap *snapshot.Snapshot) *hop.Request {
 	limit := route.TimeLimit
+	spent := time.Duration(0)
 	if left, ok := e.Dialect.TimeLeft(in.Header); ok {
 		limit = min(limit, left)
+		spent = e.spent(route.Name, left)
 	}
 	_, id := e.Dialect.ID(in.Header)
 	return &hop.Request{
 		ID: id, Service: route.Pick(rand.Float64()), Route: route.Name, Repeat: route.Repeat, Priority: route.Priority,
-		Deadline: in.Arrived.Add(limit), Objective: in.Arrived.Add(route.Objective),
+		Deadline: in.Arrived.Add(limit), Objective: in.Arrived.Add(route.Objective - spent),
 		From: e.Service, Config: snap.Number(),
 	}
 }
 
+// spent estimates how much of its time a request has used up before it came
+// here: callers of one route give the same time, and one that was refused and
+// comes back gives what is left of it.
+func (e *Ingress) spent(route string, left time.Duration) time.Duration {
+	longest, ok := e.patience.Load(route)
+	if !ok || longest.(time.Duration) < left {
+		e.patience.Store(route, left)
+		return 0
+	}
+	return longest.(time.Duration) - left
+}
+
 // respond turns a result into the caller's answer.
 func (e *Ingress) respond(in *h1.Request, res hop.Result, r *hop.Request) *h1.Response {
 	if res.Code == api.OK {
