Expect run times by route and leave the data centre later

Cause: placing took the mean slot time of a node for each route, so short calls seemed to miss their objective there and left the data centre; and a margin of 1.6 sent every request away from a slow upstream of the own data centre. A node whose upstream came back stayed put aside for its earlier faults. Change: gates tell a route's usual time, entries scale it by the node's speed; the margin is 1.25 (1.1 for large bodies); faults are forgotten when an upstream is announced anew.

--- a/internal/request/egress/answer.go
+++ b/internal/request/egress/answer.go
@@ -21,10 +21,20 @@
 	headerAfter = "Daisytide-After"
 	// headerReached tells that the upstream itself refused the request.
 	headerReached = "Daisytide-Reached"
+	// headerNeed carries, in microseconds, the usual time of the route's runs.
+	headerNeed = "Daisytide-Need"
 )
 
 // Respond writes a result for the node that sent the request.
 func Respond(res hop.Result, l gate.Load) *h1.Response {
+	out := respond(res, l)
+	if res.Need > 0 {
+		out.Header[headerNeed] = []string{strconv.FormatInt(res.Need.Microseconds(), 10)}
+	}
+	return out
+}
+
+func respond(res hop.Result, l gate.Load) *h1.Response {
 	if res.Code == api.OK {
 		out := &h1.Response{Status: res.Answer.Status, Header: h1.Forwardable(res.Answer.Header), Body: res.Answer.Body}
 		out.Header[call.HeaderLoad] = []string{l.String()}
@@ -47,20 +57,29 @@
 func Read(resp *h1.Response) (hop.Result, gate.Load, bool) {
 	l, err := gate.ParseLoad(resp.Header.Get(call.HeaderLoad))
 	delete(resp.Header, call.HeaderLoad)
+	// A missing time reads as zero, which means that it is not known.
+	need, _ := strconv.ParseInt(resp.Header.Get(headerNeed), 10, 64)
+	delete(resp.Header, headerNeed)
+	res := read(resp)
+	res.Need = time.Duration(need) * time.Microsecond
+	return res, l, err == nil
+}
+
+func read(resp *h1.Response) hop.Result {
 	text := resp.Header.Get(call.HeaderCode)
 	if text == "" {
-		return hop.Result{Code: api.OK, Ran: api.RanYes, Answer: resp}, l, err == nil
+		return hop.Result{Code: api.OK, Ran: api.RanYes, Answer: resp}
 	}
 	code, codeErr := strconv.ParseUint(text, 10, 16)
 	if codeErr != nil {
-		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: codeErr}, l, err == nil
+		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: codeErr}
 	}
 	// A missing time reads as zero: the sender then takes its own.
 	after, _ := strconv.ParseInt(resp.Header.Get(headerAfter), 10, 32)
 	return hop.Result{
 		Code: api.Code(code), Ran: api.Ran(resp.Header.Get(call.HeaderRun)), After: time.Duration(after) * time.Millisecond,
 		Reached: resp.Header.Get(headerReached) != "",
-	}, l, err == nil
+	}
 }
 
 // instanceHash names an instance in facts.
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -81,6 +81,14 @@
 // Handle runs one request, or tells why not. The body is asked for when the
 // request is admitted.
 func (g *Gate) Handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
+	res := g.handle(ctx, r, in)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	res.Need = g.queue.Need(r.Route)
+	return res
+}
+
+func (g *Gate) handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	if v := g.admit(ctx, r); v.Code != api.OK {
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -118,7 +118,10 @@
 	Answer  *h1.Response
 	// After is when a refused request may be sent again.
 	After time.Duration
-	Err   error
+	// Need is the usual time of the route's runs at the upstream; 0 where it
+	// is not known.
+	Need time.Duration
+	Err  error
 }
 
 // Refuse makes the result of a request that was not run.
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -81,6 +81,8 @@
 
 	// patience holds, by route, the longest time that a caller gave.
 	patience sync.Map
+	// needs holds, by route, the usual time of its runs.
+	needs sync.Map
 }
 
 // Counts are the counters since the start.
@@ -105,7 +107,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	t := &trial{e: e, in: in, r: r, route: route}
+	t := &trial{e: e, in: in, r: r, route: route, refusal: hop.Refuse(api.CallNoUpstream, 0, nil)}
 	return e.respond(in, t.run(ctx), r)
 }
 
@@ -137,6 +139,29 @@
 	return longest.(time.Duration) - left
 }
 
+// needWeight is the weight of one upstream's report in a route's usual time.
+const needWeight = 1.0 / 16
+
+// need returns the usual time of a route's runs over all upstreams.
+func (e *Ingress) need(route string) time.Duration {
+	if v, ok := e.needs.Load(route); ok {
+		return v.(time.Duration)
+	}
+	return 0
+}
+
+// learn folds an upstream's usual time of a route in. Of two at the same
+// moment one may be lost, which does no harm.
+func (e *Ingress) learn(route string, need time.Duration) {
+	if need <= 0 {
+		return
+	}
+	if old := e.need(route); old > 0 {
+		need = old + time.Duration(needWeight*float64(need-old))
+	}
+	e.needs.Store(route, need)
+}
+
 // respond turns a result into the caller's answer.
 func (e *Ingress) respond(in *h1.Request, res hop.Result, r *hop.Request) *h1.Response {
 	if res.Code == api.OK {
@@ -203,6 +228,8 @@
 	doubt *hop.Result
 	// back is the earliest time after which a node expects room.
 	back time.Duration
+	// refusal is the last one.
+	refusal hop.Result
 }
 
 // run brings the request to one node after another while that is safe.
@@ -212,7 +239,7 @@
 	for {
 		res, found := t.once(ctx)
 		if !found {
-			return t.settle(hop.Refuse(api.CallNoUpstream, t.back, nil))
+			return t.settle(t.refusal)
 		}
 		switch {
 		case res.Code == api.OK && !t.worthAnother(res):
@@ -270,6 +297,7 @@
 }
 
 func (t *trial) refused(res hop.Result) {
+	t.refusal = res
 	if res.After > 0 && (t.back == 0 || res.After < t.back) {
 		t.back = res.After
 	}
@@ -308,7 +336,7 @@
 	}
 	key := member.UpstreamKey{Service: t.r.Service, Version: t.r.Version}
 	now := time.Now()
-	want := pick.Want{Objective: max(0, t.r.Objective.Sub(now)), Size: len(t.in.Body)}
+	want := pick.Want{Objective: max(0, t.r.Objective.Sub(now)), Size: len(t.in.Body), Need: e.need(t.r.Route)}
 	picked, ok := e.Picker.Place(x, key, t.tried, now, rand.New(globalRandom{}), want)
 	if !ok {
 		return hop.Result{}, false
@@ -318,9 +346,11 @@
 		in := *t.in
 		res := e.Local.Handle(ctx, t.r, &in)
 		picked.Done(time.Now(), faultOf(res), e.Local.Load(), true)
+		e.learn(t.r.Route, res.Need)
 		return res, true
 	}
 	res, load, carried := t.remote(ctx, picked.Record)
+	e.learn(t.r.Route, res.Need)
 	picked.Done(time.Now(), faultOf(res), load, carried)
 	return res, true
 }
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -50,6 +50,13 @@
 	sight Sight
 }
 
+// forgive forgets the faults of an upstream that its node calls ready anew.
+func (s *state) forgive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sight.faults, s.sight.ejections, s.sight.until = 0, 0, time.Time{}
+}
+
 // Picked is the choice for one attempt; Done must be called when it ended.
 type Picked struct {
 	Record member.Record
@@ -157,6 +164,9 @@
 func (p *Picker) node(old *views, r member.Record) *node {
 	if old != nil {
 		if n := old.nodes[r.Address]; n != nil && n.record.Incarnation == r.Incarnation && n.record.Version == r.Version {
+			if n.record.Sequence != r.Sequence {
+				n.state.forgive()
+			}
 			return &node{record: r, weight: n.weight, state: n.state}
 		}
 	}
--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -12,10 +12,10 @@
 	// comfort is how far the expected time must stay below the objective for a
 	// request to stay in its data centre whatever others offer: times vary by
 	// half of their mean, and an answer in time is of full use however quick.
-	comfort = 1.6
+	comfort = 1.25
 	// comfortLarge is the same for a body from largeBody bytes on, whose way to
 	// another data centre costs more than a late answer now and then.
-	comfortLarge = 1.2
+	comfortLarge = 1.1
 	largeBody    = 16 << 10
 	// farPart of a request's objective is what leaving the data centre costs
 	// beside the time of the way: bytes between data centres are paid for.
@@ -39,6 +39,8 @@
 type Want struct {
 	// Objective is the time left until its answer is of less use.
 	Objective time.Duration
+	// Need is the usual time of its route's runs; 0 where it is not known.
+	Need time.Duration
 	// Size is the length of its body in bytes.
 	Size int
 }
@@ -76,15 +78,15 @@
 // cheapest returns the candidate with the lowest expected time. The own data
 // centre is left only when it may miss the objective.
 func cheapest(groups *[distances][]Candidate, now time.Time, rng *rand.Rand, w Want) (distance Distance, place int, found bool) {
-	reference := meanUse(groups, now)
-	best := cheapestOf(groups, SameDataCentre, reference, now, rng, w)
+	mean := meanOf(groups, now)
+	best := cheapestOf(groups, SameDataCentre, mean, now, rng, w)
 	margin := comfort
 	if w.Size >= largeBody {
 		margin = comfortLarge
 	}
 	if !best.found || best.cost*margin > w.Objective.Seconds() {
 		for d := SameRegion; d < distances; d++ {
-			if o := cheapestOf(groups, d, reference, now, rng, w); o.found && (!best.found || o.cost < best.cost) {
+			if o := cheapestOf(groups, d, mean, now, rng, w); o.found && (!best.found || o.cost < best.cost) {
 				best = o
 			}
 		}
@@ -93,7 +95,7 @@
 }
 
 // cheapestOf returns the cheapest candidate of one distance.
-func cheapestOf(groups *[distances][]Candidate, d Distance, reference float64, now time.Time, rng *rand.Rand, w Want) option {
+func cheapestOf(groups *[distances][]Candidate, d Distance, mean means, now time.Time, rng *rand.Rand, w Want) option {
 	best := option{distance: d}
 	group := groups[d]
 	spare := spared(group, now)
@@ -107,7 +109,7 @@
 		if c.Tried || c.Sight.Ejected(now) && i != spare {
 			continue
 		}
-		cost := c.Sight.expected(now, c.Slots, reference) + far(d, w).Seconds()
+		cost := c.Sight.expected(now, c.Slots, mean, w.Need) + far(d, w).Seconds()
 		cost *= 1 + spreadPart*rng.Float64()
 		if !best.found || cost < best.cost {
 			best.place, best.cost, best.found = i, cost, true
@@ -116,30 +118,43 @@
 	return best
 }
 
-// meanUse is the mean use of the upstreams whose load was heard of lately; it
-// stands for those of which nothing is known.
-func meanUse(groups *[distances][]Candidate, now time.Time) float64 {
-	sum, n := usualUse, 1.0
+// means are the mean use and slot time, in seconds, of the upstreams whose load
+// was heard of lately; they stand for those of which nothing is known.
+type means struct {
+	use, held float64
+}
+
+func meanOf(groups *[distances][]Candidate, now time.Time) means {
+	use, held, n := usualUse, 0.0, 0.0
 	for _, group := range groups {
 		for i := range group {
 			if s := group[i].Sight; now.Sub(s.loadAt) < staleAfter {
-				use, _ := s.known(now, group[i].Slots, usualUse)
-				sum, n = sum+use, n+1
+				u, _ := s.known(now, group[i].Slots, usualUse)
+				use, held, n = use+u, held+max(s.load.Held, heldFloor).Seconds(), n+1
 			}
 		}
 	}
-	return sum / n
+	if n == 0 {
+		return means{use: usualUse, held: heldFloor.Seconds()}
+	}
+	return means{use: use / (n + 1), held: held / n}
 }
 
-// expected estimates the time until the answer, in seconds, without the way.
-func (s *Sight) expected(now time.Time, announced int, reference float64) float64 {
-	use := s.use(now, announced, reference)
-	held := max(s.load.Held, heldFloor).Seconds()
-	if s.loadAt.IsZero() {
-		held = 0
+// expected estimates the time until the answer, in seconds, without the way:
+// the wait for a slot, and the run, which takes the route's usual time at the
+// speed that the upstream has beside the others.
+func (s *Sight) expected(now time.Time, announced int, mean means, need time.Duration) float64 {
+	use := s.use(now, announced, mean.use)
+	held := mean.held
+	if !s.loadAt.IsZero() {
+		held = max(s.load.Held, heldFloor).Seconds()
+	}
+	run := held
+	if need > 0 {
+		run = need.Seconds() * held / mean.held
 	}
 	wait := max(0, use-1) * held
-	return (wait + held*(1+fullSlowdown*min(1, use*use)) + heldFloor.Seconds()*use) * s.penalty(now)
+	return (wait + run*(1+fullSlowdown*min(1, use*use))) * s.penalty(now)
 }
 
 // far is what a distance costs a request, as time.
