Keep requests in their data centre until its gates refuse

Entries left the data centre on estimates, and offered refused requests to every other gate. Change: the own data centre is chosen while it has an upstream that has not refused; after a refusal only nodes that are expected to answer within 1.5 times what is left to the objective are tried, except for calls of running upstreams.

--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -26,9 +26,9 @@
 	// latePart of the slots is how many requests may wait that will be answered
 	// after their objective: they begin only when no other waits.
 	latePart = 4
-	// urgent is the rank of requests that wait until their deadline: calls that
+	// Urgent is the rank of requests that wait until their deadline: calls that
 	// running upstreams make, whose refusal wastes the run that made them.
-	urgent = 0
+	Urgent = 0
 )
 
 // Want is what the queue needs to know of a request.
@@ -126,7 +126,7 @@
 // inTime is when a request must begin to meet its objective.
 func (q *Queue) inTime(w Want) time.Time {
 	latest := q.latest(w)
-	if objective := w.Objective.Add(-time.Duration(timely * float64(q.Need(w.Route)))); w.Priority != urgent && objective.Before(latest) {
+	if objective := w.Objective.Add(-time.Duration(timely * float64(q.Need(w.Route)))); w.Priority != Urgent && objective.Before(latest) {
 		return objective
 	}
 	return latest
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -34,6 +34,10 @@
 	// maxPlaces is the most nodes that one request is offered to. A refusal
 	// costs the upstream nothing, only the caller's time.
 	maxPlaces = 3
+	// hopeful times what is left to the objective is the longest expected time
+	// at which another node is tried after a refusal: what an entry knows of
+	// other nodes is seconds old, and their queues move faster.
+	hopeful = 1.5
 	// signPart of the time left is what a node may take to show that it has a
 	// request, within signMin and signMax: above a round trip between data
 	// centres and a busy node's pause, below half of a short deadline.
@@ -336,7 +340,11 @@
 	}
 	key := member.UpstreamKey{Service: t.r.Service, Version: t.r.Version}
 	now := time.Now()
-	want := pick.Want{Objective: max(0, t.r.Objective.Sub(now)), Size: len(t.in.Body), Need: e.need(t.r.Route)}
+	want := pick.Want{Need: e.need(t.r.Route)}
+	if len(t.tried) > 0 && t.r.Priority != egress.Urgent {
+		// A node refused: only one that is known to have room is worth the way.
+		want.Within = max(time.Nanosecond, time.Duration(hopeful*float64(t.r.Objective.Sub(now))))
+	}
 	picked, ok := e.Picker.Place(x, key, t.tried, now, rand.New(globalRandom{}), want)
 	if !ok {
 		return hop.Result{}, false
--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -9,26 +9,10 @@
 
 // Parameters of placing by expected time.
 const (
-	// comfort is how far the expected time must stay below the objective for a
-	// request to stay in its data centre whatever others offer: times vary by
-	// half of their mean, and an answer in time is of full use however quick.
-	comfort = 1.25
-	// comfortLarge is the same for a body from largeBody bytes on, whose way to
-	// another data centre costs more than a late answer now and then.
-	comfortLarge = 1.1
-	largeBody    = 16 << 10
-	// farPart of a request's objective is what leaving the data centre costs
-	// beside the time of the way: bytes between data centres are paid for.
-	farPart = 0.15
-	// farPerKB is the same for each kilobyte of the body, up to farMost of the
-	// objective.
-	farPerKB = 400 * time.Microsecond
-	farMost  = 0.25
 	// fullSlowdown is how much longer runs take in an upstream whose slots are
 	// all in use, as a part.
 	fullSlowdown = 0.5
-	// sampled is how many upstreams beyond those of the own data centre one
-	// choice looks at.
+	// sampled is how many upstreams of another data centre one choice looks at.
 	sampled = 6
 	// spreadPart varies each estimate, so that entries that know the same do
 	// not all choose the same upstream.
@@ -37,17 +21,19 @@
 
 // Want is what placing needs to know of a request.
 type Want struct {
-	// Objective is the time left until its answer is of less use.
-	Objective time.Duration
 	// Need is the usual time of its route's runs; 0 where it is not known.
 	Need time.Duration
-	// Size is the length of its body in bytes.
-	Size int
+	// Within leaves out the nodes at which no answer is expected within it; 0
+	// leaves out none.
+	Within time.Duration
 }
 
 // Place chooses the node at which the request is expected to be answered
 // first, among those of key that are not in tried; false where none is left.
-// It answers upstreams of different speeds and loads in several data centres.
+// The nearest data centre with one is taken, since bytes between data centres
+// are dear and the gates there know best whether they have room: the entry
+// leaves it when they have refused. It answers upstreams of different speeds
+// and loads in several data centres.
 func (p *Picker) Place(x *member.Index, key member.UpstreamKey, tried []string, now time.Time, rng *rand.Rand, w Want) (Picked, bool) {
 	nodes := p.view(x).groups[key]
 	if nodes == nil {
@@ -75,23 +61,16 @@
 	found    bool
 }
 
-// cheapest returns the candidate with the lowest expected time. The own data
-// centre is left only when it may miss the objective.
+// cheapest returns the candidate with the lowest expected time of the nearest
+// distance that has any.
 func cheapest(groups *[distances][]Candidate, now time.Time, rng *rand.Rand, w Want) (distance Distance, place int, found bool) {
 	mean := meanOf(groups, now)
-	best := cheapestOf(groups, SameDataCentre, mean, now, rng, w)
-	margin := comfort
-	if w.Size >= largeBody {
-		margin = comfortLarge
-	}
-	if !best.found || best.cost*margin > w.Objective.Seconds() {
-		for d := SameRegion; d < distances; d++ {
-			if o := cheapestOf(groups, d, mean, now, rng, w); o.found && (!best.found || o.cost < best.cost) {
-				best = o
-			}
+	for d := range Distance(distances) {
+		if o := cheapestOf(groups, d, mean, now, rng, w); o.found {
+			return o.distance, o.place, true
 		}
 	}
-	return best.distance, best.place, best.found
+	return 0, 0, false
 }
 
 // cheapestOf returns the cheapest candidate of one distance.
@@ -109,7 +88,10 @@
 		if c.Tried || c.Sight.Ejected(now) && i != spare {
 			continue
 		}
-		cost := c.Sight.expected(now, c.Slots, mean, w.Need) + far(d, w).Seconds()
+		cost := c.Sight.expected(now, c.Slots, mean, w.Need) + farCost[d].Seconds()
+		if w.Within > 0 && cost > w.Within.Seconds() {
+			continue
+		}
 		cost *= 1 + spreadPart*rng.Float64()
 		if !best.found || cost < best.cost {
 			best.place, best.cost, best.found = i, cost, true
@@ -156,12 +138,3 @@
 	wait := max(0, use-1) * held
 	return (wait + run*(1+fullSlowdown*min(1, use*use))) * s.penalty(now)
 }
-
-// far is what a distance costs a request, as time.
-func far(d Distance, w Want) time.Duration {
-	if d == SameDataCentre {
-		return 0
-	}
-	body := min(time.Duration(w.Size)*farPerKB/1024, time.Duration(farMost*float64(w.Objective)))
-	return farCost[d] + time.Duration(farPart*float64(w.Objective)) + body
-}
