Keep a failure that an upstream ran when later attempts are refused

A node that was not reached also kept others from being tried, as if it had been full. Change: the first failure that may have run is kept and answered; only a full node's refusal asks for nodes known to have room.

--- /dev/null
+++ b/internal/request/egress/queue_test.go
@@ -0,0 +1,304 @@
+package egress
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func want(priority, objective, deadline int) Want {
+	return Want{Route: "r", Priority: priority, Objective: at(objective), Deadline: at(deadline)}
+}
+
+// busy returns a queue whose slots are all in use and whose runs take 100 ms.
+func busy(slots int) *Queue {
+	q := &Queue{Slots: slots}
+	for range 64 {
+		q.running = 1
+		q.Done(start, "r", 100*time.Millisecond, true)
+	}
+	q.running = slots
+	return q
+}
+
+func TestQueueDecidesOnArrival(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		want   Want
+		code   api.Code
+		waits  bool
+		isLate bool
+	}{
+		{"can meet its objective", want(1, 500, 1000), api.OK, true, false},
+		{"can meet its deadline only", want(1, 120, 1000), api.OK, true, true},
+		{"cannot begin before its deadline", want(1, 50, 60), api.CallNoTime, false, false},
+		{"urgent waits until its deadline", want(Urgent, 50, 500), api.OK, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := busy(10)
+			ticket, v := q.Arrive(start, tc.want)
+			if v.Code != tc.code || (ticket != nil) != tc.waits || ticket != nil && ticket.late != tc.isLate {
+				t.Errorf("%v, ticket %+v", v, ticket)
+			}
+		})
+	}
+}
+
+func TestQueueRunsWhileSlotsAreFree(t *testing.T) {
+	q := &Queue{Slots: 2}
+	for range 2 {
+		if ticket, v := q.Arrive(start, want(2, 500, 1000)); ticket != nil || v.Code != api.OK {
+			t.Fatalf("%+v, %v", ticket, v)
+		}
+	}
+	if ticket, _ := q.Arrive(start, want(2, 500, 1000)); ticket == nil {
+		t.Error("a third runs in two slots")
+	}
+}
+
+func TestQueueAdmitsByRankThenByLatestBeginning(t *testing.T) {
+	q := busy(4)
+	wants := []Want{want(2, 900, 2000), want(2, 800, 2000), want(1, 1000, 2000), want(Urgent, 1000, 2000), want(1, 130, 2000)}
+	var tickets []*Ticket
+	for _, w := range wants {
+		ticket, v := q.Arrive(start, w)
+		if ticket == nil {
+			t.Fatalf("%+v: %v", w, v)
+		}
+		tickets = append(tickets, ticket)
+	}
+	for _, next := range []int{3, 2, 1, 0, 4} {
+		q.Done(start, "r", 100*time.Millisecond, true)
+		select {
+		case v := <-tickets[next].Verdict:
+			if v.Code != api.OK {
+				t.Errorf("%d: %v", next, v)
+			}
+		default:
+			t.Fatalf("%d was not admitted", next)
+		}
+	}
+}
+
+func TestRequestPushedBackBeyondItsObjectiveIsRefusedAtOnce(t *testing.T) {
+	q := busy(2)
+	low, _ := q.Arrive(start, want(2, 220, 230))
+	if low == nil {
+		t.Fatal("refused on arrival")
+	}
+	for range 3 {
+		if ticket, v := q.Arrive(start, want(1, 900, 1000)); ticket == nil {
+			t.Fatal(v)
+		}
+	}
+	select {
+	case v := <-low.Verdict:
+		if v.Code != api.CallShed || v.After <= 0 {
+			t.Errorf("%v", v)
+		}
+	default:
+		t.Error("it still waits")
+	}
+}
+
+func TestFewLateRequestsWait(t *testing.T) {
+	q := busy(8)
+	waiting := 0
+	for range 20 {
+		if ticket, _ := q.Arrive(start, want(1, 110, 5000)); ticket != nil {
+			waiting++
+		}
+	}
+	if waiting != 8/latePart {
+		t.Errorf("%d late ones wait", waiting)
+	}
+}
+
+func TestWithdrawnAndRefusedTicketsLeaveTheQueue(t *testing.T) {
+	q := busy(2)
+	a, _ := q.Arrive(start, want(1, 900, 1000))
+	b, _ := q.Arrive(start, want(1, 900, 1000))
+	if !q.Withdraw(a) || q.Withdraw(a) || q.Waiting() != 1 {
+		t.Error("withdrawing")
+	}
+	q.Refuse(Verdict{Code: api.CallLeaving})
+	if v := <-b.Verdict; v.Code != api.CallLeaving || q.Waiting() != 0 || q.Withdraw(b) {
+		t.Error("refusing all")
+	}
+}
+
+// A drive in virtual time: one upstream gets 1.5 times the requests that it
+// has slots for.
+type drive struct {
+	queue  admission
+	rng    *rand.Rand
+	events events
+	ends   map[int]outcome
+}
+
+type outcome struct{ inTime, served, held int }
+
+// admission is the queue under test or a baseline.
+type admission interface {
+	arrive(now time.Time, w Want) (ticket *Ticket, ok bool)
+	done(now time.Time, took time.Duration)
+}
+
+type objectiveQueue struct{ Queue }
+
+func (q *objectiveQueue) arrive(now time.Time, w Want) (*Ticket, bool) {
+	t, v := q.Arrive(now, w)
+	return t, v.Code == api.OK
+}
+
+func (q *objectiveQueue) done(now time.Time, took time.Duration) { q.Done(now, "r", took, true) }
+
+// fifo lets all wait in order of arrival until their deadline.
+type fifo struct {
+	slots, running int
+	waiting        []*Ticket
+}
+
+func (f *fifo) arrive(_ time.Time, w Want) (*Ticket, bool) {
+	if f.running < f.slots {
+		f.running++
+		return nil, true
+	}
+	t := &Ticket{Want: w, Verdict: make(chan Verdict, 1)}
+	f.waiting = append(f.waiting, t)
+	return t, true
+}
+
+func (f *fifo) done(now time.Time, _ time.Duration) {
+	f.running--
+	for f.running < f.slots && len(f.waiting) > 0 {
+		t := f.waiting[0]
+		f.waiting = f.waiting[1:]
+		if now.After(t.Deadline) {
+			t.decide(Verdict{Code: api.CallNoTime})
+			continue
+		}
+		f.running++
+		t.decide(Verdict{Code: api.OK})
+	}
+}
+
+type event struct {
+	at  time.Time
+	run func(now time.Time)
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+const (
+	driveSlots     = 11
+	driveWork      = 90 * time.Millisecond
+	driveObjective = 200 * time.Millisecond
+	driveDeadline  = 500 * time.Millisecond
+	driveOverload  = 1.5
+	driveRequests  = 3_000
+)
+
+// play returns what callers get: the share of requests answered in time and at all.
+func play(q admission, seed uint64) (inTime, served float64, worst [2]float64) {
+	d := &drive{queue: q, rng: rand.New(rand.NewPCG(seed, seed)), ends: map[int]outcome{}}
+	gap := float64(driveWork) / driveSlots / driveOverload
+	now := start
+	asked := map[int]int{}
+	for i := range driveRequests {
+		now = now.Add(time.Duration(d.rng.ExpFloat64() * gap))
+		priority := 1 + i%2
+		asked[priority]++
+		w := Want{Route: "r", Priority: priority, Objective: now.Add(driveObjective), Deadline: now.Add(driveDeadline)}
+		heap.Push(&d.events, event{now, func(now time.Time) { d.arrive(now, w) }})
+	}
+	for len(d.events) > 0 {
+		e := heap.Pop(&d.events).(event)
+		e.run(e.at)
+	}
+	var good, all int
+	for p, o := range d.ends {
+		good, all = good+o.inTime, all+o.served
+		worst[p-1] = float64(o.served) / float64(asked[p])
+	}
+	return float64(good) / driveRequests, float64(all) / driveRequests, worst
+}
+
+func (d *drive) arrive(now time.Time, w Want) {
+	ticket, ok := d.queue.arrive(now, w)
+	switch {
+	case !ok:
+	case ticket == nil:
+		d.begin(now, w)
+	default:
+		d.poll(now, ticket)
+	}
+}
+
+// poll looks for a ticket's verdict each millisecond of virtual time.
+func (d *drive) poll(now time.Time, t *Ticket) {
+	select {
+	case v := <-t.Verdict:
+		if v.Code == api.OK {
+			d.begin(now, t.Want)
+		}
+	default:
+		next := now.Add(time.Millisecond)
+		heap.Push(&d.events, event{next, func(now time.Time) { d.poll(now, t) }})
+	}
+}
+
+func (d *drive) begin(now time.Time, w Want) {
+	took := time.Duration(float64(driveWork) * math.Exp(0.4*d.rng.NormFloat64()-0.08))
+	end := now.Add(took)
+	heap.Push(&d.events, event{end, func(now time.Time) {
+		o := d.ends[w.Priority]
+		if !now.After(w.Deadline) {
+			o.served++
+		}
+		if !now.After(w.Objective) {
+			o.inTime++
+		}
+		d.ends[w.Priority] = o
+		d.queue.done(now, took)
+	}})
+}
+
+// The bound is the stated aim for overload: of the two thirds that there are
+// slots for, nine in ten are answered in time, and the higher rank goes first.
+func TestOverloadIsAnsweredInTimeForThoseThereIsRoomFor(t *testing.T) {
+	for seed := range uint64(3) {
+		inTime, served, byRank := play(&objectiveQueue{Queue{Slots: driveSlots}}, seed)
+		base, baseServed, _ := play(&fifo{slots: driveSlots}, seed)
+		t.Logf("seed %d: in time %.3f, served %.3f (rank 1 %.3f, rank 2 %.3f); first come first served %.3f, %.3f",
+			seed, inTime, served, byRank[0], byRank[1], base, baseServed)
+		if capacity := 1 / driveOverload; inTime < 0.9*capacity {
+			t.Errorf("seed %d: %.3f in time, there is room for %.3f", seed, inTime, capacity)
+		}
+		if byRank[0] < byRank[1] || byRank[0] < 0.9 {
+			t.Errorf("seed %d: the higher rank is served %.3f, the lower %.3f", seed, byRank[0], byRank[1])
+		}
+		if inTime <= base {
+			t.Errorf("seed %d: first come first served answers more in time: %.3f", seed, base)
+		}
+	}
+}
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -228,8 +228,9 @@
 	tried []string
 	// reached counts the upstreams that may have got the request.
 	reached int
-	// doubt is the last failure after which the request may have run.
-	doubt *hop.Result
+	// kept is what the caller gets unless another attempt does better: an
+	// upstream's own failure, else a failure after which the request may have run.
+	kept *hop.Result
 	// back is the earliest time after which a node expects room.
 	back time.Duration
 	// refusal is the last one.
@@ -263,9 +264,7 @@
 			}
 		default:
 			t.reached++
-			if res.Code != api.OK {
-				t.doubt = &res
-			}
+			t.keep(res)
 			if !t.again() {
 				return t.settle(res)
 			}
@@ -307,10 +306,18 @@
 	}
 }
 
-// settle ends the request with res, unless an attempt before may have run.
+// keep remembers an attempt after which the request may have run.
+func (t *trial) keep(res hop.Result) {
+	if t.kept == nil || t.kept.Code != api.OK {
+		t.kept = &res
+	}
+}
+
+// settle ends the request with res, unless an attempt before says more: a
+// request that may have run must not be called refused.
 func (t *trial) settle(res hop.Result) hop.Result {
-	if res.Ran == api.RanNo && t.doubt != nil {
-		return *t.doubt
+	if t.kept != nil && (res.Ran == api.RanNo || t.kept.Code == api.OK) {
+		return *t.kept
 	}
 	if res.Ran == api.RanNo && t.back > 0 {
 		res.After = t.back
@@ -341,8 +348,8 @@
 	key := member.UpstreamKey{Service: t.r.Service, Version: t.r.Version}
 	now := time.Now()
 	want := pick.Want{Need: e.need(t.r.Route)}
-	if len(t.tried) > 0 && t.r.Priority != egress.Urgent {
-		// A node refused: only one that is known to have room is worth the way.
+	if t.refusal.Code == api.CallShed && !t.refusal.Reached && t.r.Priority != egress.Urgent {
+		// A node was full: only one that is known to have room is worth the way.
 		want.Within = max(time.Nanosecond, time.Duration(hopeful*float64(t.r.Objective.Sub(now))))
 	}
 	picked, ok := e.Picker.Place(x, key, t.tried, now, rand.New(globalRandom{}), want)
--- /dev/null
+++ b/internal/request/ingress/ingress_test.go
@@ -0,0 +1,286 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/request/egress"
+	"github.com/daisytide/daisytide/internal/request/gate"
+	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/request/pick"
+	"github.com/daisytide/daisytide/internal/request/retry"
+	"github.com/daisytide/daisytide/internal/version/document"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+	"github.com/daisytide/daisytide/internal/version/traffic"
+)
+
+// plain is a dialect of plain headers.
+type plain struct{}
+
+func (plain) ID(h http.Header) (string, string) { return "Id", h.Get("Id") }
+
+func (plain) TimeLeft(h http.Header) (time.Duration, bool) {
+	n, err := strconv.Atoi(h.Get("Left"))
+	return time.Duration(n) * time.Millisecond, err == nil
+}
+
+func (plain) ToUpstream(http.Header, time.Duration, string, string) {}
+func (plain) NotRun(*h1.Response) (bool, bool)                      { return false, false }
+func (plain) Made(*h1.Response) bool                                { return true }
+func (plain) ComeBack(h http.Header, after time.Duration) {
+	h.Set("Back", strconv.FormatInt(after.Milliseconds(), 10))
+}
+
+type oneVersion struct{}
+
+func (oneVersion) Choose(*member.Index, string, float64) string { return "v1" }
+
+// rig is an entry among gates that answer as they are told, one after another.
+type rig struct {
+	entry *Ingress
+	// plan gives the results of the attempts; sent counts them.
+	plan []hop.Result
+	sent int
+	// hang makes an attempt wait for the end of its context.
+	hang bool
+}
+
+func (r *rig) handle(ctx context.Context) hop.Result {
+	i := r.sent
+	r.sent++
+	if r.hang {
+		<-ctx.Done()
+		return hop.Result{Code: api.CallTimeout, Ran: api.RanUnknown, Err: ctx.Err()}
+	}
+	if i >= len(r.plan) {
+		return hop.Refuse(api.CallShed, 0, nil)
+	}
+	return r.plan[i]
+}
+
+// Handle implements Local; the rig's own gate answers for all.
+func (r *rig) Handle(ctx context.Context, _ *hop.Request, _ *h1.Request) hop.Result {
+	return r.handle(ctx)
+}
+
+// Load implements Local.
+func (r *rig) Load() gate.Load { return gate.Load{Slots: 10} }
+
+func routes() traffic.Config {
+	route := func(name string, repeat traffic.Repeat, priority int) traffic.Route {
+		return traffic.Route{
+			Name: name, Host: "a", Prefix: "/" + name + "/", Repeat: repeat, TimeLimit: 200 * time.Millisecond,
+			Objective: 100 * time.Millisecond, Priority: priority, Attempts: 2, Shares: []traffic.Share{{Service: "s", Weight: 1}},
+		}
+	}
+	return traffic.Config{
+		Services: []traffic.Service{{Name: "s"}},
+		Routes:   []traffic.Route{route("read", traffic.Idempotent, 1), route("once", traffic.Once, 1), route("call", traffic.Idempotent, egress.Urgent)},
+	}
+}
+
+// newRig makes an entry that knows gates at this node and at others.
+func newRig(t *testing.T, others int, plan ...hop.Result) *rig {
+	t.Helper()
+	r := &rig{plan: plan}
+	members := member.NewTable()
+	add := func(address, gate string) {
+		members.Merge(member.Record{
+			Address: address, Gate: gate, DataCentre: "a", Incarnation: 1, State: member.Alive,
+			Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
+		})
+	}
+	add("self", "")
+	for i := range others {
+		s := &h1.Server{
+			Handler: func(ctx context.Context, _ *h1.Request) *h1.Response {
+				return egress.Respond(r.handle(ctx), gate.Load{Slots: 10})
+			},
+			Limits: func() h1.Limits {
+				return h1.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+			},
+			MaxHeld: 1 << 20, Lazy: true,
+		}
+		l, err := h1.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() { _ = s.Serve(l) }()
+		add("other"+strconv.Itoa(i), l.Addr().String())
+	}
+	c := routes()
+	envelope, err := (&document.Accepted{Number: 1, Traffic: &c}).Envelope()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := snapshot.Build(envelope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder := &snapshot.Holder{}
+	holder.Offer(s)
+	r.entry = &Ingress{
+		Self: "self", Service: "s", Holder: holder, Members: members, Versions: oneVersion{},
+		Picker: &pick.Picker{Self: "self", DataCentre: "a"}, Budget: retry.NewBudgetOf(10), RetryShare: 10,
+		Local: r, Client: &h1.Client{DialTimeout: time.Second, MaxIdle: 4}, Dialect: plain{},
+	}
+	return r
+}
+
+func (r *rig) get(path string, headers ...string) *h1.Response {
+	h := http.Header{"Id": {"7"}}
+	for i := 0; i+1 < len(headers); i += 2 {
+		h.Set(headers[i], headers[i+1])
+	}
+	return r.entry.Serve(context.Background(), &h1.Request{Method: "GET", Target: path, Host: "a", Header: h, Arrived: time.Now()})
+}
+
+func answered(status int) hop.Result {
+	return hop.Result{Code: api.OK, Ran: api.RanYes, Answer: &h1.Response{Status: status, Header: http.Header{}}}
+}
+
+var (
+	cut     = hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: errors.New("cut")}
+	shed    = hop.Refuse(api.CallShed, 30*time.Millisecond, nil)
+	reached = hop.Result{Code: api.CallShed, Ran: api.RanNo, Reached: true}
+)
+
+func TestStatusTellsTruthfullyWhatRan(t *testing.T) {
+	for _, tc := range []struct {
+		name, path string
+		plan       []hop.Result
+		status     int
+		sent       int
+	}{
+		{"answered", "/once/1", []hop.Result{answered(200)}, 200, 1},
+		{"no route", "/lacking/1", nil, 404, 0},
+		{"refused everywhere", "/once/1", []hop.Result{shed, shed, shed}, 503, 3},
+		{"refused, then answered", "/once/1", []hop.Result{shed, answered(200)}, 200, 2},
+		{"must run once, and may have", "/once/1", []hop.Result{cut, answered(200)}, 502, 1},
+		{"must run once, and its upstream failed", "/once/1", []hop.Result{answered(500), answered(200)}, 500, 1},
+		{"may run again", "/read/1", []hop.Result{cut, answered(200)}, 200, 2},
+		{"may run again, but at two upstreams only", "/read/1", []hop.Result{cut, cut, answered(200)}, 502, 2},
+		{"ran, then refused elsewhere", "/read/1", []hop.Result{cut, shed, shed}, 502, 3},
+		{"failed, then refused elsewhere", "/read/1", []hop.Result{answered(500), shed, shed}, 500, 3},
+		{"failed, then cut", "/read/1", []hop.Result{answered(500), cut}, 500, 2},
+		{"quarantined", "/once/1", []hop.Result{hop.Refuse(api.CallQuarantined, 0, nil), answered(200)}, 503, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 3, tc.plan...)
+			resp := r.get(tc.path)
+			if resp.Status != tc.status || r.sent != tc.sent {
+				t.Errorf("status %d after %d attempts, want %d after %d", resp.Status, r.sent, tc.status, tc.sent)
+			}
+			if (resp.Status == 503) != (resp.Header.Get("Back") != "") {
+				t.Errorf("status %d, come back %q", resp.Status, resp.Header.Get("Back"))
+			}
+		})
+	}
+}
+
+func TestUpstreamsThatRefuseThemselvesArePaidFromTheBudget(t *testing.T) {
+	r := newRig(t, 3)
+	r.entry.Budget = retry.NewBudgetOf(3)
+	r.entry.RetryShare = 0.001
+	for range 20 {
+		r.plan = append(r.plan, reached, reached)
+	}
+	for range 10 {
+		r.get("/once/1")
+	}
+	if again := r.sent - 10; again > 3 {
+		t.Errorf("%d arrivals beyond the first with a budget of 3", again)
+	}
+}
+
+func TestAnswerComesAtTheRoutesTimeLimit(t *testing.T) {
+	r := newRig(t, 0)
+	r.hang = true
+	began := time.Now()
+	resp := r.get("/once/1", "Left", "60000")
+	if took := time.Since(began); resp.Status != 504 || took < 200*time.Millisecond || took > 5*time.Second {
+		t.Errorf("status %d after %v", resp.Status, took)
+	}
+}
+
+func TestNodeWithoutConfigurationRefusesAsNotRun(t *testing.T) {
+	r := newRig(t, 0)
+	r.entry.Holder = &snapshot.Holder{}
+	if resp := r.get("/once/1"); resp.Status != 503 || r.sent != 0 {
+		t.Errorf("status %d", resp.Status)
+	}
+}
+
+func TestCallerIsToldToReturnWithinAThirdOfItsTime(t *testing.T) {
+	r := newRig(t, 0, hop.Refuse(api.CallShed, time.Hour, nil))
+	resp := r.get("/once/1", "Left", "150")
+	if back, err := strconv.Atoi(resp.Header.Get("Back")); err != nil || back < 1 || back > 50 {
+		t.Errorf("come back after %q ms", resp.Header.Get("Back"))
+	}
+}
+
+func TestReturningRequestsObjectiveIsNearer(t *testing.T) {
+	r := newRig(t, 0)
+	route := r.entry.Holder.Current().Traffic.Find("a", "/read/1")
+	ask := func(left string) time.Duration {
+		in := &h1.Request{Host: "a", Header: http.Header{"Left": {left}}, Arrived: time.Now()}
+		return r.entry.request(in, route, r.entry.Holder.Current()).Objective.Sub(in.Arrived)
+	}
+	if first := ask("150"); first != 100*time.Millisecond {
+		t.Errorf("first: %v", first)
+	}
+	if second := ask("110"); second != 60*time.Millisecond {
+		t.Errorf("with 40 ms used up: %v", second)
+	}
+}
+
+// A node that goes silent on a kept connection: what must run once is tried
+// elsewhere only while its body was not asked for.
+func TestSilentNodeIsGivenUpForAnother(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				br := bufio.NewReader(conn)
+				for {
+					if _, err := br.ReadByte(); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	r := newRig(t, 0, answered(200))
+	r.entry.Holder.Current().Traffic.Config.Routes[0].TimeLimit = time.Minute
+	r.entry.Members.Merge(member.Record{
+		Address: "self", Gate: "", DataCentre: "b", Incarnation: 2, State: member.Alive,
+		Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
+	})
+	r.entry.Members.Merge(member.Record{
+		Address: "silent", Gate: l.Addr().String(), DataCentre: "a", Incarnation: 1, State: member.Alive,
+		Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
+	})
+	in := &h1.Request{Method: "POST", Target: "/once/1", Host: "a", Header: http.Header{}, Body: []byte("b"), Arrived: time.Now()}
+	if resp := r.entry.Serve(context.Background(), in); resp.Status != 200 {
+		t.Errorf("status %d after %d attempts at the other node", resp.Status, r.sent)
+	}
+}
--- /dev/null
+++ b/internal/request/pick/place_test.go
@@ -0,0 +1,135 @@
+package pick
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/request/gate"
+)
+
+// placing is a picker in data centre "a" and the nodes that it knows.
+type placing struct {
+	picker *Picker
+	table  *member.Table
+	now    time.Time
+	rng    *rand.Rand
+}
+
+func newPlacing(places ...string) *placing {
+	p := &placing{
+		picker: &Picker{Self: "self", DataCentre: "a", Region: "r"}, table: member.NewTable(),
+		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 1)),
+	}
+	for i, place := range places {
+		p.table.Merge(member.Record{
+			Address: fmt.Sprintf("%s%d", place, i), DataCentre: place, Region: "r", Incarnation: 1, State: member.Alive,
+			Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
+		})
+	}
+	return p
+}
+
+var placeKey = member.UpstreamKey{Service: "s", Version: "v1"}
+
+func (p *placing) place(t *testing.T, tried []string, w Want) (Picked, bool) {
+	t.Helper()
+	return p.picker.Place(p.table.Index(), placeKey, tried, p.now, p.rng, w)
+}
+
+// load makes the picker know each node's load.
+func (p *placing) load(t *testing.T, loads map[string]gate.Load) {
+	t.Helper()
+	var tried []string
+	for {
+		picked, ok := p.place(t, tried, Want{})
+		if !ok {
+			return
+		}
+		tried = append(tried, picked.Record.Address)
+		l, known := loads[picked.Record.Address]
+		picked.Done(p.now, NoFault, l, known)
+	}
+}
+
+func TestOwnDataCentreIsLeftOnlyWhenItHasRefused(t *testing.T) {
+	p := newPlacing("a", "b", "b")
+	p.load(t, map[string]gate.Load{
+		"a0": {Busy: 30, Slots: 10, Held: time.Second}, "b1": {Slots: 10, Held: time.Millisecond}, "b2": {Slots: 10, Held: time.Millisecond},
+	})
+	for range 50 {
+		picked, _ := p.place(t, nil, Want{Need: 10 * time.Millisecond})
+		if picked.Record.Address != "a0" {
+			t.Fatalf("placed at %s", picked.Record.Address)
+		}
+		picked.Done(p.now, Neutral, gate.Load{}, false)
+	}
+	if picked, ok := p.place(t, []string{"a0"}, Want{}); !ok || picked.Record.DataCentre != "b" {
+		t.Errorf("after a refusal: %+v, %v", picked.Record, ok)
+	}
+}
+
+func TestAfterARefusalOnlyNodesWithRoomAreTried(t *testing.T) {
+	p := newPlacing("a", "b", "b")
+	p.load(t, map[string]gate.Load{
+		"a0": {Busy: 10, Slots: 10, Held: 100 * time.Millisecond},
+		"b1": {Busy: 40, Slots: 10, Held: 100 * time.Millisecond},
+		"b2": {Busy: 2, Slots: 10, Held: 100 * time.Millisecond},
+	})
+	w := Want{Need: 100 * time.Millisecond, Within: 250 * time.Millisecond}
+	for range 50 {
+		picked, ok := p.place(t, []string{"a0"}, w)
+		if !ok || picked.Record.Address != "b2" {
+			t.Fatalf("placed at %s, %v", picked.Record.Address, ok)
+		}
+		picked.Done(p.now, Neutral, gate.Load{}, false)
+	}
+	if picked, ok := p.place(t, []string{"a0", "b2"}, w); ok {
+		t.Errorf("placed at the full %s", picked.Record.Address)
+	}
+}
+
+func TestIdleFastUpstreamIsPreferredToABusyOrSlowOne(t *testing.T) {
+	p := newPlacing("a", "a", "a")
+	p.load(t, map[string]gate.Load{
+		"a0": {Busy: 12, Slots: 10, Held: 100 * time.Millisecond},
+		"a1": {Busy: 1, Slots: 10, Held: 100 * time.Millisecond},
+		"a2": {Busy: 1, Slots: 10, Held: 300 * time.Millisecond},
+	})
+	for range 50 {
+		picked, _ := p.place(t, nil, Want{Need: 100 * time.Millisecond})
+		if picked.Record.Address != "a1" {
+			t.Fatalf("placed at %s", picked.Record.Address)
+		}
+		picked.Done(p.now, Neutral, gate.Load{}, false)
+	}
+}
+
+func TestUpstreamThatIsAnnouncedAnewIsNotPutAsideForItsPast(t *testing.T) {
+	p := newPlacing("a", "a", "a")
+	picked, _ := p.place(t, nil, Want{})
+	picked.Done(p.now, Leaving, gate.Load{}, false)
+	gone := picked.Record
+	picks := func() int {
+		n := 0
+		for range 60 {
+			picked, _ := p.place(t, nil, Want{})
+			if picked.Record.Address == gone.Address {
+				n++
+			}
+			picked.Done(p.now, Neutral, gate.Load{}, false)
+		}
+		return n
+	}
+	if n := picks(); n != 0 {
+		t.Errorf("%d picks while put aside", n)
+	}
+	gone.Sequence++
+	p.table.Merge(gone)
+	if picks() == 0 {
+		t.Error("never picked again")
+	}
+}
