Test upstream reports, moves by order, the operated provider and the registry

The keys of the operator moved to version/traffic, where the adapter and the provider both see them.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -37,6 +37,7 @@
 	"github.com/daisytide/daisytide/internal/request/retry"
 	"github.com/daisytide/daisytide/internal/version/ramp"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
+	"github.com/daisytide/daisytide/internal/version/traffic"
 )
 
 const logPrefix = "operated: "
@@ -75,7 +76,7 @@
 	hop.Dialect
 	orders.Statuses
 	// Operator says where the operator writes.
-	Operator() provider.OperatorKeys
+	Operator() traffic.OperatorKeys
 	// Order reads an order.
 	Order(key string, revision uint64, value []byte) (ramp.Order, error)
 	// Reports returns the handler of the upstream's calls, which gives what it
--- /dev/null
+++ b/internal/process/orders/orders_test.go
@@ -0,0 +1,195 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/upstreams"
+	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/version/ramp"
+)
+
+// plainStatuses writes a status as "target phase".
+type plainStatuses struct{}
+
+func (plainStatuses) Key(service string) string { return "status/" + service }
+func (plainStatuses) Status(o ramp.Order, p ramp.Phase) ([]byte, error) {
+	return []byte(o.Target + " " + p.String()), nil
+}
+
+func (plainStatuses) ReadStatus(_ string, value []byte) (string, ramp.Phase, error) {
+	target, name, _ := strings.Cut(string(value), " ")
+	for _, p := range []ramp.Phase{ramp.Running, ramp.Completed, ramp.Withdrawn} {
+		if p.String() == name {
+			return target, p, nil
+		}
+	}
+	return "", 0, fmt.Errorf("unknown phase %q", name)
+}
+
+// wired hands each fact to the other managers at once.
+type wired struct{ others []*Manager }
+
+func (w *wired) Publish(topic string, item []byte) {
+	for _, m := range w.others {
+		if topic == TopicMoves {
+			_, _ = Moves{m}.Merge(item)
+		} else {
+			_, _ = Tallies{m}.Merge(item)
+		}
+	}
+}
+
+func newManager(self string, s platform.Store, w *wired) *Manager {
+	members := member.NewTable()
+	for i, version := range []string{"v1", "v1", "v2"} {
+		members.Merge(member.Record{
+			Address: fmt.Sprint("n", i), DataCentre: "a", Incarnation: 1, State: member.Alive,
+			Service: "s", Version: version, Upstream: api.UpstreamReady, Slots: 10,
+		})
+	}
+	return NewManager(Config{Self: self, Incarnation: 1, Members: members, Store: s, Statuses: plainStatuses{}, Publisher: w})
+}
+
+var order = ramp.Order{Service: "s", Target: "v2", Revision: 9, Within: 10 * time.Second}
+
+func (m *Manager) shares(n int) (target float64) {
+	x := m.cfg.Members.Index()
+	for i := range n {
+		if m.Choose(x, "s", (float64(i)+0.5)/float64(n)) == "v2" {
+			target++
+		}
+	}
+	return target / float64(n)
+}
+
+// observe counts n runs, of which some fail.
+func observe(m *Manager, version string, n, failed int) {
+	i := &upstreams.Instance{Report: upstreams.Report{Service: "s", Version: version}}
+	for k := range n {
+		res := hop.Result{Code: api.OK, Answer: &h1.Response{Status: 200}}
+		if k < failed {
+			res.Answer.Status = 500
+		}
+		m.Observe(i, &hop.Request{Service: "s", Route: "r"}, res, 100*time.Millisecond)
+	}
+}
+
+func TestVersionWithoutAnOrderGetsNothingWhileAnotherServes(t *testing.T) {
+	m := newManager("n0", store.New(1), &wired{})
+	x := m.cfg.Members.Index()
+	only := &member.Index{Serving: map[member.UpstreamKey][]member.Record{}}
+	for k, v := range x.Serving {
+		if k.Version == "v1" {
+			only.Serving[k] = v
+		}
+	}
+	m.Choose(only, "s", 0.5)
+	if share := m.shares(100); share != 0 {
+		t.Errorf("share %v before any order", share)
+	}
+}
+
+func TestShareFollowsTheOrderAndItsEnd(t *testing.T) {
+	m := newManager("n0", store.New(1), &wired{})
+	m.Order(order, time.Now())
+	if share := m.shares(100); share != 0.04 {
+		t.Errorf("share %v at first", share)
+	}
+	m.moves["s"].since = time.Now().Add(-8 * time.Second)
+	if share := m.shares(100); share != 1 {
+		t.Errorf("share %v late", share)
+	}
+	m.end(m.moves["s"], ramp.Withdrawn, time.Now())
+	if share := m.shares(100); share != 0 || m.Allowed("s", "v2") || !m.Allowed("s", "v1") {
+		t.Errorf("share %v after the withdrawal", share)
+	}
+}
+
+func TestBadVersionIsWithdrawnByTheCountsOfAllNodes(t *testing.T) {
+	w := &wired{}
+	a, b := newManager("n0", store.New(1), w), newManager("n1", store.New(1), w)
+	w.others = []*Manager{a, b}
+	now := time.Now()
+	a.Order(order, now)
+	b.Order(order, now)
+	observe(a, "v1", 100, 1)
+	observe(a, "v2", 8, 4)
+	observe(b, "v2", 8, 4)
+	for range 100 {
+		a.tick(context.Background(), time.Now())
+		b.tick(context.Background(), time.Now())
+		if !a.Allowed("s", "v2") && !b.Allowed("s", "v2") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("it is still allowed")
+}
+
+func TestStatusIsWrittenOnceAndTheStoresEndCounts(t *testing.T) {
+	s := store.New(1)
+	writes := map[string]int{}
+	s.OnPut(func(e platform.Entry) { writes[string(e.Value)]++ })
+	w := &wired{}
+	a, b := newManager("n0", s, w), newManager("n1", s, w)
+	ctx := context.Background()
+	now := time.Now().Add(-9 * time.Second)
+	for _, m := range []*Manager{a, b} {
+		o := order
+		o.Revision = 0
+		m.Order(ramp.Order{Service: o.Service, Target: o.Target, Revision: 1, Within: o.Within}, now)
+	}
+	// The store's revisions begin above the order's.
+	if _, err := s.CompareAndSwap(ctx, "x", 0, []byte("x"), ""); err != nil {
+		t.Fatal(err)
+	}
+	a.judge(a.moves["s"], time.Now())
+	b.end(b.moves["s"], ramp.Withdrawn, time.Now())
+	a.record(ctx, a.moves["s"], time.Now())
+	b.record(ctx, b.moves["s"], time.Now())
+	if writes["v2 completed"] != 1 || writes["v2 withdrawn"] != 0 {
+		t.Errorf("written: %v", writes)
+	}
+	if b.moves["s"].phase != ramp.Completed || !b.Allowed("s", "v2") {
+		t.Error("the loser of the race does not follow the store")
+	}
+}
+
+func TestNodeThatStartsLateDoesNotBeginTheMoveAnew(t *testing.T) {
+	a, b := newManager("n0", store.New(1), &wired{}), newManager("n1", store.New(1), &wired{})
+	a.Order(order, time.Now().Add(-8*time.Second))
+	for _, item := range (Moves{a}).Items() {
+		if changed, err := (Moves{b}).Merge(item); err != nil || !changed {
+			t.Fatal(changed, err)
+		}
+	}
+	if share := b.shares(100); share != 1 {
+		t.Errorf("share %v", share)
+	}
+	if (Moves{a}).Sum() != (Moves{b}).Sum() {
+		t.Error("equal moves have different sums")
+	}
+}
+
+func TestLaterOrderReplacesAMove(t *testing.T) {
+	m := newManager("n0", store.New(1), &wired{})
+	m.Order(order, time.Now())
+	m.end(m.moves["s"], ramp.Completed, time.Now())
+	m.Order(ramp.Order{Service: "s", Target: "v3", Revision: 20, Within: time.Second}, time.Now())
+	m.Order(order, time.Now())
+	if m.moves["s"].order.Target != "v3" {
+		t.Error("an old order came back")
+	}
+	if share := m.shares(100); share != 1 {
+		t.Errorf("share %v of the version that the first move brought in", share)
+	}
+}
--- a/internal/process/provider/operated.go
+++ b/internal/process/provider/operated.go
@@ -33,22 +33,13 @@
 	listTimeout = 3 * time.Second
 )
 
-// OperatorKeys says where an operator writes and how to read it.
-type OperatorKeys struct {
-	// Prefix holds all keys of the operator, Config the configuration, Orders
-	// the orders to move services.
-	Prefix, Config, Orders string
-	// Decode reads a configuration.
-	Decode func(value []byte) (number uint64, c traffic.Config, err error)
-}
-
 // Operated brings the configuration and the orders that an operator keeps in
 // the store into force. It implements spread.Configs, by which peers bring
 // the configuration too.
 type Operated struct {
 	Store  platform.Store
 	Holder *snapshot.Holder
-	Keys   OperatorKeys
+	Keys   traffic.OperatorKeys
 	// Order takes the value of a key under Keys.Orders; listed tells that it
 	// was read with all others and may be old.
 	Order func(e platform.Entry, listed bool)
--- /dev/null
+++ b/internal/process/provider/operated_test.go
@@ -0,0 +1,156 @@
+package provider
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+	"github.com/daisytide/daisytide/internal/version/traffic"
+)
+
+const (
+	opPrefix = "op/"
+	opConfig = "op/config"
+	opOrders = "op/orders/"
+)
+
+// decodeNumber reads a configuration whose value is its number.
+func decodeNumber(value []byte) (uint64, traffic.Config, error) {
+	n, err := strconv.ParseUint(string(value), 10, 64)
+	return n, traffic.Config{}, err
+}
+
+type operatedRig struct {
+	*Operated
+	orders atomic.Int64
+}
+
+func newOperated(s platform.Store) *operatedRig {
+	r := &operatedRig{}
+	r.Operated = &Operated{
+		Store: s, Holder: &snapshot.Holder{},
+		Keys:  traffic.OperatorKeys{Prefix: opPrefix, Config: opConfig, Orders: opOrders, Decode: decodeNumber},
+		Order: func(platform.Entry, bool) { r.orders.Add(1) },
+		Links: func() int { return 0 }, Size: func() int { return 1 },
+	}
+	return r
+}
+
+func put(t *testing.T, s *store.Store, key, value string) {
+	t.Helper()
+	e, err := s.Get(context.Background(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.CompareAndSwap(context.Background(), key, e.Revision, []byte(value), ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (r *operatedRig) await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s; configuration %d", what, r.Held())
+		}
+	}
+}
+
+func run(t *testing.T, r *operatedRig) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = r.Run(ctx) }()
+}
+
+func TestOperatorsConfigurationIsFollowedAndNeverBack(t *testing.T) {
+	s := store.New(1)
+	r := newOperated(s)
+	run(t, r)
+	put(t, s, opConfig, "7")
+	r.await(t, "the first", func() bool { return r.Held() == 7 })
+	put(t, s, opConfig, "12")
+	r.await(t, "a change", func() bool { return r.Held() == 12 })
+	put(t, s, opConfig, "9")
+	put(t, s, opOrders+"s", "order")
+	r.await(t, "the order", func() bool { return r.orders.Load() == 1 })
+	if r.Held() != 12 {
+		t.Errorf("back to %d", r.Held())
+	}
+}
+
+func TestUnusableConfigurationLeavesTheOneInForce(t *testing.T) {
+	s := store.New(1)
+	r := newOperated(s)
+	run(t, r)
+	put(t, s, opConfig, "7")
+	r.await(t, "the first", func() bool { return r.Held() == 7 })
+	put(t, s, opConfig, "what is this")
+	put(t, s, opOrders+"s", "order")
+	r.await(t, "the order", func() bool { return r.orders.Load() == 1 })
+	if r.Held() != 7 {
+		t.Errorf("configuration %d", r.Held())
+	}
+	put(t, s, opConfig, "8")
+	r.await(t, "the next", func() bool { return r.Held() == 8 })
+}
+
+// deaf is a store whose waiting watches miss what happens while it is set,
+// as the platform's may before it forgets its history.
+type deaf struct {
+	*store.Store
+	on atomic.Bool
+}
+
+func (d *deaf) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Entry, uint64, error) {
+	if !d.on.Load() {
+		return d.Store.Watch(ctx, prefix, after, wait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	<-ctx.Done()
+	return nil, 0, &platform.Error{Op: "watch", Key: prefix, Outcome: platform.OutcomeUnknown, Err: ctx.Err()}
+}
+
+func TestChangeInForgottenHistoryIsFound(t *testing.T) {
+	s := &deaf{Store: store.New(1)}
+	put(t, s.Store, opConfig, "7")
+	s.on.Store(true)
+	r := newOperated(s)
+	run(t, r)
+	r.await(t, "the first", func() bool { return r.Held() == 7 })
+	put(t, s.Store, opConfig, "8")
+	s.Forget()
+	s.on.Store(false)
+	r.await(t, "the change", func() bool { return r.Held() == 8 })
+}
+
+func TestOutageOfTheStoreDelaysAChangeOnly(t *testing.T) {
+	s := store.New(1)
+	r := newOperated(s)
+	put(t, s, opConfig, "7")
+	run(t, r)
+	r.await(t, "the first", func() bool { return r.Held() == 7 })
+	s.SetFaults(store.Faults{Down: true})
+	s.SetFaults(store.Faults{})
+	put(t, s, opConfig, "8")
+	r.await(t, "the change", func() bool { return r.Held() == 8 })
+}
+
+func TestNodeWithoutPeersWatchesAnewSooner(t *testing.T) {
+	r := newOperated(store.New(1))
+	if r.wait() > waitAlone {
+		t.Error("a node without links waits long")
+	}
+	r.Links = func() int { return 3 }
+	r.Size = func() int { return 1000 }
+	for range 100 {
+		if w := r.wait(); w < waitMost/2 {
+			t.Fatalf("a node of 1,000 begins a watch every %v", w)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/registry/registry_test.go
@@ -0,0 +1,113 @@
+package registry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/standin/store"
+)
+
+func newRegistry(s platform.Store, address string) *Registry {
+	return &Registry{
+		Store: s, Members: member.NewTable(), Links: func() int { return 0 }, TTL: time.Second,
+		Self: func() member.Record {
+			return member.Record{Address: address, DataCentre: "a", Incarnation: 1, State: member.Alive}
+		},
+	}
+}
+
+func start(t *testing.T, r *Registry) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = r.Run(ctx)
+		close(done)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func entries(t *testing.T, s *store.Store) int {
+	t.Helper()
+	all, _, err := s.List(context.Background(), platform.PrefixNodes, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(all)
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
+func TestNodesFindEachOtherByTheirEntries(t *testing.T) {
+	s := store.New(1)
+	a, b := newRegistry(s, "10.0.0.1:1"), newRegistry(s, "10.0.0.2:1")
+	start(t, a)
+	start(t, b)
+	await(t, "the other", func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
+	if _, ok := a.Members.Get("10.0.0.2:1"); !ok {
+		t.Error("the other is no member")
+	}
+}
+
+func TestLapsedEntryIsBackAfterTheStoresReturn(t *testing.T) {
+	s := store.New(1)
+	start(t, newRegistry(s, "10.0.0.1:1"))
+	await(t, "the entry", func() bool { return entries(t, s) == 1 })
+	s.LapseLeases()
+	if entries(t, s) != 0 {
+		t.Fatal("it did not lapse")
+	}
+	await(t, "its return", func() bool { return entries(t, s) == 1 })
+}
+
+func TestEntryOfAnEarlierStartIsReplacedAndTakenBackAtTheStop(t *testing.T) {
+	s := store.New(1)
+	ctx := context.Background()
+	if _, err := s.CompareAndSwap(ctx, platform.PrefixNodes+"10.0.0.1:1", 0, []byte("old"), ""); err != nil {
+		t.Fatal(err)
+	}
+	stop := start(t, newRegistry(s, "10.0.0.1:1"))
+	await(t, "the entry", func() bool {
+		e, err := s.Get(ctx, platform.PrefixNodes+"10.0.0.1:1")
+		return err == nil && e.Lease != ""
+	})
+	stop()
+	if entries(t, s) != 0 {
+		t.Error("it stands after the stop")
+	}
+}
+
+func TestForeignEntriesNameNobody(t *testing.T) {
+	s := store.New(1)
+	ctx := context.Background()
+	if _, err := s.CompareAndSwap(ctx, platform.PrefixNodes+"x", 0, []byte{0xff, 0x00}, ""); err != nil {
+		t.Fatal(err)
+	}
+	r := newRegistry(s, "10.0.0.1:1")
+	r.list(ctx, false)
+	if len(r.Peers()) != 0 || len(r.Members.All()) != 0 {
+		t.Errorf("%v, %v", r.Peers(), r.Members.All())
+	}
+}
+
+func TestSeedHostsArePeersAtOurOwnPort(t *testing.T) {
+	r := newRegistry(store.New(1), "10.0.0.1:77")
+	r.AddHosts([]string{"10.0.0.2:5", "10.0.0.1:5", "what"})
+	if p := r.Peers(); len(p) != 1 || p[0] != "10.0.0.2:77" {
+		t.Errorf("%v", p)
+	}
+}
--- /dev/null
+++ b/internal/process/upstreams/upstreams_test.go
@@ -0,0 +1,83 @@
+package upstreams
+
+import (
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+var now = time.Unix(1000, 0)
+
+func report(id string, born int64, sequence uint64, state api.UpstreamState) Report {
+	return Report{ID: id, Born: born, Sequence: sequence, Service: "s", Address: "h:1", Version: "v1", Slots: 10, State: state}
+}
+
+func TestOnlyNewsOfTheLatestInstanceChangesAnything(t *testing.T) {
+	ready, draining, down := api.UpstreamReady, api.UpstreamDraining, api.UpstreamDown
+	for _, tc := range []struct {
+		name    string
+		reports []Report
+		id      string
+		born    int64
+		state   api.UpstreamState
+	}{
+		{"first", []Report{report("a", 5, 3, ready)}, "a", 5, ready},
+		{"leaving", []Report{report("a", 5, 3, ready), report("a", 5, 4, draining)}, "a", 5, draining},
+		{"late report of a leaving one", []Report{report("a", 5, 4, draining), report("a", 5, 3, ready)}, "a", 5, draining},
+		{"leaving one is never ready again", []Report{report("a", 5, 4, draining), report("a", 5, 9, ready)}, "a", 5, draining},
+		{"gone without notice", []Report{report("a", 5, 3, ready), {ID: "a", Born: 5, State: down}}, "a", 5, down},
+		{"gone, and a report late", []Report{report("a", 5, 3, ready), {ID: "a", Born: 5, State: down}, report("a", 5, 3, ready)}, "a", 5, down},
+		{"next instance", []Report{report("a", 5, 9, draining), report("b", 6, 1, ready)}, "b", 6, ready},
+		{"old instance's late report", []Report{report("b", 6, 1, ready), report("a", 5, 9, ready)}, "b", 6, ready},
+		{"old instance's late leaving", []Report{report("b", 6, 1, ready), report("a", 5, 9, draining)}, "b", 6, ready},
+		{"old instance's late end", []Report{report("b", 6, 1, ready), {ID: "a", Born: 5, State: down}}, "b", 6, ready},
+		{"born again under its id", []Report{report("a", 5, 9, ready), report("a", 6, 1, ready)}, "a", 6, ready},
+		{"earlier start's end under the same id", []Report{report("a", 6, 1, ready), {ID: "a", Born: 5, State: down}}, "a", 6, ready},
+		{"doubled", []Report{report("a", 5, 3, ready), report("a", 5, 3, draining)}, "a", 5, ready},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := &Local{Service: "s", Address: "h:1"}
+			for _, r := range tc.reports {
+				if err := l.Take(r, now); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if c := l.Current(); c.ID != tc.id || c.Born != tc.born || c.State != tc.state {
+				t.Errorf("%s born %d %s, want %s born %d %s", c.ID, c.Born, c.State, tc.id, tc.born, tc.state)
+			}
+		})
+	}
+}
+
+func TestReportsOfAnotherUpstreamAreRefused(t *testing.T) {
+	l := &Local{Service: "s", Address: "h:1"}
+	for _, r := range []Report{
+		{ID: "a", Service: "other", Address: "h:1", State: api.UpstreamReady},
+		{ID: "a", Service: "s", Address: "h:2", State: api.UpstreamReady},
+	} {
+		if err := l.Take(r, now); api.CodeOf(err, api.OK) != api.OperatorBody {
+			t.Errorf("%+v: %v", r, err)
+		}
+	}
+	if l.Current() != nil {
+		t.Error("it names an upstream")
+	}
+}
+
+func TestUnreachableInstanceIsOutOfUseUntilItsNextReport(t *testing.T) {
+	l := &Local{Service: "s", Address: "h:1"}
+	_ = l.Take(report("a", 5, 3, api.UpstreamReady), now)
+	l.Unreachable("other")
+	if !l.Current().Ready() {
+		t.Error("another instance's end counts")
+	}
+	l.Unreachable("a")
+	if l.Current().Ready() {
+		t.Error("it is still used")
+	}
+	_ = l.Take(report("a", 5, 4, api.UpstreamReady), now)
+	if !l.Current().Ready() {
+		t.Error("its next report does not count")
+	}
+}
--- /dev/null
+++ b/internal/version/ramp/ramp_test.go
@@ -0,0 +1,97 @@
+package ramp
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestShareRisesAndTheMoveEndsWithinItsTime(t *testing.T) {
+	o := Order{Within: 12 * time.Second}
+	last := 0.0
+	for at := time.Duration(0); at <= o.Within; at += 10 * time.Millisecond {
+		share := o.Share(at)
+		if share < last || share > 1 {
+			t.Fatalf("share %v after %v", share, last)
+		}
+		last = share
+		if o.Complete(at) && share < 1 {
+			t.Fatalf("complete at %v with a share of %v", at, share)
+		}
+	}
+	if !o.Complete(o.Within - time.Second) {
+		t.Error("not complete a second before its time")
+	}
+}
+
+func TestRunTimesFallIntoRisingClasses(t *testing.T) {
+	last := -1
+	for _, ms := range []int{0, 1, 2, 3, 4, 6, 8, 12, 100, 1000, 60_000, 10_000_000} {
+		b := BucketOf(time.Duration(ms) * time.Millisecond)
+		if b < last || b >= Buckets {
+			t.Errorf("%d ms: class %d after %d", ms, b, last)
+		}
+		last = b
+	}
+}
+
+// version draws runs of one version.
+type version struct {
+	mean, fails, slow, factor float64
+}
+
+func (v version) runs(n int, rng *rand.Rand) Tally {
+	var t Tally
+	for range n {
+		ms := v.mean * (0.5 + rng.Float64())
+		if rng.Float64() < v.slow {
+			ms *= v.factor
+		}
+		if rng.Float64() < v.fails {
+			t.Failed++
+		}
+		t.Times[BucketOf(time.Duration(ms)*time.Millisecond)]++
+	}
+	return t
+}
+
+func TestVerdictFindsBadVersionsSoonAndSparesGoodOnes(t *testing.T) {
+	old := version{mean: 220, fails: 0.01}
+	for _, tc := range []struct {
+		name string
+		old  version
+		v    version
+		bad  bool
+	}{
+		{"like the old one", old, old, false},
+		{"on slower upstreams", old, version{mean: 400, fails: 0.01}, false},
+		{"both fail for another reason", version{mean: 220, fails: 0.3}, version{mean: 220, fails: 0.3}, false},
+		{"half of its runs fail", old, version{mean: 220, fails: 0.5}, true},
+		{"half of its runs take eight times as long", old, version{mean: 220, slow: 0.5, factor: 8}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			wrong := 0
+			for seed := range uint64(50) {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				older := map[string]Tally{"r": tc.old.runs(500, rng)}
+				newer := map[string]Tally{"r": tc.v.runs(40, rng)}
+				if Bad(older, newer) != tc.bad {
+					wrong++
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("%d of 50 verdicts are wrong after 40 runs", wrong)
+			}
+		})
+	}
+}
+
+func TestFaultOfOneRouteIsFoundAmongManyGoodRuns(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	good := version{mean: 220}
+	older := map[string]Tally{"a": good.runs(2000, rng), "b": good.runs(200, rng)}
+	newer := map[string]Tally{"a": good.runs(400, rng), "b": version{mean: 220, fails: 0.6}.runs(20, rng)}
+	if !Bad(older, newer) {
+		t.Error("not found")
+	}
+}
--- a/internal/version/traffic/traffic.go
+++ b/internal/version/traffic/traffic.go
@@ -71,6 +71,15 @@
 	IdleTimeout   time.Duration `json:"idle_timeout"`
 }
 
+// OperatorKeys says where an operator writes and how to read it.
+type OperatorKeys struct {
+	// Prefix holds all keys of the operator, Config the configuration, Orders
+	// the orders to move services.
+	Prefix, Config, Orders string
+	// Decode reads a configuration.
+	Decode func(value []byte) (number uint64, c Config, err error)
+}
+
 // Check returns everything that makes a configuration unusable.
 func (c *Config) Check() error {
 	services := map[string]bool{}
