Stop within the grace, and test the gate and a whole node

Change: a stop ends its last part at 0.85 of the grace and waits 0.1 s for the loops. Tests of what a gate says ran, of instances, leaving, crashes, and of whole nodes on loopback: a request's way, leaving upstreams, a planned stop under load, the store away.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -66,6 +66,8 @@
 	peerHeaderTimeout = 5 * time.Second
 	peerIdle          = time.Minute
 	peerBodyBytes     = 1 << 30
+	// endWait is how long a stopped node waits for its loops to end.
+	endWait = 100 * time.Millisecond
 )
 
 // Limits of callers before the first configuration.
@@ -402,12 +404,28 @@
 		n.ledger.Run(running)
 		return nil
 	})
+	stopped := make(chan struct{})
 	g.Go(func() error {
 		<-ctx.Done()
 		n.stop(stopRunners)
+		close(stopped)
 		return nil
 	})
 	klog.Infof(logPrefix+"node %s of %s in %s, upstream at %s: callers on %s, gate on %s",
 		n.cfg.Peers.Listen, n.cfg.Operated.Service, n.cfg.Node.DataCentre, n.cfg.Operated.Address, n.cfg.Callers.Listen, n.cfg.Operated.Gate)
-	return g.Wait()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-stopped:
+	}
+	// All answers are out. What still ends, such as a call to a slow store,
+	// must not hold the process beyond its grace.
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(endWait):
+		return nil
+	}
 }
--- /dev/null
+++ b/internal/process/operated/operated_test.go
@@ -0,0 +1,320 @@
+package operated_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/process/operated"
+	"github.com/daisytide/daisytide/internal/process/settings"
+	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/platform"
+)
+
+// patience bounds what a test waits for; it is no figure that is checked.
+const patience = 20 * time.Second
+
+// backend is a stand-in upstream in the platform's protocol.
+type backend struct {
+	t       *testing.T
+	service string
+	id      string
+	address string
+	control string
+	work    time.Duration
+	seq     int
+
+	mu   sync.Mutex
+	seen []*http.Request
+	ran  map[string]int
+}
+
+// ServeHTTP implements http.Handler.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(platform.HeaderInstance) != b.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	id := r.Header.Get(platform.HeaderRequestID)
+	b.mu.Lock()
+	b.seen = append(b.seen, r)
+	b.ran[id]++
+	b.mu.Unlock()
+	time.Sleep(b.work)
+	w.Header().Set(platform.HeaderRequestID, id)
+	w.Header().Set(platform.HeaderSignature, "signed by "+b.id)
+	_, _ = io.WriteString(w, "whole "+id)
+}
+
+// runsOf returns how often a request ran.
+func (b *backend) runsOf(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ran[id]
+}
+
+func (b *backend) runs() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.seen)
+}
+
+// beat reports a state; it returns the answer's status.
+func (b *backend) beat(state string) int {
+	b.seq++
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","capacity":8,"state":%q,"warmup_left_s":0,"sequence":%d,"born":5}`,
+		b.service, b.address, state, b.seq)
+	return b.call(platform.PathHeartbeat+b.id, body)
+}
+
+func (b *backend) call(path, body string) int {
+	resp, err := http.Post("http://"+b.control+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// host is a node with its backend.
+type host struct {
+	*backend
+	cfg   *settings.Settings
+	stop  func()
+	ended chan struct{}
+}
+
+func (h *host) url(path string) string { return "http://" + h.cfg.Callers.Listen + path }
+
+// addresses reserves free ports of the loopback address.
+func addresses(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+func start(t *testing.T, s *store.Store, service, id string) *host {
+	t.Helper()
+	a := addresses(t, 6)
+	text := fmt.Sprintf("[node]\nregion = r\ndata-centre = a\n[callers]\nlisten = %s\n[peers]\nlisten = %s\nsecret = nodes-share-this-key\n"+
+		"[operators]\nlisten = %s\ntoken = operators-have-this-token\n[store]\naddress = http://127.0.0.1:1\nrate = 50\n[upstream]\nstop-grace = 3s\n"+
+		"[operated]\nenabled = true\ngate = %s\nready = %s\nservice = %s\nupstream = %s\n", a[0], a[1], a[2], a[3], a[4], service, a[5])
+	cfg, faults := settings.Parse(text)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	n, err := operated.New(cfg, s, platform.Adapter{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{t: t, service: service, id: id, address: a[5], control: a[2], ran: map[string]int{}}
+	l, err := net.Listen("tcp", a[5])
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: b}
+	go func() { _ = server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &host{backend: b, cfg: cfg, stop: cancel, ended: make(chan struct{})}
+	go func() {
+		defer close(h.ended)
+		if err := n.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-h.ended
+		_ = server.Close()
+	})
+	if status := b.beat("ready"); status != http.StatusOK {
+		t.Fatalf("heartbeat: %d", status)
+	}
+	return h
+}
+
+func configure(t *testing.T, s *store.Store, version int) {
+	t.Helper()
+	ctx := context.Background()
+	e, err := s.Get(ctx, platform.KeyConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value := fmt.Sprintf(`{"version":"%08x","routes":{
+"near":{"host":"a.example","path_prefix":"/near/","route_type":"non_idempotent","timeout_s":2,"target_latency_s":1,"priority":1,"service":"near","max_attempts":2},
+"far":{"host":"a.example","path_prefix":"/far/","route_type":"idempotent","timeout_s":2,"target_latency_s":1,"priority":1,"service":"far","max_attempts":2}},
+"services":{"near":{"max_connections":20},"far":{"max_connections":20}},
+"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_s":3,"idle_timeout_s":15}}`, version)
+	if _, err := s.CompareAndSwap(ctx, platform.KeyConfig, e.Revision, []byte(value), ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
+var requests atomic.Int64
+
+// ask sends a request and returns status and body; status 0 is a failure.
+func ask(method, url string, body []byte) (int, string, string) {
+	id := strconv.FormatInt(requests.Add(1), 16)
+	r, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, err.Error(), id
+	}
+	r.Host = "a.example"
+	r.Header.Set(platform.HeaderRequestID, id)
+	r.Header.Set(platform.HeaderDeadline, "2000")
+	r.Header.Set(platform.HeaderCaller, "forged")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error(), id
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error(), id
+	}
+	return resp.StatusCode, string(b), id
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
+func (h *host) readiness() int {
+	resp, err := http.Get("http://" + h.cfg.Operated.Ready + platform.PathReady)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestRequestFindsItsUpstreamThroughItsNodeAndOnlyThen(t *testing.T) {
+	s := store.New(1)
+	near, far := start(t, s, "near", "i-near"), start(t, s, "far", "i-far")
+	if status, _, _ := ask("GET", near.url("/far/1"), nil); status != http.StatusServiceUnavailable || near.readiness() != http.StatusServiceUnavailable {
+		t.Errorf("without a configuration: %d, readiness %d", status, near.readiness())
+	}
+	configure(t, s, 3)
+	await(t, "an answer from the other host", func() bool {
+		status, _, _ := ask("GET", near.url("/far/1"), nil)
+		return status == http.StatusOK
+	})
+	status, body, id := ask("GET", near.url("/far/x?q=1"), nil)
+	if status != http.StatusOK || body != "whole "+id || near.readiness() != http.StatusOK {
+		t.Errorf("%d %q, readiness %d", status, body, near.readiness())
+	}
+	far.mu.Lock()
+	got := far.seen[len(far.seen)-1]
+	far.mu.Unlock()
+	left, err := strconv.Atoi(got.Header.Get(platform.HeaderDeadline))
+	if got.URL.RequestURI() != "/far/x?q=1" || got.Host != "a.example" || got.Header.Get(platform.HeaderCaller) != "near" || err != nil || left > 2000 || left < 1 {
+		t.Errorf("the upstream got %s of %s, %v", got.URL, got.Host, got.Header)
+	}
+	for name := range got.Header {
+		if strings.HasPrefix(name, "Daisytide-") {
+			t.Errorf("the upstream got %s", name)
+		}
+	}
+	for _, size := range []int{0, 10, 100_000} {
+		if status, body, id := ask("POST", far.url("/near/1"), make([]byte, size)); status != http.StatusOK || body != "whole "+id || near.runsOf(id) != 1 {
+			t.Errorf("body of %d bytes: %d %q", size, status, body)
+		}
+	}
+	if status, _, _ := ask("GET", near.url("/lacking/"), nil); status != http.StatusNotFound {
+		t.Errorf("without a route: %d", status)
+	}
+}
+
+func TestNothingReachesAnUpstreamAfterItsLeavingWasAcknowledged(t *testing.T) {
+	s := store.New(1)
+	for name, leave := range map[string]func(b *backend) int{
+		"draining":         func(b *backend) int { return b.beat("draining") },
+		"without draining": func(b *backend) int { return b.call(platform.PathDeregister+b.id, `{"born":5}`) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := start(t, s, "near", "i-near-"+name[:1]), start(t, s, "far", "i-far-"+name[:1])
+			configure(t, s, 3)
+			await(t, "an answer", func() bool { status, _, _ := ask("GET", near.url("/far/1"), nil); return status == http.StatusOK })
+			if status := leave(far.backend); status != http.StatusOK {
+				t.Fatalf("acknowledgement: %d", status)
+			}
+			before := far.runs()
+			for range 20 {
+				if status, _, _ := ask("GET", near.url("/far/1"), nil); status != http.StatusServiceUnavailable {
+					t.Errorf("status %d", status)
+				}
+			}
+			if far.runs() != before {
+				t.Errorf("%d requests reached it", far.runs()-before)
+			}
+		})
+	}
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	s := store.New(1)
+	near, far := start(t, s, "near", "i-near"), start(t, s, "far", "i-far")
+	far.work = 100 * time.Millisecond
+	configure(t, s, 3)
+	await(t, "an answer", func() bool { status, _, _ := ask("GET", near.url("/far/1"), nil); return status == http.StatusOK })
+	var callers sync.WaitGroup
+	var answered, cut atomic.Int64
+	for range 4 {
+		callers.Go(func() {
+			for near.readiness() == http.StatusOK {
+				status, body, _ := ask("GET", near.url("/far/1"), nil)
+				switch {
+				case status == http.StatusOK:
+					answered.Add(1)
+				case status == 0:
+					t.Log(body)
+					cut.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	near.stop()
+	callers.Wait()
+	<-near.ended
+	if cut.Load() > 0 || answered.Load() == 0 {
+		t.Errorf("%d answered, %d cut", answered.Load(), cut.Load())
+	}
+}
+
+func TestRequestsGoOnWhileTheStoreIsAway(t *testing.T) {
+	s := store.New(1)
+	near, far := start(t, s, "near", "i-near"), start(t, s, "far", "i-far")
+	configure(t, s, 3)
+	await(t, "an answer", func() bool { status, _, _ := ask("GET", near.url("/far/1"), nil); return status == http.StatusOK })
+	s.SetFaults(store.Faults{Down: true})
+	for range 20 {
+		if status, _, _ := ask("GET", near.url("/far/1"), nil); status != http.StatusOK {
+			t.Errorf("with the store away: %d", status)
+		}
+	}
+	_ = far
+}
--- a/internal/process/operated/stop.go
+++ b/internal/process/operated/stop.go
@@ -12,9 +12,9 @@
 const (
 	// listenPart of the grace new callers are still taken: until the platform
 	// has seen twice, a second apart, that the node is not ready.
-	listenPart = 0.55
+	listenPart = 0.5
 	// endPart of the grace requests in progress get.
-	endPart = 0.9
+	endPart = 0.85
 	// stopQuiet is how long no request may have arrived before a node that is
 	// out of use stops early.
 	stopQuiet = 700 * time.Millisecond
@@ -39,7 +39,15 @@
 	n.gates.CloseAfterAnswers()
 	n.gates.CloseIdle()
 	stopRunners()
-	n.spread.CloseLinks()
+	closed := make(chan struct{})
+	go func() {
+		n.spread.CloseLinks()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(endWait):
+	}
 	for _, l := range n.listeners {
 		// The callers' listener is closed already, and says so.
 		_ = l.Close()
--- /dev/null
+++ b/internal/request/egress/gate_test.go
@@ -0,0 +1,229 @@
+package egress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/process/upstreams"
+	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/request/quarantine"
+	"github.com/daisytide/daisytide/internal/version/traffic"
+)
+
+// plain is a dialect of plain headers.
+type plain struct{}
+
+func (plain) ID(h http.Header) (string, string)          { return "Id", h.Get("Id") }
+func (plain) TimeLeft(http.Header) (time.Duration, bool) { return 0, false }
+func (plain) Made(*h1.Response) bool                     { return true }
+func (plain) ComeBack(http.Header, time.Duration)        {}
+func (plain) ToUpstream(h http.Header, left time.Duration, instance, caller string) {
+	h.Set("Left", strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set("Instance", instance)
+	h.Set("Caller", caller)
+}
+
+func (plain) NotRun(resp *h1.Response) (bool, bool) {
+	return resp.Header.Get("Not-Run") != "" || resp.Status == 421, resp.Status == 421
+}
+
+type gateRig struct {
+	*Gate
+	runs    atomic.Int64
+	crashes atomic.Int64
+	// serve answers a connection's request; nil answers 200.
+	serve func(conn net.Conn, r *http.Request) bool
+}
+
+// newGate makes a gate beside an upstream that does as it is told.
+func newGate(t *testing.T, ledger *quarantine.Ledger) (*gateRig, net.Listener) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	g := &gateRig{}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		g.runs.Add(1)
+		if g.serve != nil {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			if g.serve(conn, r) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+	})}
+	go func() { _ = server.Serve(l) }()
+	local := &upstreams.Local{Service: "s", Address: l.Addr().String()}
+	g.Gate = &Gate{
+		Upstream: local, Client: &h1.Client{DialTimeout: time.Second, MaxIdle: 8}, Dialect: plain{},
+		Allowed: func(_, version string) bool { return version != "bad" }, Ledger: ledger,
+		Crashed: func(quarantine.Fact) { g.crashes.Add(1) },
+	}
+	local.Changed = g.Changed
+	g.ready(t, "i-1", 1)
+	return g, l
+}
+
+func (g *gateRig) ready(t *testing.T, id string, born int64) {
+	t.Helper()
+	err := g.Upstream.Take(upstreams.Report{
+		ID: id, Born: born, Sequence: 1, Service: "s", Address: g.Upstream.Address, Version: "v1", Slots: 4, State: api.UpstreamReady,
+	}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (g *gateRig) ask(version, target string) hop.Result {
+	r := &hop.Request{
+		Service: "s", Version: version, Route: "r", Repeat: traffic.Once, Priority: 1, From: "caller",
+		Deadline: time.Now().Add(2 * time.Second), Objective: time.Now().Add(time.Second),
+	}
+	in := &h1.Request{Method: "POST", Target: target, Host: "a", Header: http.Header{"Id": {"7"}}, Body: []byte("b")}
+	return g.Handle(context.Background(), r, in)
+}
+
+func TestGateTellsWhatRan(t *testing.T) {
+	answer := func(text string) func(net.Conn, *http.Request) bool {
+		return func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, text)
+			return false
+		}
+	}
+	for _, tc := range []struct {
+		name    string
+		version string
+		serve   func(net.Conn, *http.Request) bool
+		code    api.Code
+		ran     api.Ran
+		reached bool
+	}{
+		{"answered", "v1", nil, api.OK, api.RanYes, false},
+		{"another version", "v2", nil, api.CallNoUpstream, api.RanNo, false},
+		{"refused by the upstream", "v1", answer("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), api.CallShed, api.RanNo, true},
+		{"another instance", "v1", answer("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"), api.CallNoUpstream, api.RanNo, false},
+		{"failed by the upstream", "v1", answer("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"), api.OK, api.RanYes, false},
+		{"cut", "v1", answer(""), api.CallCut, api.RanUnknown, false},
+		{"no answer in the protocol", "v1", answer("what is this\r\n\r\n"), api.CallCut, api.RanUnknown, false},
+		{"short", "v1", answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"), api.CallCut, api.RanUnknown, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g, _ := newGate(t, quarantine.NewLedger(time.Now))
+			g.serve = tc.serve
+			if res := g.ask(tc.version, "/x"); res.Code != tc.code || res.Ran != tc.ran || res.Reached != tc.reached {
+				t.Errorf("%+v", res)
+			}
+		})
+	}
+}
+
+func TestAnotherInstanceIsNotUsedUntilItReports(t *testing.T) {
+	g, _ := newGate(t, quarantine.NewLedger(time.Now))
+	g.serve = func(conn net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
+		return false
+	}
+	for range 3 {
+		g.ask("v1", "/x")
+	}
+	if g.runs.Load() != 1 {
+		t.Errorf("%d requests were sent", g.runs.Load())
+	}
+	g.serve = nil
+	g.ready(t, "i-2", 2)
+	if res := g.ask("v1", "/x"); res.Code != api.OK {
+		t.Errorf("%+v", res)
+	}
+}
+
+func TestUpstreamThatDoesNotListenIsOutOfUseAndNothingRan(t *testing.T) {
+	g, l := newGate(t, quarantine.NewLedger(time.Now))
+	_ = l.Close()
+	if res := g.ask("v1", "/x"); res.Code != api.CallNotReached || res.Ran != api.RanNo {
+		t.Errorf("%+v", res)
+	}
+	if res := g.ask("v1", "/x"); res.Code != api.CallLeaving {
+		t.Errorf("%+v", res)
+	}
+}
+
+func TestWithdrawnVersionIsRefusedAtTheGate(t *testing.T) {
+	g, _ := newGate(t, quarantine.NewLedger(time.Now))
+	g.Allowed = func(string, string) bool { return false }
+	if res := g.ask("v1", "/x"); res.Code != api.CallWithdrawn || g.runs.Load() != 0 {
+		t.Errorf("%+v", res)
+	}
+}
+
+func TestLeavingUpstreamRefusesThoseThatWait(t *testing.T) {
+	g, _ := newGate(t, quarantine.NewLedger(time.Now))
+	release := make(chan struct{})
+	g.serve = func(net.Conn, *http.Request) bool { <-release; return true }
+	results := make(chan hop.Result, 6)
+	for range 6 {
+		go func() { results <- g.ask("v1", "/x") }()
+	}
+	for end := time.Now().Add(10 * time.Second); g.Load().Busy < 6 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if err := g.Upstream.Take(upstreams.Report{
+		ID: "i-1", Born: 1, Sequence: 2, Service: "s", Address: g.Upstream.Address, Version: "v1", Slots: 4, State: api.UpstreamDraining,
+	}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if res := <-results; res.Code != api.CallLeaving || res.Ran != api.RanNo {
+			t.Errorf("a waiting one: %+v", res)
+		}
+	}
+	close(release)
+	for range 4 {
+		if res := <-results; res.Code != api.OK {
+			t.Errorf("a running one: %+v", res)
+		}
+	}
+}
+
+// A request that crashes whatever runs it reaches two upstreams, whichever
+// gates it comes to.
+func TestRequestThatCrashesUpstreamsReachesFew(t *testing.T) {
+	ledger := quarantine.NewLedger(time.Now)
+	total := int64(0)
+	for i := range 6 {
+		g, l := newGate(t, ledger)
+		g.ready(t, "i-"+strconv.Itoa(i), int64(i+2))
+		g.serve = func(conn net.Conn, r *http.Request) bool {
+			if r.URL.Path != "/poison" {
+				return true
+			}
+			_ = l.Close()
+			return false
+		}
+		if res := g.ask("v1", "/other"+strconv.Itoa(i)); res.Code != api.OK {
+			t.Errorf("a neighbour before: %+v", res)
+		}
+		before := g.runs.Load()
+		g.ask("v1", "/poison")
+		total += g.runs.Load() - before
+	}
+	if total > 3 {
+		t.Errorf("it reached %d upstreams", total)
+	}
+}
