Take a node for silent later, watch by rank, spread orders at once

Change: a sign of life may take 0.25 s to 1 s; four nodes of a data centre watch the store, others only without links; a new order is spread at once instead of by the digest. The test of the silent node lengthened the wrong route and passed by the short limit; it lengthens the right one now and checks the same.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -47,6 +47,10 @@
 	// storeBackoff bounds the wait after failed calls to the store: entries
 	// must be back, and changes in force, within two seconds of its return.
 	storeBackoff = time.Second
+	// watchersPerCentre nodes of a data centre watch the store: each change
+	// costs a call for each of them, and they must be enough that some of them
+	// begin a watch soon after the store has forgotten a change.
+	watchersPerCentre = 4
 	// heldPart of the memory may hold the bodies of requests.
 	heldPart = 5
 	// idlePeers and idleUpstream bound the connections kept for one address.
@@ -189,7 +193,10 @@
 	})
 	n.registry.Links = n.spread.Links
 	n.provider.Links = n.spread.Links
-	n.provider.Size = func() int { return len(n.members.Index().Members) }
+	n.provider.Watcher = func() bool {
+		return provider.Rank(n.members.Index().Members, n.self.Record()) < watchersPerCentre
+	}
+	n.provider.Size = func() int { return min(len(n.members.Index().Members), watchersPerCentre*n.centres()) }
 	n.self.Publisher = n.spread
 	n.orders = orders.NewManager(orders.Config{
 		Self: n.cfg.Peers.Listen, Incarnation: incarnation, Members: n.members, Store: n.store,
@@ -203,6 +210,15 @@
 	n.holder.OnSwap(n.spread.ConfigChanged)
 }
 
+// centres counts the data centres that have members.
+func (n *Node) centres() int {
+	seen := map[string]bool{}
+	for _, r := range n.members.Index().Members {
+		seen[r.DataCentre] = true
+	}
+	return len(seen)
+}
+
 // wireRequests builds the way of a request.
 func (n *Node) wireRequests() {
 	n.upstream = &upstreams.Local{Service: n.cfg.Operated.Service, Address: n.cfg.Operated.Address}
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -113,7 +113,10 @@
 func (m *Manager) Order(o ramp.Order, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.order(o, now)
+	before := m.moves[o.Service]
+	if mv := m.order(o, now); mv != before {
+		m.publishState(mv, now)
+	}
 }
 
 // order begins a move unless a later one is known; the caller holds mu.
--- a/internal/process/provider/operated.go
+++ b/internal/process/provider/operated.go
@@ -46,8 +46,15 @@
 	// Links and Size return the number of links to peers that stand, and of
 	// members of the fleet.
 	Links, Size func() int
+	// Watcher tells whether this node watches the store for its data centre;
+	// others hear of changes from their peers.
+	Watcher func() bool
 }
 
+// watches tells whether this node is to watch the store now. One without
+// links hears nothing from its peers.
+func (p *Operated) watches() bool { return p.Links() == 0 || p.Watcher() }
+
 // wait is how long the next watch waits.
 func (p *Operated) wait() time.Duration {
 	if p.Links() == 0 {
@@ -73,11 +80,17 @@
 func (p *Operated) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		after, err := p.list(ctx)
-		for err == nil && ctx.Err() == nil {
+		for err == nil && ctx.Err() == nil && p.watches() {
 			after, err = p.watch(ctx, after)
 		}
-		klog.V(1).Infof(logPrefix+"%v", err)
-		sleep(ctx, rand.N(operatedPause))
+		if err != nil {
+			klog.V(1).Infof(logPrefix+"%v", err)
+			sleep(ctx, rand.N(operatedPause))
+			continue
+		}
+		for ctx.Err() == nil && !p.watches() {
+			sleep(ctx, lookEvery)
+		}
 	}
 	return nil
 }
--- a/internal/process/provider/operated_test.go
+++ b/internal/process/provider/operated_test.go
@@ -36,7 +36,7 @@
 		Store: s, Holder: &snapshot.Holder{},
 		Keys:  traffic.OperatorKeys{Prefix: opPrefix, Config: opConfig, Orders: opOrders, Decode: decodeNumber},
 		Order: func(platform.Entry, bool) { r.orders.Add(1) },
-		Links: func() int { return 0 }, Size: func() int { return 1 },
+		Links: func() int { return 0 }, Size: func() int { return 1 }, Watcher: func() bool { return true },
 	}
 	return r
 }
@@ -154,3 +154,22 @@
 		}
 	}
 }
+
+func TestNodeThatIsNoWatcherReadsOnceAndWatchesWhenItsLinksAreGone(t *testing.T) {
+	s := store.New(1)
+	put(t, s, opConfig, "7")
+	r := newOperated(s)
+	var links atomic.Int64
+	links.Store(3)
+	r.Links = func() int { return int(links.Load()) }
+	r.Watcher = func() bool { return false }
+	run(t, r)
+	r.await(t, "the first", func() bool { return r.Held() == 7 })
+	put(t, s, opConfig, "8")
+	time.Sleep(2 * lookEvery)
+	if c := s.Counts(); c.Watches != 0 || r.Held() != 7 {
+		t.Errorf("%d watches, configuration %d", c.Watches, r.Held())
+	}
+	links.Store(0)
+	r.await(t, "the change", func() bool { return r.Held() == 8 })
+}
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -39,11 +39,11 @@
 	// other nodes is seconds old, and their queues move faster.
 	hopeful = 1.5
 	// signPart of the time left is what a node may take to show that it has a
-	// request, within signMin and signMax: above a round trip between data
-	// centres and a busy node's pause, below half of a short deadline.
-	signPart = 0.25
-	signMin  = 100 * time.Millisecond
-	signMax  = 500 * time.Millisecond
+	// request, within signMin and signMax: above the pauses of a node that is
+	// short of processor time, which must not be given up while it works.
+	signPart = 0.4
+	signMin  = 250 * time.Millisecond
+	signMax  = time.Second
 	// backPart bounds the time after which a caller is told to return: callers
 	// do not wait longer than a third of the time that they have left.
 	backPart = 0.33
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -270,7 +270,7 @@
 		}
 	}()
 	r := newRig(t, 0, answered(200))
-	r.entry.Holder.Current().Traffic.Config.Routes[0].TimeLimit = time.Minute
+	r.entry.Holder.Current().Traffic.Config.Routes[1].TimeLimit = time.Minute
 	r.entry.Members.Merge(member.Record{
 		Address: "self", Gate: "", DataCentre: "b", Incarnation: 2, State: member.Alive,
 		Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
