--- /dev/null
+++ b/internal/conn/h1/fuzz_test.go
@@ -0,0 +1,95 @@
+package h1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Whatever callers send, what comes back are answers in the protocol. This is
+// no fuzz target, because each case lasts as long as a connection lingers.
+func TestMutatedRequestsGetAnswersInTheProtocol(t *testing.T) {
+	limits := Limits{HeaderBytes: 4096, BodyBytes: 4096, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
+	address := serveTest(t, &Server{
+		Handler: func(_ context.Context, r *Request) *Response {
+			return &Response{Status: 200, Header: http.Header{}, Body: r.Body}
+		},
+		Limits: func() Limits { return limits },
+	})
+	seeds := []string{
+		"GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET",
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	var cases sync.WaitGroup
+	for i := range 300 {
+		sent := []byte(seeds[i%len(seeds)])
+		for range i / 100 {
+			sent[rng.IntN(len(sent))] = byte(rng.IntN(256))
+		}
+		cases.Go(func() { exchangeBytes(t, address, sent) })
+	}
+	cases.Wait()
+}
+
+func exchangeBytes(t *testing.T, address string, sent []byte) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, _ = conn.Write(sent)
+	// A reset may cut what comes back; whole answers must be in the protocol.
+	back, _ := io.ReadAll(conn)
+	br := bufio.NewReader(bytes.NewReader(back))
+	for {
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Errorf("%q got %q", sent, back)
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+}
+
+// Whatever an upstream sends, an answer that is taken is whole and does not
+// name another request.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nId: 7\r\n\r\nrest"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.CopyN(io.Discard, far, 1)
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			_, _ = far.Write(sent)
+			_ = far.Close()
+		}()
+		_ = near.SetDeadline(time.Now().Add(5 * time.Second))
+		x := &exchange{
+			conn: &clientConn{Conn: near, br: bufio.NewReader(near)},
+			call: &Call{Method: "GET", Target: "/", Host: "a", Header: http.Header{"Id": {"7"}}, IDHeader: "Id", ID: "7"},
+		}
+		resp, err := x.do()
+		_ = near.Close()
+		if err == nil {
+			if id := resp.Header.Get("Id"); id != "" && id != "7" {
+				t.Errorf("the answer to %q was taken", id)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/hop/hop_test.go
@@ -0,0 +1,45 @@
+package hop
+
+import (
+	"net/http"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/version/traffic"
+)
+
+var now = time.Unix(1000, 0)
+
+func sample() *Request {
+	return &Request{
+		Service: "s", Version: "v1.2", Route: "r", Repeat: traffic.Once, Priority: 2, From: "f", Config: 9,
+		Deadline: now.Add(1500 * time.Millisecond), Objective: now.Add(-20 * time.Millisecond),
+	}
+}
+
+func TestRequestSurvivesTheWayToTheGate(t *testing.T) {
+	h := http.Header{call.HeaderCall: {"forged"}}
+	sample().ToGate(h, now)
+	got, err := AtGate(h, now)
+	if err != nil || !reflect.DeepEqual(got, sample()) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if len(h) != 0 {
+		t.Errorf("left in the header: %v", h)
+	}
+}
+
+func FuzzAtGate(f *testing.F) {
+	h := http.Header{}
+	sample().ToGate(h, now)
+	f.Add(h.Get(call.HeaderCall))
+	f.Add("a|b|c")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := AtGate(http.Header{call.HeaderCall: {text}}, now)
+		if (r == nil) == (err == nil) {
+			t.Errorf("%v, %v", r, err)
+		}
+	})
+}
