Explain a failed request from structured logs

Cause: on-call engineers had text lines without request ids, and nothing on the way of a request. Change: JSON lines through a bounded queue with one writer (package logs; slog, and klog's lines into it), a line at the entry and at the gate for each request that did not simply succeed, within 50 a second, and daisytide explain, which puts the lines of a request together with what its nodes believed. Histograms are not built.

--- a/cmd/daisytide/main.go
+++ b/cmd/daisytide/main.go
@@ -39,6 +39,7 @@
 		{"rollouts", "list, follow or order moves", "Lists the moves between versions with their state, and gives orders to them.", &rolloutsCommand{app: a}},
 		{"audit", "print the audit trail", "Prints who changed what and when, the newest entry last.", &auditCommand{app: a}},
 		{"check-settings", "check a settings file of a node", "Checks a settings file of daisytided, with all files that it names. Every fault is printed with its line, key and number.", &checkSettingsCommand{app: a}},
+		{"explain", "follow a request through logs", "Reads the logs of several nodes and prints the way of one request in order of time, with what each node believed then.", &explainCommand{app: a}},
 		{"codes", "print the table of result codes", "Prints the table of result codes, the page docs/CODES.md.", &codesCommand{app: a}},
 		{"version", "print the version", "Prints the version of this program.", &versionCommand{app: a}},
 	} {
--- a/cmd/daisytided/main.go
+++ b/cmd/daisytided/main.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"flag"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/node"
 	"github.com/daisytide/daisytide/internal/process/operated"
 	"github.com/daisytide/daisytide/internal/process/settings"
@@ -69,15 +71,22 @@
 	if err != nil {
 		os.Exit(exitUsage)
 	}
-	startLog(o.Verbose)
+	log := startLog(o.Verbose)
 	limitMemory()
-	os.Exit(run(o, overrides))
+	code := run(o, overrides, log)
+	log.Close()
+	os.Exit(code)
 }
 
-func startLog(verbosity int) {
+// startLog makes JSON lines on standard output the log of all parts.
+func startLog(verbosity int) *logs.Log {
 	set := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(set)
 	_ = set.Set("v", fmt.Sprint(verbosity))
+	log := logs.New(os.Stdout)
+	// klog maps its verbosity to levels below that of information.
+	log.Install(slog.Level(-verbosity))
+	return log
 }
 
 // daemon is a node of either kind.
@@ -89,8 +98,8 @@
 }
 
 // serve runs the node that the settings describe until ctx ends.
-func serve(ctx context.Context, o options, overrides []string, cfg *settings.Settings) error {
-	n, err := build(cfg)
+func serve(ctx context.Context, o options, overrides []string, cfg *settings.Settings, log *logs.Log) error {
+	n, err := build(cfg, log)
 	if err != nil {
 		return err
 	}
@@ -98,12 +107,13 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return log.Run(ctx) })
 	g.Go(func() error { return settings.Watch(ctx, o.File, overrides, hangups, n.ApplySettings) })
 	g.Go(func() error { return n.Run(ctx) })
 	return g.Wait()
 }
 
-func build(cfg *settings.Settings) (daemon, error) {
+func build(cfg *settings.Settings, log *logs.Log) (daemon, error) {
 	dialer := h1.Dialer(cfg.Store.Timeout)
 	store := &platform.Client{
 		Base: cfg.Store.Address, Timeout: cfg.Store.Timeout,
@@ -113,10 +123,10 @@
 		return node.New(cfg, store)
 	}
 	debug.SetMemoryLimit(int64(cfg.Operated.MemoryMB) << 20 / 10 * operatedMemory)
-	return operated.New(cfg, store, platform.Adapter{})
+	return operated.New(cfg, store, platform.Adapter{}, log)
 }
 
-func run(o options, overrides []string) int {
+func run(o options, overrides []string, log *logs.Log) int {
 	cfg, faults := settings.Load(o.File, overrides...)
 	if len(faults) > 0 {
 		for _, f := range faults {
@@ -126,7 +136,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	err := serve(ctx, o, overrides, cfg)
+	err := serve(ctx, o, overrides, cfg, log)
 	klog.Flush()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "daisytided:", err)
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -22,6 +22,7 @@
 	"github.com/daisytide/daisytide/internal/conn/platform"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/orders"
 	"github.com/daisytide/daisytide/internal/process/provider"
@@ -96,6 +97,7 @@
 type Node struct {
 	cfg     *settings.Settings
 	adapter Adapter
+	log     *logs.Log
 	metrics *expvar.Map
 
 	holder   *snapshot.Holder
@@ -129,10 +131,10 @@
 	listenerCount
 )
 
-// New builds a node from checked settings and listens.
-func New(cfg *settings.Settings, store platform.Store, adapter Adapter) (*Node, error) {
+// New builds a node from checked settings and listens; log may be nil.
+func New(cfg *settings.Settings, store platform.Store, adapter Adapter, log *logs.Log) (*Node, error) {
 	n := &Node{
-		cfg: cfg, adapter: adapter, metrics: new(expvar.Map).Init(),
+		cfg: cfg, adapter: adapter, log: log, metrics: new(expvar.Map).Init(),
 		holder: &snapshot.Holder{}, members: member.NewTable(), traffic: &link.Traffic{},
 		store: platform.NewGuard(store, cfg.Store.Rate),
 	}
@@ -224,7 +226,7 @@
 	n.upstream = &upstreams.Local{Service: n.cfg.Operated.Service, Address: n.cfg.Operated.Address}
 	n.gate = &egress.Gate{
 		Upstream: n.upstream, Client: &h1.Client{DialTimeout: upstreamDial, MaxIdle: idleUpstream}, Dialect: n.adapter,
-		Allowed: n.orders.Allowed, Ledger: n.ledger, Crashed: n.publishCrash, Observer: n.orders,
+		Allowed: n.orders.Allowed, Ledger: n.ledger, Crashed: n.publishCrash, Observer: n.orders, Log: n.log,
 	}
 	n.upstream.Changed = func(i upstreams.Instance) {
 		n.gate.Changed(i)
@@ -236,7 +238,7 @@
 		Picker:     &pick.Picker{Self: n.cfg.Peers.Listen, DataCentre: n.cfg.Node.DataCentre, Region: n.cfg.Node.Region},
 		Budget:     retry.NewBudgetOf(max(1, retryPart*o.RetrySlack/fleetOf)),
 		RetryShare: 100 * retryPart * o.RetryRatio,
-		Local:      n.gate, Client: &h1.Client{DialTimeout: peerDial, MaxIdle: idlePeers}, Dialect: n.adapter,
+		Local:      n.gate, Client: &h1.Client{DialTimeout: peerDial, MaxIdle: idlePeers}, Dialect: n.adapter, Log: n.log,
 	}
 }
 
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -121,7 +121,7 @@
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
-	n, err := operated.New(cfg, s, platform.Adapter{})
+	n, err := operated.New(cfg, s, platform.Adapter{}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/upstreams"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/hop"
@@ -52,6 +55,8 @@
 	Crashed func(quarantine.Fact)
 	// Observer may be nil.
 	Observer Observer
+	// Log tells of requests that were refused or failed; nil tells of none.
+	Log *logs.Log
 
 	mu      sync.Mutex
 	queue   Queue
@@ -81,13 +86,31 @@
 // Handle runs one request, or tells why not. The body is asked for when the
 // request is admitted.
 func (g *Gate) Handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
+	began := time.Now()
 	res := g.handle(ctx, r, in)
+	if res.Code != api.OK && g.Log != nil && g.Log.Request() {
+		g.log(r, res, time.Since(began))
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	res.Need = g.queue.Need(r.Route)
 	return res
 }
 
+// log writes one line on a request that was refused or failed here.
+func (g *Gate) log(r *hop.Request, res hop.Result, took time.Duration) {
+	now := time.Now()
+	instance, state, age := "", "none", time.Duration(0)
+	if i := g.Upstream.Current(); i != nil {
+		instance, state, age = i.ID, string(i.State), now.Sub(i.HeardAt)
+	}
+	slog.Info(logs.MessageGate,
+		logs.FieldRequest, r.ID, logs.FieldRoute, r.Route, logs.FieldService, r.Service, logs.FieldVersion, r.Version,
+		logs.FieldConfig, r.Config, logs.FieldCode, res.Code.String(), logs.FieldRan, string(res.Ran),
+		logs.FieldInstance, instance, logs.FieldState, state, logs.FieldAge, age.Milliseconds(), logs.FieldLoad, g.Load().String(),
+		logs.FieldLeft, r.Left(now).Milliseconds(), logs.FieldTook, took.Milliseconds(), logs.FieldError, fmt.Sprint(res.Err))
+}
+
 func (g *Gate) handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -12,10 +14,9 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/egress"
@@ -27,8 +28,6 @@
 	"github.com/daisytide/daisytide/internal/version/traffic"
 )
 
-const logPrefix = "ingress: "
-
 // Bounds of placing.
 const (
 	// maxPlaces is the most nodes that one request is offered to. A refusal
@@ -82,6 +81,9 @@
 	Dialect    hop.Dialect
 
 	Counts Counts
+	// Log tells of requests that failed, were refused or needed more than one
+	// attempt; nil tells of none.
+	Log *logs.Log
 
 	// patience holds, by route, the longest time that a caller gave.
 	patience sync.Map
@@ -112,7 +114,24 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	t := &trial{e: e, in: in, r: r, route: route, refusal: hop.Refuse(api.CallNoUpstream, 0, nil)}
-	return e.respond(in, t.run(ctx), r)
+	res := t.run(ctx)
+	out := e.respond(in, res, r)
+	t.log(res, out)
+	return out
+}
+
+// log writes one line on a request that did not simply succeed.
+func (t *trial) log(res hop.Result, out *h1.Response) {
+	plain := res.Code == api.OK && len(t.attempts) == 1 && out.Status < http.StatusInternalServerError
+	if t.e.Log == nil || plain || !t.e.Log.Request() {
+		return
+	}
+	now := time.Now()
+	slog.Info(logs.MessageAnswered,
+		logs.FieldRequest, t.r.ID, logs.FieldRoute, t.r.Route, logs.FieldService, t.r.Service, logs.FieldVersion, t.r.Version,
+		logs.FieldConfig, t.r.Config, logs.FieldCode, res.Code.String(), logs.FieldRan, string(res.Ran), logs.FieldStatus, out.Status,
+		logs.FieldAttempts, t.attempts, logs.FieldLeft, t.r.Left(now).Milliseconds(), logs.FieldTook, now.Sub(t.in.Arrived).Milliseconds(),
+		logs.FieldAfter, res.After.Milliseconds(), logs.FieldError, fmt.Sprint(res.Err))
 }
 
 // request makes what the request carries to the next node.
@@ -184,9 +203,6 @@
 	} else {
 		e.Counts.Failed.Add(1)
 	}
-	if klog.V(1).Enabled() && res.Code != api.CallCancelled {
-		klog.Infof(logPrefix+"request=%q path=%q code=%q ran=%s status=%d err=%v", id, in.Target, res.Code, res.Ran, status, res.Err)
-	}
 	return &h1.Response{Status: status, Header: h}
 }
 
@@ -235,6 +251,13 @@
 	back time.Duration
 	// refusal is the last one.
 	refusal hop.Result
+	// attempts tells of each attempt, for the log.
+	attempts []string
+}
+
+// note remembers an attempt for the log.
+func (t *trial) note(to string, began time.Time, res hop.Result) {
+	t.attempts = append(t.attempts, fmt.Sprintf("%s %s %dms", to, res.Code, time.Since(began).Milliseconds()))
 }
 
 // run brings the request to one node after another while that is safe.
@@ -360,11 +383,13 @@
 	if picked.Record.Address == e.Self {
 		in := *t.in
 		res := e.Local.Handle(ctx, t.r, &in)
+		t.note(picked.Record.Address, now, res)
 		picked.Done(time.Now(), faultOf(res), e.Local.Load(), true)
 		e.learn(t.r.Route, res.Need)
 		return res, true
 	}
 	res, load, carried := t.remote(ctx, picked.Record)
+	t.note(picked.Record.Address, now, res)
 	e.learn(t.r.Route, res.Need)
 	picked.Done(time.Now(), faultOf(res), load, carried)
 	return res, true
