--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -26,6 +26,9 @@
 	// latePart of the slots is how many requests may wait that will be answered
 	// after their objective: they begin only when no other waits.
 	latePart = 4
+	// latePatience is the part of its time that a late request may wait: one
+	// that finds no slot by then is better told to return.
+	latePatience = 0.25
 	// Urgent is the rank of requests that wait until their deadline: calls that
 	// running upstreams make, whose refusal wastes the run that made them.
 	Urgent = 0
@@ -146,6 +149,9 @@
 // enterLate puts a request behind all others, while few are there.
 func (q *Queue) enterLate(now time.Time, t *Ticket) bool {
 	begin := q.latest(t.Want)
+	if t.Priority != Urgent {
+		begin = now.Add(time.Duration(latePatience * float64(begin.Sub(now))))
+	}
 	if q.late >= max(1, q.Slots/latePart) || now.Add(q.Wait(len(q.waiting))).After(begin) {
 		return false
 	}
--- a/internal/request/egress/queue_test.go
+++ b/internal/request/egress/queue_test.go
@@ -122,6 +122,23 @@
 	}
 }
 
+func TestLateRequestIsRefusedLongBeforeItsDeadline(t *testing.T) {
+	q := busy(8)
+	ticket, _ := q.Arrive(start, want(1, 110, 2000))
+	if ticket == nil || !ticket.late {
+		t.Fatal("it does not wait among the late ones")
+	}
+	q.Done(at(700), "r", 100*time.Millisecond, true)
+	select {
+	case v := <-ticket.Verdict:
+		if v.Code != api.CallShed || v.After <= 0 {
+			t.Errorf("%v", v)
+		}
+	default:
+		t.Error("it still waits after a third of its time")
+	}
+}
+
 func TestWithdrawnAndRefusedTicketsLeaveTheQueue(t *testing.T) {
 	q := busy(2)
 	a, _ := q.Arrive(start, want(1, 900, 1000))
