--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,50 @@
+package metrics
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func scrape(m *Requests) string {
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	return w.Body.String()
+}
+
+func TestHistogramTotalsAreTheRequestsSeen(t *testing.T) {
+	m := New()
+	for range 7 {
+		m.Observe(Entry, "r", Answered, 3*time.Millisecond)
+	}
+	m.Observe(Gate, "r", Refused, time.Minute)
+	m.Value("members", "Members of the fleet.", func() float64 { return 12 })
+	text := scrape(m)
+	for _, want := range []string{
+		`daisytide_request_seconds_count{hop="entry",outcome="answered",route="r"} 7`,
+		`daisytide_request_seconds_bucket{hop="entry",outcome="answered",route="r",le="0.004"} 7`,
+		`daisytide_request_seconds_count{hop="gate",outcome="refused",route="r"} 1`,
+		`daisytide_members 12`,
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("lacks %s", want)
+		}
+	}
+}
+
+func TestSeriesAreBoundedWhateverTheRoutes(t *testing.T) {
+	m := New()
+	for i := range 500 {
+		m.Observe(Entry, fmt.Sprint("r", i), Answered, time.Millisecond)
+	}
+	if n := strings.Count(scrape(m), "_count{"); n != maxRoutes+1 {
+		t.Errorf("%d series of 500 routes", n)
+	}
+}
+
+func TestNoMetricsCountNothing(t *testing.T) {
+	var m *Requests
+	m.Observe(Entry, "r", Answered, time.Millisecond)
+}
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -23,6 +23,7 @@
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/orders"
 	"github.com/daisytide/daisytide/internal/process/provider"
@@ -95,10 +96,11 @@
 
 // Node is one daisytided that an operator runs through the store.
 type Node struct {
-	cfg     *settings.Settings
-	adapter Adapter
-	log     *logs.Log
-	metrics *expvar.Map
+	cfg      *settings.Settings
+	adapter  Adapter
+	log      *logs.Log
+	metrics  *expvar.Map
+	requests *metrics.Requests
 
 	holder   *snapshot.Holder
 	members  *member.Table
@@ -134,7 +136,7 @@
 // New builds a node from checked settings and listens; log may be nil.
 func New(cfg *settings.Settings, store platform.Store, adapter Adapter, log *logs.Log) (*Node, error) {
 	n := &Node{
-		cfg: cfg, adapter: adapter, log: log, metrics: new(expvar.Map).Init(),
+		cfg: cfg, adapter: adapter, log: log, metrics: new(expvar.Map).Init(), requests: metrics.New(),
 		holder: &snapshot.Holder{}, members: member.NewTable(), traffic: &link.Traffic{},
 		store: platform.NewGuard(store, cfg.Store.Rate),
 	}
@@ -226,7 +228,7 @@
 	n.upstream = &upstreams.Local{Service: n.cfg.Operated.Service, Address: n.cfg.Operated.Address}
 	n.gate = &egress.Gate{
 		Upstream: n.upstream, Client: &h1.Client{DialTimeout: upstreamDial, MaxIdle: idleUpstream}, Dialect: n.adapter,
-		Allowed: n.orders.Allowed, Ledger: n.ledger, Crashed: n.publishCrash, Observer: n.orders, Log: n.log,
+		Allowed: n.orders.Allowed, Ledger: n.ledger, Crashed: n.publishCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
 	n.upstream.Changed = func(i upstreams.Instance) {
 		n.gate.Changed(i)
@@ -238,7 +240,7 @@
 		Picker:     &pick.Picker{Self: n.cfg.Peers.Listen, DataCentre: n.cfg.Node.DataCentre, Region: n.cfg.Node.Region},
 		Budget:     retry.NewBudgetOf(max(1, retryPart*o.RetrySlack/fleetOf)),
 		RetryShare: 100 * retryPart * o.RetryRatio,
-		Local:      n.gate, Client: &h1.Client{DialTimeout: peerDial, MaxIdle: idlePeers}, Dialect: n.adapter, Log: n.log,
+		Local:      n.gate, Client: &h1.Client{DialTimeout: peerDial, MaxIdle: idlePeers}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
 	}
 }
 
@@ -258,6 +260,7 @@
 	control := http.NewServeMux()
 	control.Handle("/", n.adapter.Reports(func(r upstreams.Report) error { return n.upstream.Take(r, time.Now()) }))
 	control.Handle("GET /debug/vars", expvar.Handler())
+	control.Handle("GET /metrics", n.requests.Handler())
 	n.control = server(control)
 	n.wireMetrics()
 }
@@ -298,6 +301,12 @@
 	} {
 		n.metrics.Set(name, expvar.Func(read))
 	}
+	n.requests.Value("configuration", "Number of the configuration in force.", func() float64 { return float64(n.holder.Current().Number()) })
+	n.requests.Value("members", "Members of the fleet that the node knows.", func() float64 { return float64(len(n.members.Index().Members)) })
+	n.requests.Value("links", "Links to other nodes.", func() float64 { return float64(n.spread.Links()) })
+	n.requests.Value("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
+	n.requests.Value("gate_busy", "Requests at the gate, in progress and waiting.", func() float64 { return float64(n.gate.Load().Busy) })
+	n.requests.Value("retries", "Requests sent to a second upstream since the start.", func() float64 { return float64(c.Retries.Load()) })
 }
 
 // callerLimits returns what the configuration in force allows callers.
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/upstreams"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/hop"
@@ -57,6 +59,8 @@
 	Observer Observer
 	// Log tells of requests that were refused or failed; nil tells of none.
 	Log *logs.Log
+	// Metrics may be nil.
+	Metrics *metrics.Requests
 
 	mu      sync.Mutex
 	queue   Queue
@@ -88,6 +92,7 @@
 func (g *Gate) Handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
 	began := time.Now()
 	res := g.handle(ctx, r, in)
+	g.Metrics.Observe(metrics.Gate, r.Route, OutcomeOf(res), time.Since(began))
 	if res.Code != api.OK && g.Log != nil && g.Log.Request() {
 		g.log(r, res, time.Since(began))
 	}
@@ -97,6 +102,20 @@
 	return res
 }
 
+// OutcomeOf sorts a result for the metrics.
+func OutcomeOf(res hop.Result) metrics.Outcome {
+	switch {
+	case res.Code == api.OK && res.Answer.Status < http.StatusInternalServerError:
+		return metrics.Answered
+	case res.Code == api.OK:
+		return metrics.Upstream
+	case res.Ran == api.RanNo:
+		return metrics.Refused
+	default:
+		return metrics.Failed
+	}
+}
+
 // log writes one line on a request that was refused or failed here.
 func (g *Gate) log(r *hop.Request, res hop.Result, took time.Duration) {
 	now := time.Now()
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/egress"
@@ -84,6 +85,8 @@
 	// Log tells of requests that failed, were refused or needed more than one
 	// attempt; nil tells of none.
 	Log *logs.Log
+	// Metrics may be nil.
+	Metrics *metrics.Requests
 
 	// patience holds, by route, the longest time that a caller gave.
 	patience sync.Map
@@ -116,6 +119,7 @@
 	t := &trial{e: e, in: in, r: r, route: route, refusal: hop.Refuse(api.CallNoUpstream, 0, nil)}
 	res := t.run(ctx)
 	out := e.respond(in, res, r)
+	e.Metrics.Observe(metrics.Entry, r.Route, egress.OutcomeOf(res), time.Since(in.Arrived))
 	t.log(res, out)
 	return out
 }
