Let the request path declare what it needs of the upstream, and one pause for all

Cause: egress took the instance's type from process/upstreams, a longer life span; five packages had a wait of their own; Place wrote again what Pick does. Change: egress declares Instance and Upstream, process/upstreams fulfils them; pause.For; Picker.choose serves both. The test's stand-in says Connection: close, as one that closes must; its checks are as before. Conclusion: behaviour is as before.

--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,19 @@
+// Package pause waits.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d, or until ctx ends; it tells whether d is over.
+func For(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/process/audit/trail.go
+++ b/internal/process/audit/trail.go
@@ -15,6 +15,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/pause"
 )
 
 // Times of the trail.
@@ -92,7 +93,7 @@
 			return t.last()
 		case <-t.kick:
 		}
-		sleep(ctx, gather)
+		pause.For(ctx, gather)
 		for ctx.Err() == nil {
 			err := t.flush(ctx)
 			if err == nil {
@@ -101,7 +102,7 @@
 			}
 			t.Failed.Add(1)
 			klog.V(1).Infof(logPrefix+"%v", err)
-			sleep(ctx, mathrand.N(retry))
+			pause.For(ctx, mathrand.N(retry))
 			retry = min(2*retry, lastRetry)
 		}
 	}
@@ -155,7 +156,7 @@
 			break
 		}
 		// Another node has written first: merge into what it wrote.
-		sleep(ctx, mathrand.N(gather))
+		pause.For(ctx, mathrand.N(gather))
 		if current, err = failed.Current, ctx.Err(); current.Revision == 0 && err == nil {
 			current, err = t.Store.Get(ctx, platform.KeyAudit)
 		}
@@ -215,12 +216,3 @@
 	l = l.merge(waiting)
 	return api.AuditResponse{Entries: l.Entries, Trimmed: l.Trimmed, Pending: len(waiting)}, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -230,7 +230,7 @@
 		Upstream: n.upstream, Client: &h1.Client{DialTimeout: upstreamDial, MaxIdle: idleUpstream}, Dialect: n.adapter,
 		Allowed: n.orders.Allowed, Ledger: n.ledger, Crashed: n.publishCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
-	n.upstream.Changed = func(i upstreams.Instance) {
+	n.upstream.Changed = func(i egress.Instance) {
 		n.gate.Changed(i)
 		n.self.Announce(api.Announcement{Service: i.Service, Version: i.Version, Address: i.Address, State: i.State, Slots: i.Slots})
 	}
--- a/internal/process/operator/client/apply.go
+++ b/internal/process/operator/client/apply.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/pause"
 	"github.com/daisytide/daisytide/internal/version/document"
 )
 
@@ -29,7 +30,7 @@
 	lost := false
 	var last error
 	for try := range applyTries {
-		if try > 0 && !sleep(ctx, applyWait) {
+		if try > 0 && !pause.For(ctx, applyWait) {
 			break
 		}
 		if lost && base == 0 {
@@ -93,13 +94,3 @@
 	}
 	return api.Errorf(api.OperatorNoAnswer, "%w", err)
 }
-
-// sleep waits and tells whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -14,7 +14,7 @@
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
 	"github.com/daisytide/daisytide/internal/process/member"
-	"github.com/daisytide/daisytide/internal/process/upstreams"
+	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/hop"
 	"github.com/daisytide/daisytide/internal/version/ramp"
 )
@@ -271,7 +271,7 @@
 
 // Observe implements egress.Observer. Runs in a cold upstream tell nothing of
 // its version's speed, only of its failures.
-func (m *Manager) Observe(i *upstreams.Instance, r *hop.Request, res hop.Result, took time.Duration) {
+func (m *Manager) Observe(i *egress.Instance, r *hop.Request, res hop.Result, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	mv := m.moves[r.Service]
--- a/internal/process/orders/orders_test.go
+++ b/internal/process/orders/orders_test.go
@@ -11,7 +11,7 @@
 	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/conn/platform"
 	"github.com/daisytide/daisytide/internal/process/member"
-	"github.com/daisytide/daisytide/internal/process/upstreams"
+	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/hop"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/internal/version/ramp"
@@ -73,7 +73,7 @@
 
 // observe counts n runs, of which some fail.
 func observe(m *Manager, version string, n, failed int) {
-	i := &upstreams.Instance{Report: upstreams.Report{Service: "s", Version: version}}
+	i := &egress.Instance{Service: "s", Version: version}
 	for k := range n {
 		res := hop.Result{Code: api.OK, Answer: &h1.Response{Status: 200}}
 		if k < failed {
--- a/internal/process/provider/apply.go
+++ b/internal/process/provider/apply.go
@@ -9,6 +9,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/pause"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 	"github.com/daisytide/daisytide/internal/version/validate"
@@ -147,7 +148,7 @@
 				return p.notWritten(err)
 			}
 		}
-		sleep(ctx, mathrand.N(repeatSpan))
+		pause.For(ctx, mathrand.N(repeatSpan))
 		if ctx.Err() != nil {
 			return p.unknown(err)
 		}
@@ -189,7 +190,7 @@
 			now, _, decodeErr := document.DecodeAccepted(entry.Value)
 			return now, entry, decodeErr
 		}
-		sleep(ctx, mathrand.N(repeatSpan))
+		pause.For(ctx, mathrand.N(repeatSpan))
 		if ctx.Err() != nil {
 			return nil, platform.Entry{}, err
 		}
--- a/internal/process/provider/operated.go
+++ b/internal/process/provider/operated.go
@@ -11,6 +11,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/pause"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 	"github.com/daisytide/daisytide/internal/version/traffic"
@@ -85,11 +86,11 @@
 		}
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"%v", err)
-			sleep(ctx, rand.N(operatedPause))
+			pause.For(ctx, rand.N(operatedPause))
 			continue
 		}
 		for ctx.Err() == nil && !p.watches() {
-			sleep(ctx, lookEvery)
+			pause.For(ctx, lookEvery)
 		}
 	}
 	return nil
@@ -118,7 +119,7 @@
 			return 0, err
 		}
 		klog.V(1).Infof(logPrefix+"%v", err)
-		sleep(ctx, rand.N(operatedPause))
+		pause.For(ctx, rand.N(operatedPause))
 		return after, nil
 	}
 	// Of several configurations in one answer only the newest counts.
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/pause"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
@@ -129,13 +130,13 @@
 // Run starts the node's configuration and then watches the store, while this
 // node is to, until ctx ends.
 func (p *Provider) Run(ctx context.Context) error {
-	sleep(ctx, rand.N(startSpread))
+	pause.For(ctx, rand.N(startSpread))
 	p.start(ctx)
 	for ctx.Err() == nil {
 		if p.watches() {
 			p.watch(ctx)
 		}
-		sleep(ctx, lookEvery)
+		pause.For(ctx, lookEvery)
 	}
 	return nil
 }
@@ -155,7 +156,7 @@
 		return
 	case <-failed:
 	}
-	for looks := 0; ctx.Err() == nil; sleep(ctx, lookEvery) {
+	for looks := 0; ctx.Err() == nil; pause.For(ctx, lookEvery) {
 		looks++
 		if p.Settled == nil || !p.Settled() || p.Held() == 0 {
 			looks = 0
@@ -179,7 +180,7 @@
 		if failures == failuresBeforePeers {
 			close(failed)
 		}
-		sleep(ctx, lookEvery)
+		pause.For(ctx, lookEvery)
 	}
 }
 
@@ -231,7 +232,7 @@
 	go func() {
 		defer cancel()
 		for ctx.Err() == nil && p.watches() {
-			sleep(ctx, lookEvery)
+			pause.For(ctx, lookEvery)
 		}
 	}()
 	p.mu.Lock()
@@ -241,7 +242,7 @@
 		entries, revision, err := p.watchOnce(ctx, after)
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"%v", err)
-			sleep(ctx, rand.N(lookEvery))
+			pause.For(ctx, rand.N(lookEvery))
 			continue
 		}
 		for _, e := range entries {
@@ -256,12 +257,3 @@
 	defer cancel()
 	return p.Store.Watch(ctx, platform.KeyConfig, after, platform.MaxWatch)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/process/provider/seeds.go
+++ b/internal/process/provider/seeds.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/pause"
 	"github.com/daisytide/daisytide/internal/process/member"
 )
 
@@ -53,17 +54,17 @@
 // Run reads the key while the node has no link, and keeps it while the node
 // is the first of its data centre, until ctx ends.
 func (s *Seeds) Run(ctx context.Context) error {
-	sleep(ctx, seedsWait)
+	pause.For(ctx, seedsWait)
 	for ctx.Err() == nil {
 		switch {
 		case s.Links() == 0:
 			s.load(ctx)
-			sleep(ctx, seedsWait+rand.N(seedsWait))
+			pause.For(ctx, seedsWait+rand.N(seedsWait))
 			continue
 		case Rank(s.Members.Index().Members, s.Self()) == 0:
 			s.keep(ctx)
 		}
-		sleep(ctx, seedsEvery/2+rand.N(seedsEvery))
+		pause.For(ctx, seedsEvery/2+rand.N(seedsEvery))
 	}
 	return nil
 }
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -15,6 +15,7 @@
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
 	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/pause"
 	"github.com/daisytide/daisytide/internal/process/member"
 )
 
@@ -70,7 +71,7 @@
 		lease, err := r.register(ctx)
 		if err != nil {
 			klog.Warningf(logPrefix+"%v", err)
-			sleep(ctx, retryPause/2+rand.N(retryPause))
+			pause.For(ctx, retryPause/2+rand.N(retryPause))
 			continue
 		}
 		r.keep(ctx, lease)
@@ -140,7 +141,7 @@
 	}
 	wait := time.Duration(renewPart * float64(ttl))
 	for {
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -173,14 +174,14 @@
 }
 
 func (r *Registry) listLoop(ctx context.Context) {
-	sleep(ctx, listFirst+rand.N(listFirst/2))
+	pause.For(ctx, listFirst+rand.N(listFirst/2))
 	for first := true; ctx.Err() == nil; first = false {
 		r.list(ctx, !first)
 		wait := listEvery/2 + rand.N(listEvery)
 		if r.Links() == 0 {
 			wait = listAlone/2 + rand.N(listAlone)
 		}
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 }
 
@@ -203,12 +204,3 @@
 		r.add(rec.Address)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/process/upstreams/upstreams.go
+++ b/internal/process/upstreams/upstreams.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/request/egress"
 )
 
 const logPrefix = "upstreams: "
@@ -32,18 +33,6 @@
 	Cold time.Duration
 }
 
-// Instance is the upstream as it is believed to be.
-type Instance struct {
-	Report
-	// ColdUntil is when the instance should be warm.
-	ColdUntil time.Time
-	// HeardAt is when its latest report came.
-	HeardAt time.Time
-}
-
-// Ready tells whether the instance takes requests.
-func (i *Instance) Ready() bool { return i != nil && i.State == api.UpstreamReady }
-
 // Local is the upstream beside this node.
 type Local struct {
 	// Service and Address are those that the settings name; a report of
@@ -51,14 +40,14 @@
 	Service, Address string
 	// Changed is told of each change, in order, under the lock: it must not
 	// call back.
-	Changed func(Instance)
+	Changed func(egress.Instance)
 
 	mu      sync.Mutex
-	current *Instance
+	current *egress.Instance
 }
 
-// Current returns the instance; nil before the first report.
-func (l *Local) Current() *Instance {
+// Current implements egress.Upstream.
+func (l *Local) Current() *egress.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current == nil {
@@ -85,7 +74,10 @@
 		klog.V(1).Infof(logPrefix+"old report of %q (born %d, sequence %d, %s)", r.ID, r.Born, r.Sequence, r.State)
 		return nil
 	}
-	next := Instance{Report: r, HeardAt: now, ColdUntil: now.Add(r.Cold)}
+	next := egress.Instance{
+		ID: r.ID, Born: r.Born, Sequence: r.Sequence, Service: r.Service, Version: r.Version, Address: r.Address,
+		Slots: r.Slots, State: r.State, HeardAt: now, ColdUntil: now.Add(r.Cold),
+	}
 	if r.State == api.UpstreamDown {
 		next = *l.current
 		next.State = r.State
@@ -116,17 +108,16 @@
 
 // left tells that an instance which is leaving would be called ready again.
 // Unreachable is taken back by the next report, a deregistration is not.
-func (l *Local) left(c *Instance, r Report) bool {
+func (l *Local) left(c *egress.Instance, r Report) bool {
 	return c.State == api.UpstreamDraining && r.State == api.UpstreamReady
 }
 
-// Unreachable notes that nothing listens at the instance's address, until its
-// next report.
+// Unreachable implements egress.Upstream.
 func (l *Local) Unreachable(id string) {
 	l.end(id, api.UpstreamStarting)
 }
 
-// Replaced notes that another instance answers at the address.
+// Replaced implements egress.Upstream.
 func (l *Local) Replaced(id string) { l.end(id, api.UpstreamStarting) }
 
 func (l *Local) end(id string, state api.UpstreamState) {
@@ -141,7 +132,7 @@
 }
 
 // set puts an instance in place of the current one; the caller holds mu.
-func (l *Local) set(next Instance) {
+func (l *Local) set(next egress.Instance) {
 	old := l.current
 	l.current = &next
 	if old == nil || old.ID != next.ID || old.State != next.State || old.Born != next.Born {
--- a/internal/request/egress/answer.go
+++ b/internal/request/egress/answer.go
@@ -9,7 +9,6 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
-	"github.com/daisytide/daisytide/internal/process/upstreams"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/hop"
@@ -83,6 +82,6 @@
 }
 
 // instanceHash names an instance in facts.
-func instanceHash(i *upstreams.Instance) uint64 {
+func instanceHash(i *Instance) uint64 {
 	return xxhash.Sum64String(i.ID + " " + strconv.FormatInt(i.Born, 10))
 }
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -18,7 +18,6 @@
 	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/metrics"
-	"github.com/daisytide/daisytide/internal/process/upstreams"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/hop"
 	"github.com/daisytide/daisytide/internal/request/quarantine"
@@ -42,12 +41,12 @@
 
 // Observer hears how each run ended; took is the time in the upstream.
 type Observer interface {
-	Observe(i *upstreams.Instance, r *hop.Request, res hop.Result, took time.Duration)
+	Observe(i *Instance, r *hop.Request, res hop.Result, took time.Duration)
 }
 
 // Gate sends requests to the upstream beside the node.
 type Gate struct {
-	Upstream *upstreams.Local
+	Upstream Upstream
 	Client   *h1.Client
 	Dialect  hop.Dialect
 	// Allowed tells whether requests may go to a version of a service.
@@ -69,7 +68,7 @@
 }
 
 // Changed takes what the upstream says of itself.
-func (g *Gate) Changed(i upstreams.Instance) {
+func (g *Gate) Changed(i Instance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if i.State != api.UpstreamReady {
@@ -172,7 +171,7 @@
 }
 
 // serving returns the instance that may run a request, or the refusal.
-func (g *Gate) serving(r *hop.Request) (*upstreams.Instance, hop.Result) {
+func (g *Gate) serving(r *hop.Request) (*Instance, hop.Result) {
 	i := g.Upstream.Current()
 	switch {
 	case !i.Ready():
@@ -211,7 +210,7 @@
 }
 
 // send makes one exchange with the upstream.
-func (g *Gate) send(ctx context.Context, i *upstreams.Instance, r *hop.Request, in *h1.Request, body []byte) hop.Result {
+func (g *Gate) send(ctx context.Context, i *Instance, r *hop.Request, in *h1.Request, body []byte) hop.Result {
 	header := h1.Forwardable(in.Header)
 	g.Dialect.ToUpstream(header, r.Left(time.Now()), i.ID, r.From)
 	idHeader, id := g.Dialect.ID(header)
@@ -240,7 +239,7 @@
 }
 
 // failed says what is known of an exchange without an answer.
-func (g *Gate) failed(ctx context.Context, i *upstreams.Instance, err error) hop.Result {
+func (g *Gate) failed(ctx context.Context, i *Instance, err error) hop.Result {
 	var e *h1.Error
 	if !errors.As(err, &e) {
 		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
@@ -261,7 +260,7 @@
 }
 
 // running notes the requests that run in an instance, by fingerprint.
-func (g *Gate) running(i *upstreams.Instance, p quarantine.Fingerprint, n int) {
+func (g *Gate) running(i *Instance, p quarantine.Fingerprint, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.prints == nil {
@@ -281,7 +280,7 @@
 
 // inquire finds out whether the instance died with the request whose
 // connection broke, and blames all that ran in it.
-func (g *Gate) inquire(i *upstreams.Instance, service string) {
+func (g *Gate) inquire(i *Instance, service string) {
 	conn, err := net.DialTimeout("tcp", i.Address, reachTimeout)
 	if err == nil {
 		_ = conn.Close()
--- a/internal/request/egress/gate_test.go
+++ b/internal/request/egress/gate_test.go
@@ -6,13 +6,13 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
-	"github.com/daisytide/daisytide/internal/process/upstreams"
 	"github.com/daisytide/daisytide/internal/request/hop"
 	"github.com/daisytide/daisytide/internal/request/quarantine"
 	"github.com/daisytide/daisytide/internal/version/traffic"
@@ -35,8 +35,43 @@
 	return resp.Header.Get("Not-Run") != "" || resp.Status == 421, resp.Status == 421
 }
 
+// beside is the upstream beside a gate, in whatever state a test puts it.
+type beside struct {
+	mu      sync.Mutex
+	current Instance
+	gate    *Gate
+}
+
+func (b *beside) Current() *Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := b.current
+	return &i
+}
+
+func (b *beside) Unreachable(id string) { b.end(id) }
+func (b *beside) Replaced(id string)    { b.end(id) }
+
+func (b *beside) end(id string) {
+	b.mu.Lock()
+	ours := b.current.ID == id
+	b.mu.Unlock()
+	if ours {
+		b.set(func(i *Instance) { i.State = api.UpstreamStarting })
+	}
+}
+
+func (b *beside) set(fn func(*Instance)) {
+	b.mu.Lock()
+	fn(&b.current)
+	i := b.current
+	b.mu.Unlock()
+	b.gate.Changed(i)
+}
+
 type gateRig struct {
 	*Gate
+	beside  *beside
 	runs    atomic.Int64
 	crashes atomic.Int64
 	// serve answers a connection's request; nil answers 200.
@@ -63,32 +98,26 @@
 			}
 			defer conn.Close()
 			if g.serve(conn, r) {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 			}
 			return
 		}
 		w.Header().Set("Id", r.Header.Get("Id"))
 	})}
 	go func() { _ = server.Serve(l) }()
-	local := &upstreams.Local{Service: "s", Address: l.Addr().String()}
+	g.beside = &beside{current: Instance{Service: "s", Address: l.Addr().String(), Version: "v1", Slots: 4}}
 	g.Gate = &Gate{
-		Upstream: local, Client: &h1.Client{DialTimeout: time.Second, MaxIdle: 8}, Dialect: plain{},
+		Upstream: g.beside, Client: &h1.Client{DialTimeout: time.Second, MaxIdle: 8}, Dialect: plain{},
 		Allowed: func(_, version string) bool { return version != "bad" }, Ledger: ledger,
 		Crashed: func(quarantine.Fact) { g.crashes.Add(1) },
 	}
-	local.Changed = g.Changed
-	g.ready(t, "i-1", 1)
+	g.beside.gate = g.Gate
+	g.ready("i-1", 1)
 	return g, l
 }
 
-func (g *gateRig) ready(t *testing.T, id string, born int64) {
-	t.Helper()
-	err := g.Upstream.Take(upstreams.Report{
-		ID: id, Born: born, Sequence: 1, Service: "s", Address: g.Upstream.Address, Version: "v1", Slots: 4, State: api.UpstreamReady,
-	}, time.Now())
-	if err != nil {
-		t.Fatal(err)
-	}
+func (g *gateRig) ready(id string, born int64) {
+	g.beside.set(func(i *Instance) { i.ID, i.Born, i.State = id, born, api.UpstreamReady })
 }
 
 func (g *gateRig) ask(version, target string) hop.Result {
@@ -117,9 +146,9 @@
 	}{
 		{"answered", "v1", nil, api.OK, api.RanYes, false},
 		{"another version", "v2", nil, api.CallNoUpstream, api.RanNo, false},
-		{"refused by the upstream", "v1", answer("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), api.CallShed, api.RanNo, true},
-		{"another instance", "v1", answer("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"), api.CallNoUpstream, api.RanNo, false},
-		{"failed by the upstream", "v1", answer("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"), api.OK, api.RanYes, false},
+		{"refused by the upstream", "v1", answer("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), api.CallShed, api.RanNo, true},
+		{"another instance", "v1", answer("HTTP/1.1 421 Other\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), api.CallNoUpstream, api.RanNo, false},
+		{"failed by the upstream", "v1", answer("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), api.OK, api.RanYes, false},
 		{"cut", "v1", answer(""), api.CallCut, api.RanUnknown, false},
 		{"no answer in the protocol", "v1", answer("what is this\r\n\r\n"), api.CallCut, api.RanUnknown, false},
 		{"short", "v1", answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"), api.CallCut, api.RanUnknown, false},
@@ -137,7 +166,7 @@
 func TestAnotherInstanceIsNotUsedUntilItReports(t *testing.T) {
 	g, _ := newGate(t, quarantine.NewLedger(time.Now))
 	g.serve = func(conn net.Conn, _ *http.Request) bool {
-		_, _ = io.WriteString(conn, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 		return false
 	}
 	for range 3 {
@@ -147,7 +176,7 @@
 		t.Errorf("%d requests were sent", g.runs.Load())
 	}
 	g.serve = nil
-	g.ready(t, "i-2", 2)
+	g.ready("i-2", 2)
 	if res := g.ask("v1", "/x"); res.Code != api.OK {
 		t.Errorf("%+v", res)
 	}
@@ -183,11 +212,7 @@
 	for end := time.Now().Add(10 * time.Second); g.Load().Busy < 6 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	if err := g.Upstream.Take(upstreams.Report{
-		ID: "i-1", Born: 1, Sequence: 2, Service: "s", Address: g.Upstream.Address, Version: "v1", Slots: 4, State: api.UpstreamDraining,
-	}, time.Now()); err != nil {
-		t.Fatal(err)
-	}
+	g.beside.set(func(i *Instance) { i.State = api.UpstreamDraining })
 	for range 2 {
 		if res := <-results; res.Code != api.CallLeaving || res.Ran != api.RanNo {
 			t.Errorf("a waiting one: %+v", res)
@@ -208,7 +233,7 @@
 	total := int64(0)
 	for i := range 6 {
 		g, l := newGate(t, ledger)
-		g.ready(t, "i-"+strconv.Itoa(i), int64(i+2))
+		g.ready("i-"+strconv.Itoa(i), int64(i+2))
 		g.serve = func(conn net.Conn, r *http.Request) bool {
 			if r.URL.Path != "/poison" {
 				return true
--- a/internal/request/once/keeper.go
+++ b/internal/request/once/keeper.go
@@ -12,6 +12,7 @@
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/pause"
 )
 
 // Backoff of the keeper's tries, with full jitter.
@@ -96,7 +97,7 @@
 		s.enter(roster, time.Now())
 		window := time.Now().Add(k.Keys.Limits.Window)
 		k.prepare(ctx, name, s, roster, window)
-		if !sleep(ctx, time.Until(window)) {
+		if !pause.For(ctx, time.Until(window)) {
 			return
 		}
 		k.watch(ctx, name, s, roster)
@@ -172,7 +173,7 @@
 		if ready && len(s.silent(k.Keys.Self)) == 0 || !time.Now().Before(window) {
 			return
 		}
-		sleep(ctx, min(rand.N(backoff), time.Until(window)))
+		pause.For(ctx, min(rand.N(backoff), time.Until(window)))
 		backoff = min(2*backoff, backoffMost)
 	}
 }
@@ -310,21 +311,9 @@
 			return true
 		}
 		klog.V(1).Infof(logPrefix+"table of gates: %v", err)
-		if !sleep(ctx, rand.N(backoff)) {
+		if !pause.For(ctx, rand.N(backoff)) {
 			return false
 		}
 		backoff = min(2*backoff, backoffMost)
 	}
 }
-
-// sleep waits; false when ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -66,6 +66,13 @@
 // Pick chooses among the nodes of key that are not in tried; false where none
 // is left.
 func (p *Picker) Pick(x *member.Index, key member.UpstreamKey, tried []string, now time.Time, rng *rand.Rand) (Picked, bool) {
+	return p.choose(x, key, tried, func(groups *[distances][]Candidate) (Distance, int, bool) {
+		return DefaultPolicy.Choose(groups, now, rng)
+	})
+}
+
+// choose lets a policy choose among the nodes of key, and notes the call there.
+func (p *Picker) choose(x *member.Index, key member.UpstreamKey, tried []string, policy func(*[distances][]Candidate) (Distance, int, bool)) (Picked, bool) {
 	nodes := p.view(x).groups[key]
 	if nodes == nil {
 		return Picked{}, false
@@ -73,7 +80,7 @@
 	s := scratches.Get().(*scratch)
 	defer scratches.Put(s)
 	s.fill(nodes, tried)
-	d, place, ok := DefaultPolicy.Choose(&s.groups, now, rng)
+	d, place, ok := policy(&s.groups)
 	if !ok {
 		return Picked{}, false
 	}
--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -35,22 +35,9 @@
 // leaves it when they have refused. It answers upstreams of different speeds
 // and loads in several data centres.
 func (p *Picker) Place(x *member.Index, key member.UpstreamKey, tried []string, now time.Time, rng *rand.Rand, w Want) (Picked, bool) {
-	nodes := p.view(x).groups[key]
-	if nodes == nil {
-		return Picked{}, false
-	}
-	s := scratches.Get().(*scratch)
-	defer scratches.Put(s)
-	s.fill(nodes, tried)
-	d, place, ok := cheapest(&s.groups, now, rng, w)
-	if !ok {
-		return Picked{}, false
-	}
-	n := nodes[d][place]
-	n.state.mu.Lock()
-	defer n.state.mu.Unlock()
-	n.state.sight.Begin()
-	return Picked{Record: n.record, state: n.state}, true
+	return p.choose(x, key, tried, func(groups *[distances][]Candidate) (Distance, int, bool) {
+		return cheapest(groups, now, rng, w)
+	})
 }
 
 // option is a candidate with its expected cost in seconds.
