Serve the console and the operators' API on operated nodes

Cause: an operated node had no console and no hosts command, though the product keeps its interface on the platform. Change: the control listener serves them beside heartbeats; hosts, status, rollouts and the configuration's number are shown, documents, orders and announcements are refused with 3012, since the operator writes to the store. Hosts moved from the node into the survey, which both kinds of nodes use.

--- a/api/codes.go
+++ b/api/codes.go
@@ -66,6 +66,9 @@
 	OperatorForm      Code = 3010
 	// OperatorNoOldVersion keeps a move from being taken back to nowhere.
 	OperatorNoOldVersion Code = 3011
+	// OperatorElsewhere refuses documents where the store holds the operator's
+	// configuration.
+	OperatorElsewhere Code = 3012
 
 	CallNoRoute        Code = 4001
 	CallNoUpstream     Code = 4002
@@ -162,6 +165,7 @@
 	{OperatorForm, "operator-form", http.StatusForbidden, RanNone, true, "a form of the console was sent without its token, or its session has ended"},
 
 	{OperatorNoOldVersion, "operator-no-old-version", http.StatusConflict, RanNone, true, "the rollout cannot be taken back, since no upstream of the old version is left"},
+	{OperatorElsewhere, "operator-elsewhere", http.StatusConflict, RanNone, true, "the operator keeps configuration and orders in the platform's store; this node takes none"},
 
 	{CallNoRoute, "call-no-route", http.StatusNotFound, RanNo, true, "no route matches the request"},
 	{CallNoUpstream, "call-no-upstream", http.StatusServiceUnavailable, RanNo, true, "no upstream of the service can take the request"},
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -23,26 +23,8 @@
 	}
 }
 
-// Hosts implements operator.Node: every member, with the configuration in
-// force there.
-func (n *Node) Hosts(ctx context.Context) api.HostsResponse {
-	members := n.members.Index().Members
-	out := api.HostsResponse{Number: n.holder.Current().Number()}
-	found := n.survey.All(ctx)
-	for _, r := range members {
-		f, ok := found[r.Address]
-		if !ok {
-			f.Error = "not asked yet"
-		}
-		out.Hosts = append(out.Hosts, api.Host{
-			Address: r.Address, Region: r.Region, DataCentre: r.DataCentre, State: r.State.String(),
-			Incarnation: r.Incarnation, Service: r.Service, Version: r.Version,
-			Upstream: string(r.Upstream), Slots: r.Slots,
-			Number: f.Number, Error: f.Error,
-		})
-	}
-	return out
-}
+// Hosts implements operator.Node.
+func (n *Node) Hosts(ctx context.Context) api.HostsResponse { return n.survey.Hosts(ctx) }
 
 // Audit implements operator.Node.
 func (n *Node) Audit(ctx context.Context) (api.AuditResponse, *api.Error) {
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -30,6 +30,7 @@
 	"github.com/daisytide/daisytide/internal/process/registry"
 	"github.com/daisytide/daisytide/internal/process/settings"
 	"github.com/daisytide/daisytide/internal/process/spread"
+	"github.com/daisytide/daisytide/internal/process/survey"
 	"github.com/daisytide/daisytide/internal/process/upstreams"
 	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/hop"
@@ -87,9 +88,9 @@
 	Operator() traffic.OperatorKeys
 	// Order reads an order.
 	Order(key string, revision uint64, value []byte) (ramp.Order, error)
-	// Reports returns the handler of the upstream's calls, which gives what it
-	// reads to take.
-	Reports(take func(upstreams.Report) error) http.Handler
+	// Reports registers the handlers of the upstream's calls, which give what
+	// they read to take.
+	Reports(mux *http.ServeMux, take func(upstreams.Report) error)
 	// ReadyPath is where the platform asks whether the node is ready.
 	ReadyPath() string
 }
@@ -115,6 +116,7 @@
 	ingress  *ingress.Ingress
 	store    *platform.Guard
 	rpc      *rpc.Client
+	survey   *survey.Survey
 	traffic  *link.Traffic
 
 	callers, gates, ready *h1.Server
@@ -258,9 +260,9 @@
 	peers.Handle(rpc.Prefix+reachMethod, rpc.Handle(n.reach))
 	n.peers = server(n.withKey(peers))
 	control := http.NewServeMux()
-	control.Handle("/", n.adapter.Reports(func(r upstreams.Report) error { return n.upstream.Take(r, time.Now()) }))
-	control.Handle("GET /debug/vars", expvar.Handler())
+	n.adapter.Reports(control, func(r upstreams.Report) error { return n.upstream.Take(r, time.Now()) })
 	control.Handle("GET /metrics", n.requests.Handler())
+	control.Handle("/", n.operatorHandler(peers))
 	n.control = server(control)
 	n.wireMetrics()
 }
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -14,7 +14,9 @@
 	"testing"
 	"time"
 
+	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/process/operated"
+	"github.com/daisytide/daisytide/internal/process/operator/client"
 	"github.com/daisytide/daisytide/internal/process/settings"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/platform"
@@ -318,3 +320,24 @@
 	}
 	_ = far
 }
+
+func TestOperatorsSeeTheFleetAndWriteElsewhere(t *testing.T) {
+	s := store.New(1)
+	near, far := start(t, s, "near", "i-near"), start(t, s, "far", "i-far")
+	configure(t, s, 7)
+	c := &client.Client{Base: "http://" + near.cfg.Operators.Listen, Token: near.cfg.Operators.Token, Operator: "ann", HTTP: http.DefaultClient}
+	await(t, "both hosts with the configuration", func() bool {
+		var out api.HostsResponse
+		if err := c.Get(context.Background(), api.PathHosts, &out); err != nil || len(out.Hosts) != 2 {
+			return false
+		}
+		return out.Hosts[0].Number == 7 && out.Hosts[1].Number == 7
+	})
+	if _, err := c.Validate(context.Background(), []byte(`{}`)); api.CodeOf(err, api.OK) != api.OperatorElsewhere {
+		t.Errorf("a document: %v", err)
+	}
+	if out, err := c.Apply(context.Background(), []byte(`{}`), 0); err == nil && out.Error == nil {
+		t.Errorf("a document was taken: %+v", out)
+	}
+	_ = far
+}
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -203,6 +205,28 @@
 	return ""
 }
 
+// Move tells of one move.
+type Move struct {
+	Order ramp.Order
+	Since time.Time
+	Phase ramp.Phase
+	// Share is the part of the requests that goes to the target.
+	Share float64
+}
+
+// Moves lists the latest move of each service, in their order.
+func (m *Manager) Moves() []Move {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	out := make([]Move, 0, len(m.moves))
+	for _, mv := range m.moves {
+		out = append(out, Move{Order: mv.order, Since: mv.since, Phase: mv.phase, Share: mv.share(now)})
+	}
+	slices.SortFunc(out, func(a, b Move) int { return strings.Compare(a.Order.Service, b.Order.Service) })
+	return out
+}
+
 func (mv *move) share(now time.Time) float64 {
 	switch mv.phase {
 	case ramp.Completed:
--- a/internal/process/survey/survey.go
+++ b/internal/process/survey/survey.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/process/member"
 )
@@ -192,3 +193,23 @@
 	own := byCentre(s.Members())[s.Self().DataCentre]
 	return Centre{Found: s.direct(ctx, own)}, nil
 }
+
+// Hosts lists every member with the configuration in force there.
+func (s *Survey) Hosts(ctx context.Context) api.HostsResponse {
+	members := s.Members()
+	out := api.HostsResponse{Number: s.Number()}
+	found := s.All(ctx)
+	for _, r := range members {
+		f, ok := found[r.Address]
+		if !ok {
+			f.Error = "not asked yet"
+		}
+		out.Hosts = append(out.Hosts, api.Host{
+			Address: r.Address, Region: r.Region, DataCentre: r.DataCentre, State: r.State.String(),
+			Incarnation: r.Incarnation, Service: r.Service, Version: r.Version,
+			Upstream: string(r.Upstream), Slots: r.Slots,
+			Number: f.Number, Error: f.Error,
+		})
+	}
+	return out
+}
