Let short runs go first and wait beyond their objective

Change: the queue knows runs as short that take at most 0.3 of the longest usual time among routes with a tenth of the runs; they go first and may wait as long as that longest run.

--- a/internal/request/egress/answer.go
+++ b/internal/request/egress/answer.go
@@ -22,6 +22,8 @@
 	headerReached = "Daisytide-Reached"
 	// headerNeed carries, in microseconds, the usual time of the route's runs.
 	headerNeed = "Daisytide-Need"
+	// headerShort tells that the route's runs are short beside others.
+	headerShort = "Daisytide-Short"
 )
 
 // Respond writes a result for the node that sent the request.
@@ -46,6 +48,9 @@
 		call.HeaderLoad: {l.String()},
 		headerAfter:     {strconv.FormatInt(res.After.Milliseconds(), 10)},
 	}
+	if res.Short {
+		h[headerShort] = []string{"1"}
+	}
 	if res.Reached {
 		h[headerReached] = []string{"1"}
 	}
@@ -77,7 +82,7 @@
 	after, _ := strconv.ParseInt(resp.Header.Get(headerAfter), 10, 32)
 	return hop.Result{
 		Code: api.Code(code), Ran: api.Ran(resp.Header.Get(call.HeaderRun)), After: time.Duration(after) * time.Millisecond,
-		Reached: resp.Header.Get(headerReached) != "",
+		Reached: resp.Header.Get(headerReached) != "", Short: resp.Header.Get(headerShort) != "",
 	}
 }
 
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -97,7 +97,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	res.Need = g.queue.Need(r.Route)
+	res.Need, res.Short = g.queue.Need(r.Route), g.queue.Short(r.Route)
 	return res
 }
 
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -29,9 +29,14 @@
 	// latePatience is the part of its time that a late request may wait: one
 	// that finds no slot by then is better told to return.
 	latePatience = 0.25
-	// Urgent is the rank of requests that wait until their deadline: calls that
-	// running upstreams make, whose refusal wastes the run that made them.
-	Urgent = 0
+	// shortPart of the longest usual time of a service's routes is what a short
+	// run takes at most. Calls that running upstreams make are such: refusing
+	// them frees next to nothing and wastes the runs that made them.
+	shortPart = 0.3
+	// fairPart of the runs makes a route count in that; total forgets by
+	// runsWeight, so that it follows the load.
+	fairPart   = 0.1
+	runsWeight = 1.0 / 256
 )
 
 // Want is what the queue needs to know of a request.
@@ -50,9 +55,10 @@
 	// Verdict receives the decision once: api.OK admits.
 	Verdict chan Verdict
 	// begin is until when the request must begin to meet its objective, or,
-	// late or urgent, its deadline.
+	// late or short, its deadline.
 	begin   time.Time
 	late    bool
+	short   bool
 	decided bool
 }
 
@@ -67,7 +73,8 @@
 // answers more load than the upstream has slots for. Work done for a request
 // that misses its objective is worth little, so those that can meet theirs
 // wait by rank and by when they must begin, a few late ones wait behind them,
-// and all others are refused as soon as that is known. It is a state machine
+// and all others are refused as soon as that is known. Short runs go first and
+// wait for the longest usual run at most. It is a state machine
 // without locks or clocks.
 type Queue struct {
 	// Slots is how many requests run at once.
@@ -79,6 +86,9 @@
 	late    int
 	held    float64
 	need    map[string]float64
+	// runs and total count the runs of late, by route and in all.
+	runs  map[string]float64
+	total float64
 }
 
 // Running returns the requests in progress.
@@ -114,7 +124,7 @@
 		q.running++
 		return nil, Verdict{Code: api.OK}
 	}
-	t := &Ticket{Want: w, Verdict: make(chan Verdict, 1), begin: q.inTime(w)}
+	t := &Ticket{Want: w, Verdict: make(chan Verdict, 1), begin: q.inTime(now, w), short: q.Short(w.Route)}
 	if !q.enter(now, t) && !q.enterLate(now, t) {
 		return nil, Verdict{Code: api.CallShed, After: q.back()}
 	}
@@ -126,10 +136,31 @@
 	return w.Deadline.Add(-time.Duration(needPart * float64(q.Need(w.Route))))
 }
 
-// inTime is when a request must begin to meet its objective.
-func (q *Queue) inTime(w Want) time.Time {
+// longest returns the longest usual time, in seconds, of the routes that make
+// up a fair part of the runs.
+func (q *Queue) longest() float64 {
+	out := 0.0
+	for route, need := range q.need {
+		if q.runs[route] >= fairPart*q.total {
+			out = max(out, need)
+		}
+	}
+	return out
+}
+
+// Short tells whether a route's runs are short beside others here.
+func (q *Queue) Short(route string) bool {
+	return q.need[route] > 0 && q.need[route] <= shortPart*q.longest()
+}
+
+// inTime is when a request must begin to meet its objective. A short one may
+// miss it, but waits no longer than the longest usual run.
+func (q *Queue) inTime(now time.Time, w Want) time.Time {
 	latest := q.latest(w)
-	if objective := w.Objective.Add(-time.Duration(timely * float64(q.Need(w.Route)))); w.Priority != Urgent && objective.Before(latest) {
+	if wait := now.Add(time.Duration(q.longest() * float64(time.Second))); q.Short(w.Route) && wait.Before(latest) {
+		return wait
+	}
+	if objective := w.Objective.Add(-time.Duration(timely * float64(q.Need(w.Route)))); !q.Short(w.Route) && objective.Before(latest) {
 		return objective
 	}
 	return latest
@@ -149,7 +180,7 @@
 // enterLate puts a request behind all others, while few are there.
 func (q *Queue) enterLate(now time.Time, t *Ticket) bool {
 	begin := q.latest(t.Want)
-	if t.Priority != Urgent {
+	if !t.short {
 		begin = now.Add(time.Duration(latePatience * float64(begin.Sub(now))))
 	}
 	if q.late >= max(1, q.Slots/latePart) || now.Add(q.Wait(len(q.waiting))).After(begin) {
@@ -212,10 +243,23 @@
 		n := q.need[route]
 		fold(&n, held, needWeight)
 		q.need[route] = n
+		q.count(route)
 	}
 	q.Fill(now)
 }
 
+// count notes a run of a route.
+func (q *Queue) count(route string) {
+	if q.runs == nil {
+		q.runs = map[string]float64{}
+	}
+	for r := range q.runs {
+		q.runs[r] *= 1 - runsWeight
+	}
+	q.total = q.total*(1-runsWeight) + 1
+	q.runs[route]++
+}
+
 func fold(mean *float64, took time.Duration, weight float64) {
 	if *mean == 0 {
 		*mean = took.Seconds()
@@ -277,6 +321,8 @@
 	switch {
 	case t.late != o.late:
 		return !t.late
+	case t.short != o.short:
+		return t.short
 	case t.Priority != o.Priority:
 		return t.Priority < o.Priority
 	default:
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -121,7 +121,9 @@
 	// Need is the usual time of the route's runs at the upstream; 0 where it
 	// is not known.
 	Need time.Duration
-	Err  error
+	// Short tells that the route's runs are short beside others there.
+	Short bool
+	Err   error
 }
 
 // Refuse makes the result of a request that was not run.
