--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -61,10 +61,9 @@
 	// Metrics may be nil.
 	Metrics *metrics.Requests
 
-	mu      sync.Mutex
-	queue   Queue
-	prints  map[string]map[quarantine.Fingerprint]int
-	leaving bool
+	mu     sync.Mutex
+	queue  Queue
+	prints map[string]map[quarantine.Fingerprint]int
 }
 
 // Changed takes what the upstream says of itself.
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -37,6 +37,9 @@
 	// runsWeight, so that it follows the load.
 	fairPart   = 0.1
 	runsWeight = 1.0 / 256
+	// forgetBelow is the number of runs of late, faded by runsWeight, at which a
+	// route is forgotten: some 1,200 runs of others after its last.
+	forgetBelow = 0.01
 )
 
 // Want is what the queue needs to know of a request.
@@ -255,6 +258,10 @@
 	}
 	for r := range q.runs {
 		q.runs[r] *= 1 - runsWeight
+		if q.runs[r] < forgetBelow {
+			delete(q.runs, r)
+			delete(q.need, r)
+		}
 	}
 	q.total = q.total*(1-runsWeight) + 1
 	q.runs[route]++
--- a/internal/request/egress/queue_test.go
+++ b/internal/request/egress/queue_test.go
@@ -168,7 +168,7 @@
 	ends   map[int]outcome
 }
 
-type outcome struct{ inTime, served, held int }
+type outcome struct{ inTime, served int }
 
 // admission is the queue under test or a baseline.
 type admission interface {
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -189,6 +188,25 @@
 	e.needs.Store(route, need)
 }
 
+// Forget drops what is kept of routes that a configuration no longer has.
+func (e *Ingress) Forget(s *snapshot.Snapshot) {
+	if s.Traffic == nil {
+		return
+	}
+	there := make(map[any]bool, len(s.Traffic.Config.Routes))
+	for i := range s.Traffic.Config.Routes {
+		there[s.Traffic.Config.Routes[i].Name] = true
+	}
+	for _, m := range []*sync.Map{&e.patience, &e.needs} {
+		m.Range(func(route, _ any) bool {
+			if !there[route] {
+				m.Delete(route)
+			}
+			return true
+		})
+	}
+}
+
 // respond turns a result into the caller's answer.
 func (e *Ingress) respond(in *h1.Request, res hop.Result, r *hop.Request) *h1.Response {
 	if res.Code == api.OK {
@@ -237,221 +255,3 @@
 	}
 	return max(after, time.Millisecond)
 }
-
-// trial is the attempts at one request.
-type trial struct {
-	e     *Ingress
-	in    *h1.Request
-	r     *hop.Request
-	route *traffic.Route
-
-	tried []string
-	// reached counts the upstreams that may have got the request.
-	reached int
-	// kept is what the caller gets unless another attempt does better: an
-	// upstream's own failure, else a failure after which the request may have run.
-	kept *hop.Result
-	// back is the earliest time after which a node expects room.
-	back time.Duration
-	// refusal is the last one.
-	refusal hop.Result
-	// attempts tells of each attempt, for the log.
-	attempts []string
-}
-
-// note remembers an attempt for the log.
-func (t *trial) note(to string, began time.Time, res hop.Result) {
-	t.attempts = append(t.attempts, fmt.Sprintf("%s %s %dms", to, res.Code, time.Since(began).Milliseconds()))
-}
-
-// run brings the request to one node after another while that is safe.
-func (t *trial) run(ctx context.Context) hop.Result {
-	e := t.e
-	e.Budget.Earn(t.r.Service, e.RetryShare)
-	for {
-		res, found := t.once(ctx)
-		if !found {
-			return t.settle(t.refusal)
-		}
-		switch {
-		case res.Code == api.OK && !t.worthAnother(res):
-			return res
-		case ctx.Err() != nil:
-			return t.settle(t.late(ctx, res))
-		case res.Ran == api.RanNo:
-			t.refused(res)
-			if len(t.tried) >= maxPlaces || final(res.Code) {
-				return t.settle(res)
-			}
-			if res.Reached {
-				t.reached++
-				if !t.pay() {
-					return t.settle(res)
-				}
-			}
-		default:
-			t.reached++
-			t.keep(res)
-			if !t.again() {
-				return t.settle(res)
-			}
-		}
-	}
-}
-
-// final tells that no other node would take the request either.
-func final(c api.Code) bool { return c == api.CallQuarantined || c == api.CallNoTime }
-
-// worthAnother tells that an upstream's own answer is a failure which another
-// upstream may turn into an answer.
-func (t *trial) worthAnother(res hop.Result) bool {
-	return res.Answer.Status >= http.StatusInternalServerError && t.r.Repeat == traffic.Idempotent
-}
-
-// again tells whether the request may go to another upstream, and pays for it.
-func (t *trial) again() bool {
-	return t.r.Repeat == traffic.Idempotent && t.pay()
-}
-
-// pay takes what sending the request to another upstream costs of the budget.
-func (t *trial) pay() bool {
-	if t.reached >= max(1, t.route.Attempts) {
-		return false
-	}
-	if !t.e.Budget.Take(t.r.Service, 1) {
-		t.e.Counts.OverBudget.Add(1)
-		return false
-	}
-	t.e.Counts.Retries.Add(1)
-	return true
-}
-
-func (t *trial) refused(res hop.Result) {
-	t.refusal = res
-	if res.After > 0 && (t.back == 0 || res.After < t.back) {
-		t.back = res.After
-	}
-}
-
-// keep remembers an attempt after which the request may have run.
-func (t *trial) keep(res hop.Result) {
-	if t.kept == nil || t.kept.Code != api.OK {
-		t.kept = &res
-	}
-}
-
-// settle ends the request with res, unless an attempt before says more: a
-// request that may have run must not be called refused.
-func (t *trial) settle(res hop.Result) hop.Result {
-	if t.kept != nil && (res.Ran == api.RanNo || t.kept.Code == api.OK) {
-		return *t.kept
-	}
-	if res.Ran == api.RanNo && t.back > 0 {
-		res.After = t.back
-	}
-	return res
-}
-
-// late is the result when the time is up or the caller has left.
-func (t *trial) late(ctx context.Context, res hop.Result) hop.Result {
-	if res.Ran == api.RanNo {
-		return hop.Refuse(api.CallNoTime, 0, res.Err)
-	}
-	code := api.CallTimeout
-	if errors.Is(ctx.Err(), context.Canceled) {
-		code = api.CallCancelled
-	}
-	return hop.Result{Code: code, Ran: api.RanUnknown, Err: res.Err}
-}
-
-// once makes one attempt; false when no node is left to try.
-func (t *trial) once(ctx context.Context) (hop.Result, bool) {
-	e := t.e
-	x := e.Members.Index()
-	t.r.Version = e.Versions.Choose(x, t.r.Service, rand.Float64())
-	if t.r.Version == "" {
-		return hop.Result{}, false
-	}
-	key := member.UpstreamKey{Service: t.r.Service, Version: t.r.Version}
-	now := time.Now()
-	want := pick.Want{Need: e.need(t.r.Route)}
-	if t.refusal.Code == api.CallShed && !t.refusal.Reached && !t.refusal.Short {
-		// A node was full: only one that is known to have room is worth the way.
-		want.Within = max(time.Nanosecond, time.Duration(hopeful*float64(t.r.Objective.Sub(now))))
-	}
-	picked, ok := e.Picker.Place(x, key, t.tried, now, rand.New(globalRandom{}), want)
-	if !ok {
-		return hop.Result{}, false
-	}
-	t.tried = append(t.tried, picked.Record.Address)
-	if picked.Record.Address == e.Self {
-		in := *t.in
-		res := e.Local.Handle(ctx, t.r, &in)
-		t.note(picked.Record.Address, now, res)
-		picked.Done(time.Now(), faultOf(res), e.Local.Load(), true)
-		e.learn(t.r.Route, res.Need)
-		return res, true
-	}
-	res, load, carried := t.remote(ctx, picked.Record)
-	t.note(picked.Record.Address, now, res)
-	e.learn(t.r.Route, res.Need)
-	picked.Done(time.Now(), faultOf(res), load, carried)
-	return res, true
-}
-
-// globalRandom makes the goroutine-safe global generator a source.
-type globalRandom struct{}
-
-// Uint64 implements rand.Source.
-func (globalRandom) Uint64() uint64 { return rand.Uint64() }
-
-// remote sends the request to the gate of another node.
-func (t *trial) remote(ctx context.Context, to member.Record) (hop.Result, gate.Load, bool) {
-	now := time.Now()
-	header := h1.Forwardable(t.in.Header)
-	t.r.ToGate(header, now)
-	sign := time.Duration(signPart * float64(t.r.Left(now)))
-	c := &h1.Call{
-		Method: t.in.Method, Target: t.in.Target, Host: t.in.Host, Header: header, Body: t.in.Body,
-		Ask: true, Sign: min(max(sign, signMin), signMax),
-	}
-	resp, err := t.e.Client.Do(ctx, to.Gate, c)
-	if err == nil {
-		return egress.Read(resp)
-	}
-	return t.lost(to, err), gate.Load{}, false
-}
-
-// lost says what is known after an exchange with a node brought no answer. A
-// body that the node did not ask for cannot have been run.
-func (t *trial) lost(to member.Record, err error) hop.Result {
-	var e *h1.Error
-	if !errors.As(err, &e) {
-		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
-	}
-	if e.Failure == h1.Silent {
-		t.e.Client.CloseIdle(to.Gate)
-	}
-	if !e.Sent || len(t.in.Body) > 0 && !e.Complete {
-		return hop.Refuse(api.CallNotReached, backDefault, err)
-	}
-	return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
-}
-
-// faultOf reads what an attempt has shown of the node and its upstream.
-func faultOf(res hop.Result) pick.Fault {
-	switch res.Code {
-	case api.OK:
-		if res.Answer.Status >= http.StatusInternalServerError {
-			return pick.Failed
-		}
-		return pick.NoFault
-	case api.CallNotReached:
-		return pick.NotReached
-	case api.CallLeaving, api.CallNoUpstream:
-		return pick.Leaving
-	case api.CallCut, api.CallTimeout:
-		return pick.Failed
-	}
-	return pick.Neutral
-}
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -284,3 +284,20 @@
 		t.Errorf("status %d after %d attempts at the other node", resp.Status, r.sent)
 	}
 }
+
+func TestRoutesThatAreGoneAreForgotten(t *testing.T) {
+	r := newRig(t, 0, answered(200))
+	r.get("/read/1", "Left", "150")
+	r.entry.learn("gone", time.Second)
+	r.entry.spent("gone", time.Second)
+	r.entry.Forget(r.entry.Holder.Current())
+	if r.entry.need("gone") != 0 {
+		t.Error("its usual time is kept")
+	}
+	if _, ok := r.entry.patience.Load("gone"); ok {
+		t.Error("its callers' time is kept")
+	}
+	if _, ok := r.entry.patience.Load("read"); !ok {
+		t.Error("a route that stands was forgotten")
+	}
+}
