--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -341,3 +341,53 @@
 	}
 	_ = far
 }
+
+// scraped sums a histogram's counts of one hop at a node.
+func scraped(t *testing.T, h *host, hop string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + h.cfg.Operators.Listen + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	total := 0
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, `daisytide_request_seconds_count{hop="`+hop+`"`) {
+			n, err := strconv.Atoi(strings.TrimSpace(line[strings.LastIndex(line, " "):]))
+			if err != nil {
+				t.Fatal(err)
+			}
+			total += n
+		}
+	}
+	return total
+}
+
+func TestHistogramTotalsAreTheRequestsSent(t *testing.T) {
+	s := store.New(1)
+	near, far := start(t, s, "near", "i-near"), start(t, s, "far", "i-far")
+	configure(t, s, 7)
+	sent := 0
+	ask200 := func() bool {
+		sent++
+		status, _, _ := ask("GET", near.url("/far/1"), nil)
+		return status == http.StatusOK
+	}
+	await(t, "a configuration", func() bool { return near.readiness() == http.StatusOK })
+	await(t, "an answer", ask200)
+	for range 50 {
+		if !ask200() {
+			t.Error("a request failed")
+		}
+	}
+	if got := scraped(t, near, "entry"); got != sent {
+		t.Errorf("the entry counted %d of %d requests", got, sent)
+	}
+	if got := scraped(t, far, "gate"); got < 51 || got > sent {
+		t.Errorf("the gate counted %d of %d requests", got, sent)
+	}
+}
