Serve twins with one piece of code and drop dead code found on reading

Cause: a reading of the whole change found code written again and code that nothing uses any more.

- The headers of one connection were listed in conn/h1 and in request/forward; conn/header now serves both. h1 adds only the two headers of framing that its encoder writes anew.
- orders.Manager repeated the wake loop of rollouts.Manager; process/loop serves both, with a test of its own.
- Dead: hop.Dialect.Made and h1.Request.Size were never read; the state parameter of upstreams.Local.end was constant.
- egress: two branches of Gate.failed gave the same answer, and Queue.inTime asked twice whether a route is short.
- Two comments no longer said what the code does (logs, Ticket.begin).

Ruled out: joining audit's kick and once's stale channel, which are drained by other loops; joining the two request paths, which is open work.

Behaviour is meant to be the same. The tests keep their assertions; two fakes lose the method that left the interface.

--- a/internal/conn/h1/conn.go
+++ b/internal/conn/h1/conn.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return c.badHeader(err)
 	}
-	req := &Request{Method: r.Method, Target: target(r), Host: r.Host, Header: r.Header, Size: r.ContentLength, Arrived: time.Now()}
+	req := &Request{Method: r.Method, Target: target(r), Host: r.Host, Header: r.Header, Arrived: time.Now()}
 	asks := strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	_ = c.conn.SetReadDeadline(time.Time{})
 	switch {
--- a/internal/conn/h1/message.go
+++ b/internal/conn/h1/message.go
@@ -8,7 +8,10 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/header"
 )
 
 // Request is one request whose header was read.
@@ -20,8 +23,6 @@
 	Header http.Header
 	// Arrived is when the header was read.
 	Arrived time.Time
-	// Size is the announced length of the body; -1 where it is chunked.
-	Size int64
 	// Body is the whole body, unless the server leaves it to ReadBody.
 	Body []byte
 	// read asks the connection for the body; nil where Body is set.
@@ -30,10 +31,8 @@
 
 // Path returns the target without its query.
 func (r *Request) Path() string {
-	if i := bytes.IndexByte([]byte(r.Target), '?'); i >= 0 {
-		return r.Target[:i]
-	}
-	return r.Target
+	path, _, _ := strings.Cut(r.Target, "?")
+	return path
 }
 
 // ReadBody asks the sender for the body and returns it whole. It may be
@@ -54,26 +53,16 @@
 	Close bool
 }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Expect": true,
-}
+// framed tells that a header says where the message ends or begins; the
+// encoder writes it anew.
+func framed(name string) bool { return name == "Content-Length" || name == "Expect" }
 
-// Forwardable copies all headers but those of one connection.
+// Forwardable copies all headers but those of one connection and of framing.
 func Forwardable(src http.Header) http.Header {
 	dst := make(http.Header, len(src)+4)
-	for k, v := range src {
-		if !hopHeaders[k] {
-			dst[k] = v
-		}
-	}
-	for _, line := range src["Connection"] {
-		for _, name := range bytes.Split([]byte(line), []byte{','}) {
-			delete(dst, http.CanonicalHeaderKey(string(bytes.TrimSpace(name))))
-		}
-	}
+	header.Copy(dst, src)
+	delete(dst, "Content-Length")
+	delete(dst, "Expect")
 	return dst
 }
 
@@ -85,7 +74,7 @@
 // appendHeader writes header lines but those that the caller writes itself.
 func appendHeader(b *bytes.Buffer, h http.Header) {
 	for k, vs := range h {
-		if hopHeaders[k] {
+		if header.OfConnection(k) || framed(k) {
 			continue
 		}
 		for _, v := range vs {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,6 +1,6 @@
 // Package logs writes structured lines to one output without ever making the
 // caller wait: a bounded queue is drained by one writer, and what does not fit
-// is counted by level and told of later.
+// is counted and told of later.
 package logs
 
 import (
--- /dev/null
+++ b/internal/process/loop/loop_test.go
@@ -0,0 +1,36 @@
+package loop
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestNudgeRunsTheLoopBeforeItsWaitIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWake()
+		ctx, cancel := context.WithCancel(t.Context())
+		var at []time.Duration
+		began := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.Run(ctx, func(_ context.Context, now time.Time) time.Duration {
+				at = append(at, now.Sub(began))
+				return time.Hour
+			})
+		}()
+		time.Sleep(time.Minute)
+		w.Nudge()
+		w.Nudge()
+		time.Sleep(90 * time.Minute)
+		cancel()
+		<-done
+		// The first nudge is taken at once, the second asks for one more run.
+		if want := []time.Duration{0, time.Minute, time.Minute, 61 * time.Minute}; !slices.Equal(at, want) {
+			t.Fatalf("the loop ran at %v, not at %v", at, want)
+		}
+	})
+}
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -14,6 +14,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/process/loop"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/hop"
@@ -71,7 +72,7 @@
 // egress.Observer.
 type Manager struct {
 	cfg  Config
-	wake chan struct{}
+	wake loop.Wake
 
 	mu    sync.Mutex
 	moves map[string]*move
@@ -107,7 +108,7 @@
 
 // NewManager returns a manager without moves.
 func NewManager(cfg Config) *Manager {
-	return &Manager{cfg: cfg, wake: make(chan struct{}, 1), moves: map[string]*move{}, base: map[string]map[string]bool{}}
+	return &Manager{cfg: cfg, wake: loop.NewWake(), moves: map[string]*move{}, base: map[string]map[string]bool{}}
 }
 
 // Order takes an order of the operator.
@@ -132,7 +133,7 @@
 	mv = &move{order: o, since: now, tallies: map[tallyKey]tally{}, own: map[string]map[string]ramp.Tally{}}
 	m.moves[o.Service] = mv
 	klog.Infof(logPrefix+"%s is to move to %s within %v (order %d)", o.Service, o.Target, o.Within, o.Revision)
-	m.nudge()
+	m.wake.Nudge()
 	return mv
 }
 
@@ -321,22 +322,8 @@
 
 // Run publishes, judges and records until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
-	for {
-		wait := m.tick(ctx, time.Now())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-m.wake:
-		case <-time.After(wait):
-		}
-	}
-}
-
-func (m *Manager) nudge() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
+	m.wake.Run(ctx, m.tick)
+	return nil
 }
 
 // tick does what is due and returns the wait until the next.
--- a/internal/process/rollouts/gate.go
+++ b/internal/process/rollouts/gate.go
@@ -56,7 +56,7 @@
 		}
 		now := time.Now()
 		if local.isNew && local.recorder.Plain(c.Route, now) {
-			m.nudge()
+			m.wake.Nudge()
 			return call.Refuse(api.CallWithdrawn, errHeld)
 		}
 		running := local.recorder.Begin(c.Route, now)
--- a/internal/process/rollouts/manager.go
+++ b/internal/process/rollouts/manager.go
@@ -12,6 +12,7 @@
 	"github.com/daisytide/daisytide/internal/conn/platform"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/process/audit"
+	"github.com/daisytide/daisytide/internal/process/loop"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/spread"
 	"github.com/daisytide/daisytide/internal/version/rollout"
@@ -50,7 +51,7 @@
 // spread.Topic.
 type Manager struct {
 	cfg  Config
-	wake chan struct{}
+	wake loop.Wake
 
 	// view is what calls read without a lock.
 	view atomic.Pointer[view]
@@ -108,7 +109,7 @@
 
 // NewManager returns a manager without moves.
 func NewManager(cfg Config) *Manager {
-	m := &Manager{cfg: cfg, wake: make(chan struct{}, 1), moves: map[rollout.Key]*move{}}
+	m := &Manager{cfg: cfg, wake: loop.NewWake(), moves: map[rollout.Key]*move{}}
 	m.view.Store(&view{})
 	return m
 }
@@ -116,23 +117,8 @@
 // Run counts, reports and judges until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
 	defer m.work.Wait()
-	for {
-		wait := m.tick(ctx, time.Now())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-m.wake:
-		case <-time.After(wait):
-		}
-	}
-}
-
-// nudge makes Run tick at once.
-func (m *Manager) nudge() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
+	m.wake.Run(ctx, m.tick)
+	return nil
 }
 
 // tick does what is due at now and returns the wait until the next.
@@ -191,7 +177,7 @@
 		delete(m.moves, key)
 	}
 	m.rebuild()
-	m.nudge()
+	m.wake.Nudge()
 }
 
 // moveOf returns the move of a key, made if need be; the caller holds mu.
--- a/internal/process/rollouts/report.go
+++ b/internal/process/rollouts/report.go
@@ -198,7 +198,7 @@
 	}
 	judge := m.judgeOf(mv)
 	if now.Sub(mv.heard[r.Writer]) > judgeSpan {
-		m.nudge()
+		m.wake.Nudge()
 	}
 	mv.heard[r.Writer] = now
 	reply := Reply{Clear: mv.verdict.Clear, State: mv.state}
--- a/internal/process/upstreams/upstreams.go
+++ b/internal/process/upstreams/upstreams.go
@@ -102,32 +102,31 @@
 	case !same:
 		return r.Born != 0 || c.State != api.UpstreamReady
 	default:
-		return r.Sequence > c.Sequence && !l.left(c, r)
+		return r.Sequence > c.Sequence && !left(c, r)
 	}
 }
 
 // left tells that an instance which is leaving would be called ready again.
 // Unreachable is taken back by the next report, a deregistration is not.
-func (l *Local) left(c *egress.Instance, r Report) bool {
+func left(c *egress.Instance, r Report) bool {
 	return c.State == api.UpstreamDraining && r.State == api.UpstreamReady
 }
 
 // Unreachable implements egress.Upstream.
-func (l *Local) Unreachable(id string) {
-	l.end(id, api.UpstreamStarting)
-}
+func (l *Local) Unreachable(id string) { l.end(id) }
 
 // Replaced implements egress.Upstream.
-func (l *Local) Replaced(id string) { l.end(id, api.UpstreamStarting) }
+func (l *Local) Replaced(id string) { l.end(id) }
 
-func (l *Local) end(id string, state api.UpstreamState) {
+// end takes an instance as not ready until it reports again.
+func (l *Local) end(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current == nil || l.current.ID != id || l.current.State != api.UpstreamReady {
 		return
 	}
 	next := *l.current
-	next.State = state
+	next.State = api.UpstreamStarting
 	l.set(next)
 }
 
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -244,10 +244,10 @@
 		return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
 	}
 	switch {
-	case !e.Sent && e.Failure == h1.Refused:
-		g.Upstream.Unreachable(i.ID)
-		return hop.Refuse(api.CallNotReached, downAfter, err)
 	case !e.Sent:
+		if e.Failure == h1.Refused {
+			g.Upstream.Unreachable(i.ID)
+		}
 		return hop.Refuse(api.CallNotReached, downAfter, err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return hop.Result{Code: api.CallTimeout, Ran: api.RanUnknown, Err: err}
--- a/internal/request/egress/gate_test.go
+++ b/internal/request/egress/gate_test.go
@@ -23,7 +23,6 @@
 
 func (plain) ID(h http.Header) (string, string)          { return "Id", h.Get("Id") }
 func (plain) TimeLeft(http.Header) (time.Duration, bool) { return 0, false }
-func (plain) Made(*h1.Response) bool                     { return true }
 func (plain) ComeBack(http.Header, time.Duration)        {}
 func (plain) ToUpstream(h http.Header, left time.Duration, instance, caller string) {
 	h.Set("Left", strconv.FormatInt(left.Milliseconds(), 10))
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -57,8 +57,8 @@
 	Want
 	// Verdict receives the decision once: api.OK admits.
 	Verdict chan Verdict
-	// begin is until when the request must begin to meet its objective, or,
-	// late or short, its deadline.
+	// begin is until when the request waits for a slot: see inTime and, of a
+	// late one, enterLate.
 	begin   time.Time
 	late    bool
 	short   bool
@@ -159,14 +159,14 @@
 // inTime is when a request must begin to meet its objective. A short one may
 // miss it, but waits no longer than the longest usual run.
 func (q *Queue) inTime(now time.Time, w Want) time.Time {
-	latest := q.latest(w)
-	if wait := now.Add(time.Duration(q.longest() * float64(time.Second))); q.Short(w.Route) && wait.Before(latest) {
-		return wait
+	begin := w.Objective.Add(-time.Duration(timely * float64(q.Need(w.Route))))
+	if q.Short(w.Route) {
+		begin = now.Add(time.Duration(q.longest() * float64(time.Second)))
 	}
-	if objective := w.Objective.Add(-time.Duration(timely * float64(q.Need(w.Route)))); !q.Short(w.Route) && objective.Before(latest) {
-		return objective
+	if latest := q.latest(w); latest.Before(begin) {
+		return latest
 	}
-	return latest
+	return begin
 }
 
 // enter puts a request among those that can begin in time.
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/header"
 	"github.com/daisytide/daisytide/internal/request/call"
 )
 
@@ -36,7 +37,7 @@
 		return call.Result{Code: api.CallShortAnswer, Ran: api.RanYes, Status: api.Info(api.CallShortAnswer).HTTP, Err: errNoEnd}
 	}
 	h := w.Header()
-	CopyHeader(h, resp.Header)
+	header.Copy(h, resp.Header)
 	announceTrailers(h, resp)
 	large := resp.ContentLength < 0 || resp.ContentLength > slowAnswerBytes
 	if large {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/header"
 	"github.com/daisytide/daisytide/internal/request/call"
 )
 
@@ -79,7 +80,7 @@
 	if a.Size < 0 {
 		out.Trailer = r.Trailer
 	}
-	CopyHeader(out.Header, r.Header)
+	header.Copy(out.Header, r.Header)
 	delete(out.Header, "Expect")
 	if a.Expect {
 		out.Header["Expect"] = []string{"100-continue"}
--- a/internal/request/forward/header.go
+++ b/internal/request/forward/header.go
@@ -2,41 +2,9 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strings"
 )
 
-// ofConnection tells that a header belongs to one connection and is not
-// passed on.
-func ofConnection(name string) bool {
-	switch name {
-	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
-		return true
-	default:
-		return false
-	}
-}
-
-// CopyHeader copies all but the headers of one connection, and those that the
-// Connection header names. What dst has of its own connection stays. The
-// values are shared.
-func CopyHeader(dst, src http.Header) {
-	for k, v := range src {
-		if !ofConnection(k) {
-			dst[k] = v
-		}
-	}
-	for _, line := range src["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
-			if !ofConnection(name) {
-				delete(dst, name)
-			}
-		}
-	}
-}
-
 // replayHeaders make net/http send a request again by itself when a reused
 // connection breaks, even after it was written.
 var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -27,8 +27,6 @@
 	// NotRun tells whether an upstream's answer states that it did not run
 	// the request, and whether that is because another instance has its address.
 	NotRun(resp *h1.Response) (notRun, otherInstance bool)
-	// Made tells whether an answer is the upstream's own.
-	Made(resp *h1.Response) bool
 	// ComeBack tells the caller when to send the request again.
 	ComeBack(h http.Header, after time.Duration)
 }
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -35,7 +35,6 @@
 
 func (plain) ToUpstream(http.Header, time.Duration, string, string) {}
 func (plain) NotRun(*h1.Response) (bool, bool)                      { return false, false }
-func (plain) Made(*h1.Response) bool                                { return true }
 func (plain) ComeBack(h http.Header, after time.Duration) {
 	h.Set("Back", strconv.FormatInt(after.Milliseconds(), 10))
 }
