Hold the body back in a test of early answers, and play answers during bodies

Its stand-in read the body on as soon as it had answered, so on a quick machine 8 MB were written before the answer was looked at, and keeping the connection was right. Ruled out: a fault of the client: with the body wholly written the next request follows its last byte, which the new second test plays 20 times. Change: the stand-in reads on only after the answer was taken, of a body longer than what sockets hold, and checks that the body is broken off. As strict, and no longer a matter of speed.

--- a/internal/conn/h1/client_test.go
+++ b/internal/conn/h1/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -249,25 +250,68 @@
 }
 
 // An upstream may answer a long body before it has read it: the rest must not
-// be taken for a request.
+// be taken for a request. It reads on only after the answer was taken, so the
+// body, longer than what the sockets hold, cannot have been written by then.
 func TestAnswerBeforeTheBodyEndsTheConnection(t *testing.T) {
+	const length = 32 << 20
 	var s script
+	answered, rest := make(chan struct{}), make(chan int64, 1)
 	address := s.serve(t, func(conn net.Conn, br *bufio.Reader) {
 		if _, err := http.ReadRequest(br); err != nil {
 			return
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nRequest-Id: 7\r\nContent-Length: 0\r\n\r\n")
-		_, _ = io.Copy(io.Discard, br)
+		<-answered
+		n, _ := io.Copy(io.Discard, br)
+		rest <- n
 	})
 	c := client()
 	call := get("7")
-	call.Method, call.Body = "POST", make([]byte, 8<<20)
-	if resp, err := do(c, address, call); err != nil || resp.Status != 413 {
+	call.Method, call.Body = "POST", make([]byte, length)
+	resp, err := do(c, address, call)
+	close(answered)
+	if err != nil || resp.Status != 413 {
 		t.Fatalf("%v, %v", resp, err)
 	}
 	if len(c.idle[address]) != 0 {
 		t.Error("the connection was kept")
 	}
+	select {
+	case n := <-rest:
+		if n >= length {
+			t.Errorf("%d bytes of %d came before the connection ended", n, length)
+		}
+	case <-time.After(patience):
+		t.Fatal("the connection did not end")
+	}
+}
+
+// An answer that comes before the whole body was read leaves the connection
+// usable once the body was written: the next request follows its last byte.
+func TestAnswerWhileTheBodyArrivesMixesNoRequests(t *testing.T) {
+	const length = 8 << 20
+	var s script
+	address := s.serve(t, func(conn net.Conn, br *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get("Request-Id")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+			if n, err := io.Copy(io.Discard, req.Body); err != nil && n == length {
+				t.Errorf("body of %s: %v", id, err)
+			}
+		}
+	})
+	c := client()
+	for i := range 20 {
+		call := get(strconv.Itoa(i))
+		call.Method, call.Body = "POST", make([]byte, length)
+		if resp, err := do(c, address, call); err != nil || resp.Status != 200 {
+			t.Fatalf("request %d: %v, %v", i, resp, err)
+		}
+	}
 }
 
 func TestEndedContextEndsTheExchangeAtOnce(t *testing.T) {
