--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -27,7 +27,7 @@
 
 // backend is a stand-in upstream in the platform's protocol.
 type backend struct {
-	t       *testing.T
+	t       testing.TB
 	service string
 	id      string
 	address string
@@ -99,7 +99,7 @@
 func (h *host) url(path string) string { return "http://" + h.cfg.Callers.Listen + path }
 
 // addresses reserves free ports of the loopback address.
-func addresses(t *testing.T, n int) []string {
+func addresses(t testing.TB, n int) []string {
 	t.Helper()
 	var out []string
 	for range n {
@@ -113,7 +113,7 @@
 	return out
 }
 
-func start(t *testing.T, s *store.Store, service, id string) *host {
+func start(t testing.TB, s *store.Store, service, id string) *host {
 	t.Helper()
 	a := addresses(t, 6)
 	text := fmt.Sprintf("[node]\nregion = r\ndata-centre = a\n[callers]\nlisten = %s\n[peers]\nlisten = %s\nsecret = nodes-share-this-key\n"+
@@ -153,7 +153,7 @@
 	return h
 }
 
-func configure(t *testing.T, s *store.Store, version int) {
+func configure(t testing.TB, s *store.Store, version int) {
 	t.Helper()
 	ctx := context.Background()
 	e, err := s.Get(ctx, platform.KeyConfig)
@@ -195,7 +195,7 @@
 	return resp.StatusCode, string(b), id
 }
 
-func await(t *testing.T, what string, done func() bool) {
+func await(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !done(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
