Find the other nodes at once after a restart, and be ready when they are found

Cause: a node that starts beside a running fleet waited 0.4 to 0.6 s before it read the others' entries, had spent its first dial on an empty list and so waited up to a second more, and was ready as soon as it had a configuration. Ruled out: the heartbeats: after a loss of power upstreams start anew and report within 10 ms of the node; what follows for 3 s is their cold start. Change: 'first-start' of the settings tells the start of the whole fleet; any other start reads the entries within 50 ms, dials at once when addresses become known, and a wait between dials begins with a dial. A node that knows no other is not ready for its first second. At the first start, readings are spread over 1.5 s and left out by nodes that are linked by then: one call a node less.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -122,6 +122,7 @@
 	callers, gates, ready *h1.Server
 	peers, control        *http.Server
 	listeners             [listenerCount]net.Listener
+	began                 time.Time
 	leaving               atomic.Bool
 }
 
@@ -139,7 +140,7 @@
 func New(cfg *settings.Settings, store platform.Store, adapter Adapter, log *logs.Log) (*Node, error) {
 	n := &Node{
 		cfg: cfg, adapter: adapter, log: log, metrics: new(expvar.Map).Init(), requests: metrics.New(),
-		holder: &snapshot.Holder{}, members: member.NewTable(), traffic: &link.Traffic{},
+		began: time.Now(), holder: &snapshot.Holder{}, members: member.NewTable(), traffic: &link.Traffic{},
 		store: platform.NewGuard(store, cfg.Store.Rate),
 	}
 	n.store.BackoffMost = storeBackoff
@@ -190,14 +191,14 @@
 	n.provider = &provider.Operated{Store: n.store, Holder: n.holder, Keys: keys, Order: n.takeOrder}
 	n.registry = &registry.Registry{
 		Store: n.store, Self: n.self.Record, Members: n.members, TTL: n.cfg.Operated.LeaseTTL,
-		Hosts: n.cfg.Operated.SeedHostList(),
+		Hosts: n.cfg.Operated.SeedHostList(), FirstStart: n.cfg.Operated.FirstStart,
 	}
 	n.spread = spread.NewManager(spread.Config{
 		Self: n.self.Record, Members: n.members, Holder: n.holder, Configs: n.provider,
 		Dialer:  &link.Dialer{Key: n.cfg.Peers.Secret, Traffic: n.traffic},
 		Traffic: n.traffic, Seeds: n.registry.Peers, Reach: n.askReach,
 	})
-	n.registry.Links = n.spread.Links
+	n.registry.Links, n.registry.Found = n.spread.Links, n.spread.Nudge
 	n.provider.Links = n.spread.Links
 	n.provider.Watcher = func() bool {
 		return provider.Rank(n.members.Index().Members, n.self.Record()) < watchersPerCentre
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -338,6 +338,28 @@
 	}
 }
 
+// A node that knows no other could only refuse what its own upstream does not
+// serve; callers should come when it has found the others.
+func TestNodeThatKnowsNoOtherIsNotReadyForASecond(t *testing.T) {
+	s := store.New(1)
+	configure(t, s, 3)
+	began := time.Now()
+	alone := start(t, s, "near", "i-near")
+	for time.Since(began) < 800*time.Millisecond {
+		if status := alone.readiness(); status != http.StatusServiceUnavailable {
+			t.Fatalf("%d after %v", status, time.Since(began))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	await(t, "a lone node's readiness", func() bool { return alone.readiness() == http.StatusOK })
+	second := start(t, s, "far", "i-far")
+	began = time.Now()
+	await(t, "readiness beside another", func() bool { return second.readiness() == http.StatusOK })
+	if took := time.Since(began); took >= time.Second {
+		t.Errorf("a node beside another was ready after %v", took)
+	}
+}
+
 func TestRequestsGoOnWhileTheStoreIsAway(t *testing.T) {
 	s := store.New(1)
 	near, far := start(t, s, "near", "i-near"), start(t, s, "far", "i-far")
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -106,13 +106,22 @@
 	return &h1.Response{Status: status, Header: http.Header{}}
 }
 
+// joinFor is how long after its start a node that knows no other is not ready:
+// it finds them within a fraction of a second, and could only refuse until then.
+const joinFor = time.Second
+
+// joining tells whether the node has just started and knows no other yet.
+func (n *Node) joining() bool {
+	return time.Since(n.began) < joinFor && len(n.members.Index().Members) < 2
+}
+
 // serveReady tells whether callers should come.
 func (n *Node) serveReady(_ context.Context, r *h1.Request) *h1.Response {
 	status := http.StatusOK
 	switch {
 	case r.Path() != n.adapter.ReadyPath():
 		status = http.StatusNotFound
-	case n.leaving.Load() || n.holder.Current() == nil:
+	case n.leaving.Load() || n.holder.Current() == nil || n.joining():
 		status = http.StatusServiceUnavailable
 	}
 	return &h1.Response{Status: status, Header: http.Header{}}
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -25,9 +25,15 @@
 const (
 	// renewPart of a lease's life is the time between renewals: two may fail.
 	renewPart = 0.3
-	// listFirst is how long after its own entry a node reads the others':
-	// nodes of one fleet start within 0.3 s of each other.
+	// listFirst is how long a node of a fleet that starts for the first time
+	// waits before it reads the others' entries: they start within 0.3 s of
+	// each other. The readings are spread over listSpan; who has a link by
+	// then hears of the others over it and reads nothing.
 	listFirst = 400 * time.Millisecond
+	listSpan  = 1500 * time.Millisecond
+	// listSoon spreads the first readings of nodes that start later: they know
+	// no upstream but their own until then.
+	listSoon = 50 * time.Millisecond
 	// listAlone is the time between readings of a node without links, and
 	// listEvery that of any other.
 	listAlone = 1500 * time.Millisecond
@@ -46,7 +52,11 @@
 	Members *member.Table
 	// Links returns the number of links that stand.
 	Links func() int
-	TTL   time.Duration
+	// Found is told when entries have been read; nil is told nothing.
+	Found func()
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
+	TTL        time.Duration
 	// Hosts are addresses on hosts of other nodes; with the port of this
 	// node's own address they are peers.
 	Hosts []string
@@ -174,9 +184,15 @@
 }
 
 func (r *Registry) listLoop(ctx context.Context) {
-	pause.For(ctx, listFirst+rand.N(listFirst/2))
+	if r.FirstStart {
+		pause.For(ctx, listFirst+rand.N(listSpan))
+	} else {
+		pause.For(ctx, rand.N(listSoon))
+	}
 	for first := true; ctx.Err() == nil; first = false {
-		r.list(ctx, !first)
+		if !first || !r.FirstStart || r.Links() == 0 {
+			r.list(ctx, !first)
+		}
 		wait := listEvery/2 + rand.N(listEvery)
 		if r.Links() == 0 {
 			wait = listAlone/2 + rand.N(listAlone)
@@ -203,4 +219,7 @@
 		r.Members.Merge(rec)
 		r.add(rec.Address)
 	}
+	if r.Found != nil {
+		r.Found()
+	}
 }
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
@@ -111,3 +113,48 @@
 		t.Errorf("%v", p)
 	}
 }
+
+// listing counts the readings of all entries.
+type listing struct {
+	platform.Store
+	lists atomic.Int64
+}
+
+func (s *listing) List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, prefix, stale)
+}
+
+func TestNodeThatStartsLaterReadsTheEntriesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(1)
+		start(t, newRegistry(s, "10.0.0.1:1"))
+		time.Sleep(5 * time.Second)
+		late := newRegistry(s, "10.0.0.2:1")
+		found := 0
+		late.Found = func() { found++ }
+		start(t, late)
+		time.Sleep(100 * time.Millisecond)
+		if len(late.Peers()) != 1 || found != 1 {
+			t.Errorf("peers %v, told %d times", late.Peers(), found)
+		}
+	})
+}
+
+// At the first start of a fleet most nodes are linked before their reading is
+// due; each reading would cost a call for what the links bring anyway.
+func TestLinkedNodeOfAFirstStartReadsNothing(t *testing.T) {
+	for links, want := range []int64{1, 0} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &listing{Store: store.New(1)}
+			r := newRegistry(s, "10.0.0.1:1")
+			r.FirstStart, r.Links = true, func() int { return links }
+			start(t, r)
+			time.Sleep(listFirst + listSpan + time.Millisecond)
+			synctest.Wait()
+			if got := s.lists.Load(); got != want {
+				t.Errorf("%d links: %d readings, want %d", links, got, want)
+			}
+		})
+	}
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -27,6 +27,7 @@
 	Address string `long:"upstream" ini-name:"upstream" description:"IP and port of the upstream beside the node"`
 	// SeedHosts are addresses of other nodes' hosts; only their IPs count.
 	SeedHosts  string        `long:"seed-hosts" ini-name:"seed-hosts" description:"addresses on hosts of other nodes, separated by commas"`
+	FirstStart bool          `long:"first-start" ini-name:"first-start" description:"the whole fleet starts for the first time"`
 	MemoryMB   int           `long:"memory-mb" ini-name:"memory-mb" default:"128" description:"memory of the process in MB"`
 	RetryRatio float64       `long:"retry-ratio" ini-name:"retry-ratio" default:"0.2" description:"part of a service's requests that may reach a second upstream, over the fleet"`
 	RetrySlack float64       `long:"retry-slack" ini-name:"retry-slack" default:"60" description:"requests beyond that part, over the fleet"`
--- a/internal/process/spread/dialling.go
+++ b/internal/process/spread/dialling.go
@@ -109,8 +109,11 @@
 		if now.Before(m.bootstrapNext) {
 			return ""
 		}
-		m.bootstrapNext = now.Add(m.jitterLocked(bootstrapEvery))
-		return m.drawLocked(append(m.knownLocked(), m.choice.hints...))
+		address := m.drawLocked(append(m.knownLocked(), m.choice.hints...))
+		if address != "" {
+			m.bootstrapNext = now.Add(m.jitterLocked(bootstrapEvery))
+		}
+		return address
 	}
 	if now.Before(m.lostNext) {
 		return ""
--- a/internal/process/spread/manager.go
+++ b/internal/process/spread/manager.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/link"
+	"github.com/daisytide/daisytide/internal/process/loop"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
@@ -60,6 +61,7 @@
 type Manager struct {
 	cfg    Config
 	topics map[string]Topic
+	wake   loop.Wake
 	// ctx is the life of the links. It outlasts the context of Run, so that
 	// a node that stops still spreads that it leaves.
 	ctx     context.Context
@@ -107,6 +109,7 @@
 	return &Manager{
 		cfg:      cfg,
 		topics:   map[string]Topic{},
+		wake:     loop.NewWake(),
 		ctx:      ctx,
 		cancel:   cancel,
 		accepts:  rate.NewLimiter(acceptRate, acceptBurst),
@@ -121,6 +124,10 @@
 // Register adds a topic; it must be called before Run.
 func (m *Manager) Register(t Topic) { m.topics[t.Name()] = t }
 
+// Nudge makes the manager look at once whom to dial, such as when addresses
+// have become known.
+func (m *Manager) Nudge() { m.wake.Nudge() }
+
 // Links returns the number of links.
 func (m *Manager) Links() int {
 	m.mu.Lock()
@@ -190,6 +197,7 @@
 			m.workers.Wait()
 			return nil
 		case <-ticker.C:
+		case <-m.wake:
 		}
 		now := time.Now()
 		m.step(now)
