Share the repeats beyond the ratio by the size of the fleet, and leave room for calls of repeated runs

Each node saved up a twelfth of the slack, whatever the size of the fleet: 594 in place of 95 with 75 nodes. And half of the ratio for each service adds up to a little over the ratio where a repeated run makes calls that are repeated too (0.1+0.1+0.01).

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -63,12 +63,6 @@
 	// that was lost is sent again after a second, another node answers sooner.
 	peerDial     = 400 * time.Millisecond
 	upstreamDial = 300 * time.Millisecond
-	// retryPart of the permitted retries is used, since calls that a repeated
-	// run makes count as repeats too.
-	retryPart = 0.5
-	// fleetOf is the size of a fleet over which the retries beyond the ratio
-	// are shared before the members are known.
-	fleetOf = 12
 	// peerHeaderTimeout and peerIdle bound connections between nodes.
 	peerHeaderTimeout = 5 * time.Second
 	peerIdle          = time.Minute
@@ -238,11 +232,12 @@
 		n.self.Announce(api.Announcement{Service: i.Service, Version: i.Version, Address: i.Address, State: i.State, Slots: i.Slots})
 	}
 	o := n.cfg.Operated
+	repeats := retry.Fleet{Ratio: o.RetryRatio, Slack: o.RetrySlack, Size: func() int { return len(n.members.Index().Members) }}
 	n.ingress = &ingress.Ingress{
 		Self: n.cfg.Peers.Listen, Service: o.Service, Holder: n.holder, Members: n.members, Versions: n.orders,
 		Picker:     &pick.Picker{Self: n.cfg.Peers.Listen, DataCentre: n.cfg.Node.DataCentre, Region: n.cfg.Node.Region},
-		Budget:     retry.NewBudgetOf(max(1, retryPart*o.RetrySlack/fleetOf)),
-		RetryShare: 100 * retryPart * o.RetryRatio,
+		Budget:     retry.NewBudgetOf(repeats.Burst),
+		RetryShare: repeats.Share(),
 		Local:      n.gate, Client: &h1.Client{DialTimeout: peerDial, MaxIdle: idlePeers}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
 	}
 	n.holder.OnSwap(n.ingress.Forget)
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -130,7 +130,7 @@
 	holder.Offer(s)
 	r.entry = &Ingress{
 		Self: "self", Service: "s", Holder: holder, Members: members, Versions: oneVersion{},
-		Picker: &pick.Picker{Self: "self", DataCentre: "a"}, Budget: retry.NewBudgetOf(10), RetryShare: 10,
+		Picker: &pick.Picker{Self: "self", DataCentre: "a"}, Budget: retry.NewBudgetOf(func() float64 { return 10 }), RetryShare: 10,
 		Local: r, Client: &h1.Client{DialTimeout: time.Second, MaxIdle: 4}, Dialect: plain{},
 	}
 	return r
@@ -189,7 +189,7 @@
 
 func TestUpstreamsThatRefuseThemselvesArePaidFromTheBudget(t *testing.T) {
 	r := newRig(t, 3)
-	r.entry.Budget = retry.NewBudgetOf(3)
+	r.entry.Budget = retry.NewBudgetOf(func() float64 { return 3 })
 	r.entry.RetryShare = 0.001
 	for range 20 {
 		r.plan = append(r.plan, reached, reached)
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -21,8 +21,8 @@
 // Budget holds the retries that each service has earned by its calls.
 type Budget struct {
 	seed maphash.Seed
-	// burst is how many retries a service may save up.
-	burst  float64
+	// burst returns how many retries a service may save up.
+	burst  func() float64
 	shards [shardCount]shard
 }
 
@@ -32,10 +32,10 @@
 }
 
 // NewBudget returns a budget in which each service starts with a full burst.
-func NewBudget() *Budget { return NewBudgetOf(burst) }
+func NewBudget() *Budget { return NewBudgetOf(func() float64 { return burst }) }
 
-// NewBudgetOf is NewBudget with another burst.
-func NewBudgetOf(burst float64) *Budget {
+// NewBudgetOf is NewBudget with another burst, which may change.
+func NewBudgetOf(burst func() float64) *Budget {
 	b := &Budget{seed: maphash.MakeSeed(), burst: burst}
 	for i := range b.shards {
 		b.shards[i].tokens = map[string]float64{}
@@ -56,7 +56,7 @@
 	s := b.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tokens[service] = min(b.burst, s.left(service, b.burst)+share/100)
+	s.tokens[service] = min(b.burst(), s.left(service, b.burst)+share/100)
 }
 
 // Take spends cost retries of a service; false when it has not enough left.
@@ -73,9 +73,9 @@
 }
 
 // left returns a service's tokens; the caller holds mu.
-func (s *shard) left(service string, burst float64) float64 {
+func (s *shard) left(service string, burst func() float64) float64 {
 	if v, ok := s.tokens[service]; ok {
 		return v
 	}
-	return burst
+	return burst()
 }
