Try a usual time anew that leaves requests no time, and do not learn from a process that stood still

Runs that were under way while a host stood still were measured with the pause in them; the usual time of the route rose above the time that requests have, all were refused before they ran, and without runs it never fell again. The entry took this refusal for final, so no other upstream was tried. Ruled out: links, members and the breaker: attempts end at the right gate in 0 ms. Change: a run that ends long after its own deadline tells nothing; a route none of whose runs has begun for 250 ms gets one run on a free slot whatever its usual time, and a quicker one replaces it; 'no time' at one gate leads to another that is expected to answer in the time left. Conclusion: the estimate can no longer shut an upstream out by itself.

--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -159,7 +159,7 @@
 	sent := time.Now()
 	res = g.send(ctx, i, r, in, body)
 	took := time.Since(sent)
-	telling = res.Ran != api.RanNo && !errors.Is(ctx.Err(), context.Canceled)
+	telling = res.Ran != api.RanNo && !errors.Is(ctx.Err(), context.Canceled) && !outlived(r, time.Now())
 	if res.Code == api.CallCut {
 		g.inquire(i, r.Service)
 	}
@@ -169,6 +169,15 @@
 	return res
 }
 
+// outlivedBy is how long after its deadline a run may end and still tell of the
+// upstream: a timer ends it within milliseconds, and a process short of
+// processor time within a tenth of a second.
+const outlivedBy = 100 * time.Millisecond
+
+// outlived tells that a run ended so long after its deadline that this process
+// stood still meanwhile, or was held: its time says nothing of the upstream.
+func outlived(r *hop.Request, now time.Time) bool { return now.Sub(r.Deadline) > outlivedBy }
+
 // serving returns the instance that may run a request, or the refusal.
 func (g *Gate) serving(r *hop.Request) (*Instance, hop.Result) {
 	i := g.Upstream.Current()
--- a/internal/request/egress/gate_test.go
+++ b/internal/request/egress/gate_test.go
@@ -251,3 +251,13 @@
 		t.Errorf("it reached %d upstreams", total)
 	}
 }
+
+// A process that stood still measures its own pause, not the upstream.
+func TestRunThatOutlivedItsDeadlineTellsNothing(t *testing.T) {
+	r := &hop.Request{Deadline: start}
+	for after, want := range map[time.Duration]bool{-time.Second: false, 20 * time.Millisecond: false, 2 * time.Second: true} {
+		if got := outlived(r, start.Add(after)); got != want {
+			t.Errorf("%v after its deadline: %v", after, got)
+		}
+	}
+}
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -16,6 +16,11 @@
 	// needPart of a route's usual time must be left before the deadline for a
 	// run to begin: runs vary, and one begun in vain holds a slot for nothing.
 	needPart = 0.7
+	// trialEvery is how often an idle slot tries a route again whose usual time
+	// leaves its requests no time: what that time rests on may be over, and
+	// without runs it would never change. Four slots' worth of runs a second is
+	// what a truly slow upstream may lose by it.
+	trialEvery = 250 * time.Millisecond
 	// timely times a route's usual time must be left before the objective: an
 	// answer just after it is of little use, and runs vary by half of their mean.
 	timely = 1.5
@@ -89,6 +94,10 @@
 	late    int
 	held    float64
 	need    map[string]float64
+	// began is when a run of each route last began; trials are the routes whose
+	// next run replaces the usual time.
+	began  map[string]time.Time
+	trials map[string]bool
 	// runs and total count the runs of late, by route and in all.
 	runs  map[string]float64
 	total float64
@@ -120,11 +129,12 @@
 
 // Arrive decides on a request: it runs now, waits with a ticket, or is refused.
 func (q *Queue) Arrive(now time.Time, w Want) (*Ticket, Verdict) {
-	if now.After(q.latest(w)) {
+	idle := q.running < q.Slots && len(q.waiting) == 0
+	if now.After(q.latest(w)) && !(idle && q.tries(now, w)) {
 		return nil, Verdict{Code: api.CallNoTime}
 	}
-	if q.running < q.Slots && len(q.waiting) == 0 {
-		q.running++
+	if idle {
+		q.begin(now, w.Route)
 		return nil, Verdict{Code: api.OK}
 	}
 	t := &Ticket{Want: w, Verdict: make(chan Verdict, 1), begin: q.inTime(now, w), short: q.Short(w.Route)}
@@ -134,6 +144,28 @@
 	return t, Verdict{Code: api.OK}
 }
 
+// begin takes a slot for a run.
+func (q *Queue) begin(now time.Time, route string) {
+	q.running++
+	if q.began == nil {
+		q.began = map[string]time.Time{}
+	}
+	q.began[route] = now
+}
+
+// tries tells whether a request whose route's usual time leaves it no time
+// runs all the same, since none of that route has begun for a while.
+func (q *Queue) tries(now time.Time, w Want) bool {
+	if now.After(w.Deadline) || now.Sub(q.began[w.Route]) < trialEvery {
+		return false
+	}
+	if q.trials == nil {
+		q.trials = map[string]bool{}
+	}
+	q.trials[w.Route] = true
+	return true
+}
+
 // latest is when a request must begin to be answered at all.
 func (q *Queue) latest(w Want) time.Time {
 	return w.Deadline.Add(-time.Duration(needPart * float64(q.Need(w.Route))))
@@ -244,7 +276,12 @@
 			q.need = map[string]float64{}
 		}
 		n := q.need[route]
-		fold(&n, held, needWeight)
+		if q.trials[route] && held.Seconds() < n {
+			n = held.Seconds()
+		} else {
+			fold(&n, held, needWeight)
+		}
+		delete(q.trials, route)
 		q.need[route] = n
 		q.count(route)
 	}
@@ -261,6 +298,8 @@
 		if q.runs[r] < forgetBelow {
 			delete(q.runs, r)
 			delete(q.need, r)
+			delete(q.began, r)
+			delete(q.trials, r)
 		}
 	}
 	q.total = q.total*(1-runsWeight) + 1
@@ -287,7 +326,7 @@
 		if t.late {
 			q.late--
 		}
-		q.running++
+		q.begin(now, t.Route)
 		t.decide(Verdict{Code: api.OK})
 	}
 }
--- a/internal/request/egress/queue_test.go
+++ b/internal/request/egress/queue_test.go
@@ -146,6 +146,50 @@
 	}
 }
 
+// A usual time that leaves no request time must not stand for ever: it rests on
+// runs that are over, such as those of a process that stood still.
+func TestUsualTimeThatRefusesAllIsTriedAndReplaced(t *testing.T) {
+	q := &Queue{Slots: 10}
+	q.running = 1
+	q.Done(start, "r", 3*time.Second, true)
+	began, refused := 0, 0
+	for ms := 0; ms < 1000; ms += 10 {
+		w := Want{Route: "r", Objective: at(ms + 500), Deadline: at(ms + 1000)}
+		if _, v := q.Arrive(at(ms), w); v.Code != api.OK {
+			refused++
+			continue
+		}
+		began++
+		q.Done(at(ms+1), "r", 50*time.Millisecond, true)
+	}
+	if refused > 0 || q.Need("r") > 60*time.Millisecond {
+		t.Errorf("%d began, %d refused, usual time %v", began, refused, q.Need("r"))
+	}
+}
+
+// An upstream that truly is too slow gets one request in a quarter of a second
+// to try, and refuses the others at once.
+func TestSlowUpstreamIsTriedFourTimesASecond(t *testing.T) {
+	q := &Queue{Slots: 10}
+	q.running = 1
+	q.Done(start, "r", 3*time.Second, true)
+	began := 0
+	for ms := 0; ms < 2000; ms += 10 {
+		w := Want{Route: "r", Objective: at(ms + 500), Deadline: at(ms + 1000)}
+		if _, v := q.Arrive(at(ms), w); v.Code == api.OK {
+			began++
+		} else if v.Code != api.CallNoTime {
+			t.Fatalf("%v", v)
+		}
+		if ms%250 == 240 && q.running > 0 {
+			q.Done(at(ms), "r", 3*time.Second, true)
+		}
+	}
+	if began < 7 || began > 8 {
+		t.Errorf("%d of 200 began in two seconds", began)
+	}
+}
+
 func TestWithdrawnAndRefusedTicketsLeaveTheQueue(t *testing.T) {
 	q := busy(2)
 	a, _ := q.Arrive(start, want(1, 900, 1000))
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -172,6 +172,7 @@
 		{"ran, then refused elsewhere", "/read/1", []hop.Result{cut, shed, shed}, 502, 3},
 		{"failed, then refused elsewhere", "/read/1", []hop.Result{answered(500), shed, shed}, 500, 3},
 		{"failed, then cut", "/read/1", []hop.Result{answered(500), cut}, 500, 2},
+		{"too slow at one upstream, then answered", "/once/1", []hop.Result{hop.Refuse(api.CallNoTime, 0, nil), answered(200)}, 200, 2},
 		{"quarantined", "/once/1", []hop.Result{hop.Refuse(api.CallQuarantined, 0, nil), answered(200)}, 503, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/request/ingress/trial.go
+++ b/internal/request/ingress/trial.go
@@ -79,8 +79,9 @@
 	}
 }
 
-// final tells that no other node would take the request either.
-func final(c api.Code) bool { return c == api.CallQuarantined || c == api.CallNoTime }
+// final tells that no other node would take the request either. That one node
+// is too slow for the time left says nothing of the others.
+func final(c api.Code) bool { return c == api.CallQuarantined }
 
 // worthAnother tells that an upstream's own answer is a failure which another
 // upstream may turn into an answer.
@@ -159,6 +160,9 @@
 		// A node was full: only one that is known to have room is worth the way.
 		want.Within = max(time.Nanosecond, time.Duration(hopeful*float64(t.r.Objective.Sub(now))))
 	}
+	if t.refusal.Code == api.CallNoTime {
+		want.Within = max(time.Nanosecond, t.r.Left(now))
+	}
 	picked, ok := e.Picker.Place(x, key, t.tried, now, rand.New(globalRandom{}), want)
 	if !ok {
 		return hop.Result{}, false
