Leave a data centre whose only upstream is put aside, and a silent node after one request

The choice takes the nearest data centre with any upstream, and uses one that is put aside when more than half of a data centre's are: with one upstream a data centre that is all of them, so each request went to the frozen node, waited a quarter of a second and could not be called refused. A node without a sign of life was also put aside after three requests only. Ruled out: the budget alone: without it each request would still pay the wait. Change: an upstream put aside is used only where no data centre has an open one; one that returns gets one request until it has answered, wherever others are open; silence counts like a node that was not reached. Tests, failed before: TestOnlyUpstreamOfADataCentreIsLeftWhilePutAside (20 of 20 requests went there), TestAttemptsShowFaultsOfNodes; new: TestUpstreamsAreUsedWhenAllArePutAside. Conclusion: a frozen or silent host costs what was under way there.

--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -301,3 +301,26 @@
 		t.Error("a route that stands was forgotten")
 	}
 }
+
+// Requests after the first that met a silent node go elsewhere at once.
+func TestAttemptsShowFaultsOfNodes(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		res  hop.Result
+		want pick.Fault
+	}{
+		{"answered", answered(200), pick.NoFault},
+		{"failed by the upstream", answered(500), pick.Failed},
+		{"cut", cut, pick.Failed},
+		{"silent", hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: &h1.Error{Failure: h1.Silent, Sent: true, Complete: true}}, pick.NotReached},
+		{"silent before the body", hop.Refuse(api.CallNotReached, 0, &h1.Error{Failure: h1.Silent, Sent: true}), pick.NotReached},
+		{"shed", shed, pick.Neutral},
+		{"leaving", hop.Refuse(api.CallLeaving, 0, nil), pick.Leaving},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := faultOf(tc.res); got != tc.want {
+				t.Errorf("fault %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/request/ingress/trial.go
+++ b/internal/request/ingress/trial.go
@@ -222,8 +222,14 @@
 	return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
 }
 
-// faultOf reads what an attempt has shown of the node and its upstream.
+// faultOf reads what an attempt has shown of the node and its upstream. A node
+// that gave no sign of life is like one that was not reached: each further
+// request sent there would wait as long and could not be called refused.
 func faultOf(res hop.Result) pick.Fault {
+	var e *h1.Error
+	if errors.As(res.Err, &e) && e.Failure == h1.Silent {
+		return pick.NotReached
+	}
 	switch res.Code {
 	case api.OK:
 		if res.Answer.Status >= http.StatusInternalServerError {
--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -49,17 +49,34 @@
 }
 
 // cheapest returns the candidate with the lowest expected time of the nearest
-// distance that has any.
+// distance that has an open one. Where none is open anywhere, one that is put
+// aside is used all the same.
 func cheapest(groups *[distances][]Candidate, now time.Time, rng *rand.Rand, w Want) (distance Distance, place int, found bool) {
 	mean := meanOf(groups, now)
-	for d := range Distance(distances) {
-		if o := cheapestOf(groups, d, mean, now, rng, w); o.found {
-			return o.distance, o.place, true
+	for _, closed := range []bool{false, true} {
+		for d := range Distance(distances) {
+			if !closed && !anyOpen(groups[d], now) {
+				continue
+			}
+			if o := cheapestOf(groups, d, mean, now, rng, w); o.found {
+				return o.distance, o.place, true
+			}
 		}
 	}
 	return 0, 0, false
 }
 
+// anyOpen tells whether a group has an untried candidate that is neither put
+// aside nor busy with its first request after that.
+func anyOpen(group []Candidate, now time.Time) bool {
+	for i := range group {
+		if c := &group[i]; !c.Tried && !c.Sight.Ejected(now) && !c.Sight.onProbation() {
+			return true
+		}
+	}
+	return false
+}
+
 // cheapestOf returns the cheapest candidate of one distance.
 func cheapestOf(groups *[distances][]Candidate, d Distance, mean means, now time.Time, rng *rand.Rand, w Want) option {
 	best := option{distance: d}
--- a/internal/request/pick/place_test.go
+++ b/internal/request/pick/place_test.go
@@ -108,6 +108,45 @@
 	}
 }
 
+// A data centre whose only upstream is put aside is left for another, and its
+// upstream gets one request at a time until it has answered.
+func TestOnlyUpstreamOfADataCentreIsLeftWhilePutAside(t *testing.T) {
+	p := newPlacing("a", "b", "b")
+	picked, _ := p.place(t, nil, Want{})
+	if picked.Record.Address != "a0" {
+		t.Fatalf("placed at %s", picked.Record.Address)
+	}
+	picked.Done(p.now, NotReached, gate.Load{}, false)
+	own := func() int {
+		n := 0
+		for range 20 {
+			if picked, _ := p.place(t, nil, Want{}); picked.Record.Address == "a0" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := own(); n != 0 {
+		t.Errorf("%d of 20 requests to the one that was not reached", n)
+	}
+	p.now = p.now.Add(ejectFor + time.Millisecond)
+	if n := own(); n != 1 {
+		t.Errorf("%d of 20 requests when its time aside was over, want 1", n)
+	}
+}
+
+// Where every upstream is put aside, requests go to one rather than nowhere.
+func TestUpstreamsAreUsedWhenAllArePutAside(t *testing.T) {
+	p := newPlacing("a", "b")
+	for range 2 {
+		picked, _ := p.place(t, nil, Want{})
+		picked.Done(p.now, NotReached, gate.Load{}, false)
+	}
+	if _, ok := p.place(t, nil, Want{}); !ok {
+		t.Error("no upstream is left")
+	}
+}
+
 func TestUpstreamThatIsAnnouncedAnewIsNotPutAsideForItsPast(t *testing.T) {
 	p := newPlacing("a", "a", "a")
 	picked, _ := p.place(t, nil, Want{})
--- a/internal/request/pick/sight.go
+++ b/internal/request/pick/sight.go
@@ -123,12 +123,16 @@
 	return max(use, float64(s.own)/slots) + 1/slots
 }
 
+// onProbation tells that the upstream was put aside and has not answered since,
+// and that a call to find out is on its way.
+func (s *Sight) onProbation() bool { return s.ejections > 0 && s.own > 0 }
+
 // penalty multiplies the cost after faults, for a while only: an upstream
 // that never gets another call can never show that it is well again. One that
 // was put aside gets one call at a time until it has answered.
 func (s *Sight) penalty(now time.Time) float64 {
 	switch {
-	case s.ejections > 0 && s.own > 0:
+	case s.onProbation():
 		return probationPenalty
 	case s.ejections == 0 && s.faulty(now):
 		return float64(1 + s.faults)
