Compare two or three upstreams of the own data centre instead of all

Cause: on the grown sites requests waited at gates while 40% of the slots were in use: each entry took the best of all nine upstreams of its data centre by loads that are some tenths of a second old, and all took the same. Change: a choice draws two upstreams at random, three below half use, and takes the better; small groups are looked at whole below half use. Test: TestEntriesThatKnowTheSameDoNotFloodOneUpstream plays 25 entries and 9 upstreams: before, 4.2% and 34.9% of the requests waited over half a run at 0.4 and 0.6 use; bounds 0.1% and 1%, met. Figures of all ways in docs/DESIGN.md.

--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -12,8 +12,18 @@
 	// fullSlowdown is how much longer runs take in an upstream whose slots are
 	// all in use, as a part.
 	fullSlowdown = 0.5
-	// sampled is how many upstreams of another data centre one choice looks at.
-	sampled = 6
+	// busyLooks, calmLooks and farLooks are how many upstreams one choice
+	// compares: of the own data centre while at least calmUse of the slots are in
+	// use, and below, and of another data centre. Entries hear of a load some
+	// tenths of a second late; were each to take the best of all, they would fill
+	// it together. docs/DESIGN.md has the figures.
+	busyLooks = 2
+	calmLooks = 3
+	calmUse   = 0.5
+	farLooks  = 6
+	// drawsPerLook bounds the draws for one upstream to look at: some were drawn
+	// before, were tried, or are put aside.
+	drawsPerLook = 4
 	// spreadPart varies each estimate, so that entries that know the same do
 	// not all choose the same upstream.
 	spreadPart = 0.15
@@ -77,31 +87,79 @@
 	return false
 }
 
-// cheapestOf returns the cheapest candidate of one distance.
+// cheapestOf returns the cheapest of a few candidates of one distance, drawn at
+// random. Where the draws found none that may be used, all are looked at.
 func cheapestOf(groups *[distances][]Candidate, d Distance, mean means, now time.Time, rng *rand.Rand, w Want) option {
-	best := option{distance: d}
 	group := groups[d]
-	spare := spared(group, now)
-	first, n := 0, len(group)
-	if d != SameDataCentre && n > sampled {
-		first, n = rng.IntN(n), sampled
+	if len(group) == 0 {
+		return option{}
 	}
-	for k := range n {
-		i := (first + k) % len(group)
-		c := &group[i]
-		if c.Tried || c.Sight.Ejected(now) && i != spare {
-			continue
+	l := look{group: group, spare: spared(group, now), distance: d, mean: mean, now: now, want: w}
+	if looks := looksAt(d, mean.use); looks < len(group) {
+		for draws := looks * drawsPerLook; draws > 0 && l.seen < looks; draws-- {
+			l.at(rng.IntN(len(group)), rng)
 		}
-		cost := c.Sight.expected(now, c.Slots, mean, w.Need) + farCost[d].Seconds()
-		if w.Within > 0 && cost > w.Within.Seconds() {
-			continue
+		if l.best.found {
+			return l.best
 		}
-		cost *= 1 + spreadPart*rng.Float64()
-		if !best.found || cost < best.cost {
-			best.place, best.cost, best.found = i, cost, true
+	}
+	first := rng.IntN(len(group))
+	for k := range group {
+		l.at((first+k)%len(group), rng)
+	}
+	return l.best
+}
+
+// looksAt is how many candidates of a distance one choice compares.
+func looksAt(d Distance, use float64) int {
+	switch {
+	case d != SameDataCentre:
+		return farLooks
+	case use < calmUse:
+		return calmLooks
+	default:
+		return busyLooks
+	}
+}
+
+// look is the comparing of candidates of one distance.
+type look struct {
+	group    []Candidate
+	spare    int
+	distance Distance
+	mean     means
+	now      time.Time
+	want     Want
+
+	// drawn holds the first candidates looked at, seen counts them.
+	drawn [farLooks]int
+	seen  int
+	best  option
+}
+
+// at compares one candidate with the best so far, unless it may not be used.
+func (l *look) at(i int, rng *rand.Rand) {
+	c := &l.group[i]
+	if c.Tried || c.Sight.Ejected(l.now) && i != l.spare {
+		return
+	}
+	for k := range min(l.seen, len(l.drawn)) {
+		if l.drawn[k] == i {
+			return
 		}
 	}
-	return best
+	if l.seen < len(l.drawn) {
+		l.drawn[l.seen] = i
+	}
+	l.seen++
+	cost := c.Sight.expected(l.now, c.Slots, l.mean, l.want.Need) + farCost[l.distance].Seconds()
+	if l.want.Within > 0 && cost > l.want.Within.Seconds() {
+		return
+	}
+	cost *= 1 + spreadPart*rng.Float64()
+	if !l.best.found || cost < l.best.cost {
+		l.best = option{distance: l.distance, place: i, cost: cost, found: true}
+	}
 }
 
 // means are the mean use and slot time, in seconds, of the upstreams whose load
