Bring a body before a slot is taken, and bound bodies on the way by the link

Ruled out: slots alone: without the bound small requests still wait on the link. Change: Queue.Look says what Arrive would decide; then the body is asked for, within 250 ms of the link's rate ('link-mbps' of the settings), and only then the request waits for a slot. Requests whose bodies come count in the load. Tests: TestBodyTakesNoSlotWhileItComes (failed before), TestLookSaysWhatArriveDecides (20,000 random arrivals), TestBodiesOnTheWayAreBoundedByTheLink.

--- a/internal/conn/h1/conn.go
+++ b/internal/conn/h1/conn.go
@@ -222,6 +222,7 @@
 	}
 	wanted, finished := make(chan struct{}), make(chan struct{})
 	got := make(chan read, 1)
+	req.size = r.ContentLength
 	req.read = func() ([]byte, error) {
 		c.interim(http.StatusContinue)
 		close(wanted)
--- a/internal/conn/h1/message.go
+++ b/internal/conn/h1/message.go
@@ -27,6 +27,17 @@
 	Body []byte
 	// read asks the connection for the body; nil where Body is set.
 	read func() ([]byte, error)
+	// size is the length of a body that is left to ReadBody; -1 is unknown.
+	size int64
+}
+
+// ToCome returns the length of the body that ReadBody is still to bring, 0
+// where none is and -1 where its length is not known.
+func (r *Request) ToCome() int64 {
+	if r.read == nil {
+		return 0
+	}
+	return r.size
 }
 
 // Path returns the target without its query.
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -54,6 +54,8 @@
 	// costs a call for each of them, and they must be enough that some of them
 	// begin a watch soon after the store has forgotten a change.
 	watchersPerCentre = 4
+	// bytesPerMbit converts the rate of a link.
+	bytesPerMbit = 1e6 / 8
 	// heldPart of the memory may hold the bodies of requests.
 	heldPart = 5
 	// idlePeers and idleUpstream bound the connections kept for one address.
@@ -225,7 +227,8 @@
 	n.upstream = &upstreams.Local{Service: n.cfg.Operated.Service, Address: n.cfg.Operated.Address}
 	n.gate = &egress.Gate{
 		Upstream: n.upstream, Client: &h1.Client{DialTimeout: upstreamDial, MaxIdle: idleUpstream}, Dialect: n.adapter,
-		Allowed: n.orders.Allowed, Ledger: n.ledger, Crashed: n.publishCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
+		LinkRate: int64(n.cfg.Operated.LinkMbps * bytesPerMbit),
+		Allowed:  n.orders.Allowed, Ledger: n.ledger, Crashed: n.publishCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
 	n.upstream.Changed = func(i egress.Instance) {
 		n.gate.Changed(i)
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -23,6 +23,7 @@
 	minMemoryMB    = 16.0
 	maxMemoryMB    = 1 << 20
 	maxRetrySlack  = 1e6
+	maxLinkMbps    = 1e6
 	minLeaseTTL    = time.Second
 	maxLeaseTTL    = 10 * time.Minute
 )
@@ -142,6 +143,7 @@
 		c.address("operated.seed-hosts", host)
 	}
 	between(c, "operated.memory-mb", float64(o.MemoryMB), minMemoryMB, maxMemoryMB)
+	between(c, "operated.link-mbps", o.LinkMbps, 0, maxLinkMbps)
 	between(c, "operated.retry-ratio", o.RetryRatio, 0, 1)
 	between(c, "operated.retry-slack", o.RetrySlack, 0, maxRetrySlack)
 	between(c, "operated.lease-ttl", o.LeaseTTL, minLeaseTTL, maxLeaseTTL)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -29,6 +29,7 @@
 	SeedHosts  string        `long:"seed-hosts" ini-name:"seed-hosts" description:"addresses on hosts of other nodes, separated by commas"`
 	FirstStart bool          `long:"first-start" ini-name:"first-start" description:"the whole fleet starts for the first time"`
 	MemoryMB   int           `long:"memory-mb" ini-name:"memory-mb" default:"128" description:"memory of the process in MB"`
+	LinkMbps   float64       `long:"link-mbps" ini-name:"link-mbps" default:"0" description:"rate of the host's link in Mbit/s, for large bodies; 0 is not known"`
 	RetryRatio float64       `long:"retry-ratio" ini-name:"retry-ratio" default:"0.2" description:"part of a service's requests that may reach a second upstream, over the fleet"`
 	RetrySlack float64       `long:"retry-slack" ini-name:"retry-slack" default:"60" description:"requests beyond that part, over the fleet"`
 	LeaseTTL   time.Duration `long:"lease-ttl" ini-name:"lease-ttl" default:"10s" description:"life of the node's entry in the store without renewal"`
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -61,6 +62,14 @@
 	// Metrics may be nil.
 	Metrics *metrics.Requests
 
+	// LinkRate is what the host's link carries, in bytes a second; 0 takes
+	// bodies without a bound.
+	LinkRate int64
+
+	incoming incoming
+	// receiving counts the requests whose bodies are waited for.
+	receiving atomic.Int64
+
 	mu     sync.Mutex
 	queue  Queue
 	prints map[string]map[quarantine.Fingerprint]int
@@ -82,11 +91,11 @@
 func (g *Gate) Load() gate.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return gate.Load{Busy: g.queue.Running() + g.queue.Waiting(), Slots: max(1, g.queue.Slots), Held: g.queue.Held()}
+	return gate.Load{Busy: g.queue.Running() + g.queue.Waiting() + int(g.receiving.Load()), Slots: max(1, g.queue.Slots), Held: g.queue.Held()}
 }
 
 // Handle runs one request, or tells why not. The body is asked for when the
-// request is admitted.
+// request would be admitted, and takes no slot while it comes.
 func (g *Gate) Handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
 	began := time.Now()
 	res := g.handle(ctx, r, in)
@@ -131,6 +140,10 @@
 func (g *Gate) handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	body, refusal := g.receive(ctx, r, in)
+	if refusal != nil {
+		return *refusal
+	}
 	if v := g.admit(ctx, r); v.Code != api.OK {
 		return hop.Refuse(v.Code, v.After, nil)
 	}
@@ -142,10 +155,6 @@
 		defer g.mu.Unlock()
 		g.queue.Done(now, r.Route, now.Sub(began), telling)
 	}()
-	body, err := in.ReadBody()
-	if err != nil {
-		return hop.Refuse(api.CallBody, 0, err)
-	}
 	i, res := g.serving(r)
 	if i == nil {
 		return res
@@ -192,13 +201,51 @@
 	return i, hop.Result{}
 }
 
+// receive brings the body of a request that would be admitted now. On a slow
+// link that takes as long as the run; a slot held meanwhile serves nobody.
+func (g *Gate) receive(ctx context.Context, r *hop.Request, in *h1.Request) ([]byte, *hop.Result) {
+	size := in.ToCome()
+	if size == 0 {
+		return in.Body, nil
+	}
+	refuse := func(c api.Code, after time.Duration, err error) ([]byte, *hop.Result) {
+		res := hop.Refuse(c, after, err)
+		return nil, &res
+	}
+	if i, res := g.serving(r); i == nil {
+		return refuse(res.Code, res.After, res.Err)
+	}
+	g.mu.Lock()
+	v := g.queue.Look(time.Now(), wantOf(r))
+	g.mu.Unlock()
+	if v.Code != api.OK {
+		return refuse(v.Code, v.After, nil)
+	}
+	g.receiving.Add(1)
+	defer g.receiving.Add(-1)
+	release, err := g.incoming.acquire(ctx, size, g.LinkRate)
+	if err != nil {
+		return refuse(api.CallNoTime, 0, err)
+	}
+	defer release()
+	body, err := in.ReadBody()
+	if err != nil {
+		return refuse(api.CallBody, 0, err)
+	}
+	return body, nil
+}
+
+func wantOf(r *hop.Request) Want {
+	return Want{Route: r.Route, Priority: r.Priority, Deadline: r.Deadline, Objective: r.Objective}
+}
+
 // admit takes a slot, waits for one, or says why not.
 func (g *Gate) admit(ctx context.Context, r *hop.Request) Verdict {
 	if i, res := g.serving(r); i == nil {
 		return Verdict{Code: res.Code, After: res.After}
 	}
 	g.mu.Lock()
-	t, v := g.queue.Arrive(time.Now(), Want{Route: r.Route, Priority: r.Priority, Deadline: r.Deadline, Objective: r.Objective})
+	t, v := g.queue.Arrive(time.Now(), wantOf(r))
 	g.mu.Unlock()
 	if t == nil {
 		return v
--- /dev/null
+++ b/internal/request/egress/incoming_test.go
@@ -0,0 +1,156 @@
+package egress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/request/quarantine"
+	"github.com/daisytide/daisytide/internal/version/traffic"
+)
+
+// atGate opens a connection to a gate and sends the head of a request, whose
+// body of a length follows when the gate asks for it.
+func atGate(t *testing.T, address string, length int) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	r := &hop.Request{
+		Service: "s", Version: "v1", Route: "r", Repeat: traffic.Once, From: "caller",
+		Deadline: time.Now().Add(5 * time.Second), Objective: time.Now().Add(2 * time.Second),
+	}
+	h := http.Header{"Id": {"7"}, "Content-Length": {fmt.Sprint(length)}}
+	if length > 0 {
+		h.Set("Expect", "100-continue")
+	}
+	r.ToGate(h, time.Now())
+	var head strings.Builder
+	head.WriteString("POST /x HTTP/1.1\r\nHost: a\r\n")
+	if err := h.Write(&head); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, head.String()+"\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(4 * time.Second))
+	return conn, bufio.NewReader(conn)
+}
+
+// awaitStatus reads answers until one with a status.
+func awaitStatus(t *testing.T, br *bufio.Reader, status int) {
+	t.Helper()
+	for {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("waiting for %d: %v", status, err)
+		}
+		if resp.StatusCode == status {
+			return
+		}
+		if resp.StatusCode >= 200 {
+			t.Fatalf("answered %d in place of %d", resp.StatusCode, status)
+		}
+	}
+}
+
+// An upload on a slow link must not keep the upstream's only slot idle.
+func TestBodyTakesNoSlotWhileItComes(t *testing.T) {
+	g, _ := newGate(t, quarantine.NewLedger(time.Now))
+	g.beside.set(func(i *Instance) { i.Slots = 1 })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &h1.Server{
+		Handler: g.Serve, Lazy: true, MaxHeld: 1 << 20,
+		Limits: func() h1.Limits {
+			return h1.Limits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+		},
+		Refuse: func(status int, _ string) *h1.Response { return &h1.Response{Status: status, Header: http.Header{}} },
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+
+	upload, answers := atGate(t, l.Addr().String(), 1000)
+	awaitStatus(t, answers, http.StatusContinue)
+	_, other := atGate(t, l.Addr().String(), 0)
+	awaitStatus(t, other, http.StatusOK)
+	if _, err := upload.Write(make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	awaitStatus(t, answers, http.StatusOK)
+	if n := g.runs.Load(); n != 2 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+func TestBodiesOnTheWayAreBoundedByTheLink(t *testing.T) {
+	const rate = 1_250_000 // 10 Mbit/s
+	for _, tc := range []struct {
+		name  string
+		rate  int64
+		sizes []int64
+		all   bool
+	}{
+		{"a quarter of a second of bodies", rate, []int64{150_000, 150_000}, true},
+		{"more than that", rate, []int64{150_000, 150_000, 60_000}, false},
+		{"one above all room", rate, []int64{5_000_000}, true},
+		{"another beside it", rate, []int64{5_000_000, 1}, false},
+		{"of unknown length", rate, []int64{-1, 1}, false},
+		{"a link whose rate is not known", 0, []int64{5_000_000, 5_000_000}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var n incoming
+			all := true
+			for _, size := range tc.sizes {
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+				_, err := n.acquire(ctx, size, tc.rate)
+				cancel()
+				all = all && err == nil
+			}
+			if all != tc.all {
+				t.Errorf("all came: %v", all)
+			}
+		})
+	}
+}
+
+// Look must say what Arrive does, whatever the queue holds.
+func TestLookSaysWhatArriveDecides(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	q := busy(4)
+	ms := 0
+	seen := map[api.Code]int{}
+	for range 20_000 {
+		ms += rng.IntN(30)
+		w := want(rng.IntN(3), ms+rng.IntN(600), ms+rng.IntN(1500))
+		if rng.IntN(4) == 0 {
+			w.Route = "short"
+		}
+		looked := q.Look(at(ms), w)
+		_, arrived := q.Arrive(at(ms), w)
+		if looked.Code != arrived.Code {
+			t.Fatalf("at %d ms: looked %v, arrived %v", ms, looked, arrived)
+		}
+		seen[looked.Code]++
+		for q.Running() > 0 && rng.IntN(3) == 0 {
+			q.Done(at(ms), "r", 100*time.Millisecond, true)
+		}
+	}
+	if seen[api.OK] == 0 || seen[api.CallShed] == 0 || seen[api.CallNoTime] == 0 {
+		t.Errorf("not all were met: %v", seen)
+	}
+}
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -137,13 +137,30 @@
 		q.begin(now, w.Route)
 		return nil, Verdict{Code: api.OK}
 	}
-	t := &Ticket{Want: w, Verdict: make(chan Verdict, 1), begin: q.inTime(now, w), short: q.Short(w.Route)}
+	t := q.ticket(now, w)
 	if !q.enter(now, t) && !q.enterLate(now, t) {
 		return nil, Verdict{Code: api.CallShed, After: q.back()}
 	}
 	return t, Verdict{Code: api.OK}
 }
 
+// Look tells what Arrive would decide, and changes nothing.
+func (q *Queue) Look(now time.Time, w Want) Verdict {
+	idle := q.running < q.Slots && len(q.waiting) == 0
+	switch t := q.ticket(now, w); {
+	case now.After(q.latest(w)) && !(idle && q.mayTry(now, w)):
+		return Verdict{Code: api.CallNoTime}
+	case idle, q.fits(now, t), q.fitsLate(now, t):
+		return Verdict{Code: api.OK}
+	default:
+		return Verdict{Code: api.CallShed, After: q.back()}
+	}
+}
+
+func (q *Queue) ticket(now time.Time, w Want) *Ticket {
+	return &Ticket{Want: w, Verdict: make(chan Verdict, 1), begin: q.inTime(now, w), short: q.Short(w.Route)}
+}
+
 // begin takes a slot for a run.
 func (q *Queue) begin(now time.Time, route string) {
 	q.running++
@@ -156,7 +173,7 @@
 // tries tells whether a request whose route's usual time leaves it no time
 // runs all the same, since none of that route has begun for a while.
 func (q *Queue) tries(now time.Time, w Want) bool {
-	if now.After(w.Deadline) || now.Sub(q.began[w.Route]) < trialEvery {
+	if !q.mayTry(now, w) {
 		return false
 	}
 	if q.trials == nil {
@@ -166,6 +183,10 @@
 	return true
 }
 
+func (q *Queue) mayTry(now time.Time, w Want) bool {
+	return !now.After(w.Deadline) && now.Sub(q.began[w.Route]) >= trialEvery
+}
+
 // latest is when a request must begin to be answered at all.
 func (q *Queue) latest(w Want) time.Time {
 	return w.Deadline.Add(-time.Duration(needPart * float64(q.Need(w.Route))))
@@ -201,29 +222,50 @@
 	return begin
 }
 
+// place is where a request would wait.
+func (q *Queue) place(t *Ticket) int {
+	return sort.Search(len(q.waiting), func(i int) bool { return t.before(q.waiting[i]) })
+}
+
+// fits tells whether a request can begin in time.
+func (q *Queue) fits(now time.Time, t *Ticket) bool {
+	return !now.Add(q.Wait(q.place(t))).After(t.begin)
+}
+
 // enter puts a request among those that can begin in time.
 func (q *Queue) enter(now time.Time, t *Ticket) bool {
-	place := sort.Search(len(q.waiting), func(i int) bool { return t.before(q.waiting[i]) })
-	if now.Add(q.Wait(place)).After(t.begin) {
+	if !q.fits(now, t) {
 		return false
 	}
+	place := q.place(t)
 	q.insert(place, t)
 	q.review(now, place+1)
 	return true
 }
 
-// enterLate puts a request behind all others, while few are there.
-func (q *Queue) enterLate(now time.Time, t *Ticket) bool {
+// fitsLate tells whether a request can begin behind all others, while few are
+// there.
+func (q *Queue) fitsLate(now time.Time, t *Ticket) bool {
+	return q.late < max(1, q.Slots/latePart) && !now.Add(q.Wait(len(q.waiting))).After(q.lateBegin(now, t))
+}
+
+// lateBegin is until when a late request waits for a slot.
+func (q *Queue) lateBegin(now time.Time, t *Ticket) time.Time {
 	begin := q.latest(t.Want)
-	if !t.short {
-		begin = now.Add(time.Duration(latePatience * float64(begin.Sub(now))))
+	if t.short {
+		return begin
 	}
-	if q.late >= max(1, q.Slots/latePart) || now.Add(q.Wait(len(q.waiting))).After(begin) {
+	return now.Add(time.Duration(latePatience * float64(begin.Sub(now))))
+}
+
+// enterLate puts a request behind all others, while few are there.
+func (q *Queue) enterLate(now time.Time, t *Ticket) bool {
+	if !q.fitsLate(now, t) {
 		return false
 	}
-	t.late, t.begin = true, begin
+	t.late, t.begin = true, q.lateBegin(now, t)
 	q.late++
-	q.insert(sort.Search(len(q.waiting), func(i int) bool { return t.before(q.waiting[i]) }), t)
+	q.insert(q.place(t), t)
 	return true
 }
 
