Refuse uploads whose bodies would come too late, and place them by what is on the way

Ruled out: slots (uploads hold none while they come) and processor time (0.02 of a core). Change: a gate counts the bytes on the way and waiting. A body that would come after the last moment for the objective, or, for a late request, after a quarter of its time, is refused before it is sent, with the time after which the link is free; the backlog goes back with the load, and an upload is placed by it. Tests: TestBodyThatComesTooLateIsRefusedAtOnce, TestBacklogIsWhatIsOnItsWayAndWaiting, TestUploadAvoidsAHostWhoseLinkIsBusy, TestLoadSurvivesItsHeader. Conclusion: the link is queued for like the slots are.

--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -91,7 +91,10 @@
 func (g *Gate) Load() gate.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return gate.Load{Busy: g.queue.Running() + g.queue.Waiting() + int(g.receiving.Load()), Slots: max(1, g.queue.Slots), Held: g.queue.Held()}
+	return gate.Load{
+		Busy: g.queue.Running() + g.queue.Waiting() + int(g.receiving.Load()), Slots: max(1, g.queue.Slots),
+		Held: g.queue.Held(), Backlog: g.incoming.backlog(g.LinkRate),
+	}
 }
 
 // Handle runs one request, or tells why not. The body is asked for when the
@@ -216,7 +219,7 @@
 		return refuse(res.Code, res.After, res.Err)
 	}
 	g.mu.Lock()
-	v := g.queue.Look(time.Now(), wantOf(r))
+	v := g.queue.Look(time.Now(), wantOf(r), g.incoming.backlog(g.LinkRate)+timeFor(max(0, size), g.LinkRate))
 	g.mu.Unlock()
 	if v.Code != api.OK {
 		return refuse(v.Code, v.After, nil)
--- a/internal/request/egress/incoming.go
+++ b/internal/request/egress/incoming.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -16,11 +17,25 @@
 const incomingSpan = 250 * time.Millisecond
 
 // incoming bounds the bodies that are on their way to a gate. It answers many
-// large bodies at a host with a slow link.
+// large bodies at a host with a slow link: those that would come too late are
+// refused before a byte of them has crossed.
 type incoming struct {
-	once  sync.Once
-	bytes int64
-	room  *semaphore.Weighted
+	once sync.Once
+	most int64
+	room *semaphore.Weighted
+	// bytes counts the bodies on their way or waiting to be asked for.
+	bytes atomic.Int64
+}
+
+// backlog is how long a link of a rate, in bytes a second, is busy with the
+// bodies that came before; 0 where the rate is not known.
+func (n *incoming) backlog(rate int64) time.Duration { return timeFor(n.bytes.Load(), rate) }
+
+func timeFor(bytes, rate int64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / float64(rate) * float64(time.Second))
 }
 
 // acquire waits until a body of a size, -1 for unknown, may come over a link of
@@ -30,14 +45,20 @@
 		return func() {}, nil
 	}
 	n.once.Do(func() {
-		n.bytes = max(1, int64(float64(rate)*incomingSpan.Seconds()))
-		n.room = semaphore.NewWeighted(n.bytes)
+		n.most = max(1, int64(float64(rate)*incomingSpan.Seconds()))
+		n.room = semaphore.NewWeighted(n.most)
 	})
-	if size < 0 || size > n.bytes {
-		size = n.bytes
+	if size < 0 {
+		size = n.most
 	}
-	if err := n.room.Acquire(ctx, size); err != nil {
+	weight := min(size, n.most)
+	n.bytes.Add(size)
+	if err := n.room.Acquire(ctx, weight); err != nil {
+		n.bytes.Add(-size)
 		return nil, err
 	}
-	return func() { n.room.Release(size) }, nil
+	return func() {
+		n.room.Release(weight)
+		n.bytes.Add(-size)
+	}, nil
 }
--- a/internal/request/egress/incoming_test.go
+++ b/internal/request/egress/incoming_test.go
@@ -140,7 +140,7 @@
 		if rng.IntN(4) == 0 {
 			w.Route = "short"
 		}
-		looked := q.Look(at(ms), w)
+		looked := q.Look(at(ms), w, 0)
 		_, arrived := q.Arrive(at(ms), w)
 		if looked.Code != arrived.Code {
 			t.Fatalf("at %d ms: looked %v, arrived %v", ms, looked, arrived)
@@ -154,3 +154,55 @@
 		t.Errorf("not all were met: %v", seen)
 	}
 }
+
+// Bodies that would come too late are refused before they are sent: the link
+// of a host with few others of its service in its data centre fills first.
+func TestBodyThatComesTooLateIsRefusedAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name                string
+		objective, deadline int
+		body                time.Duration
+		code                api.Code
+	}{
+		{"in time for the objective", 800, 2000, 400 * time.Millisecond, api.OK},
+		{"after the objective", 800, 2000, 700 * time.Millisecond, api.CallShed},
+		{"late anyway, and soon", 100, 2000, 300 * time.Millisecond, api.OK},
+		{"late anyway, and long", 100, 2000, 600 * time.Millisecond, api.CallShed},
+		{"none", 800, 2000, 0, api.OK},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := busy(10)
+			q.running = 0
+			v := q.Look(start, want(1, tc.objective, tc.deadline), tc.body)
+			if v.Code != tc.code || v.Code == api.CallShed && v.After < tc.body {
+				t.Errorf("%v", v)
+			}
+		})
+	}
+}
+
+func TestBacklogIsWhatIsOnItsWayAndWaiting(t *testing.T) {
+	const rate = 1_250_000
+	var n incoming
+	release, err := n.acquire(context.Background(), 250_000, rate)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	waited := make(chan error, 1)
+	go func() {
+		_, err := n.acquire(ctx, 1_000_000, rate)
+		waited <- err
+	}()
+	for n.backlog(rate) != time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := <-waited; err == nil || n.backlog(rate) != 200*time.Millisecond {
+		t.Errorf("%v, backlog %v", err, n.backlog(rate))
+	}
+	release()
+	if n.backlog(rate) != 0 {
+		t.Errorf("backlog %v", n.backlog(rate))
+	}
+}
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -144,8 +144,12 @@
 	return t, Verdict{Code: api.OK}
 }
 
-// Look tells what Arrive would decide, and changes nothing.
-func (q *Queue) Look(now time.Time, w Want) Verdict {
+// Look tells what Arrive would decide, and changes nothing. body is how long the
+// request's body will take to come, behind those that come before it.
+func (q *Queue) Look(now time.Time, w Want, body time.Duration) Verdict {
+	if body > 0 && now.Add(body).After(q.bodyBy(now, w)) {
+		return Verdict{Code: api.CallShed, After: max(backMin, body)}
+	}
 	idle := q.running < q.Slots && len(q.waiting) == 0
 	switch t := q.ticket(now, w); {
 	case now.After(q.latest(w)) && !(idle && q.mayTry(now, w)):
@@ -157,6 +161,17 @@
 	}
 }
 
+// bodyBy is until when a request's body must have come: to meet its objective,
+// or, where that can't be met even by one that comes at once, within the part of
+// its time that a late request may wait.
+func (q *Queue) bodyBy(now time.Time, w Want) time.Time {
+	begin := w.Objective.Add(-time.Duration(timely * float64(q.Need(w.Route))))
+	if late := now.Add(time.Duration(latePatience * float64(q.latest(w).Sub(now)))); late.After(begin) {
+		return late
+	}
+	return begin
+}
+
 func (q *Queue) ticket(now time.Time, w Want) *Ticket {
 	return &Ticket{Want: w, Verdict: make(chan Verdict, 1), begin: q.inTime(now, w), short: q.Short(w.Route)}
 }
--- a/internal/request/gate/admission_test.go
+++ b/internal/request/gate/admission_test.go
@@ -187,11 +187,15 @@
 }
 
 func TestLoadSurvivesItsHeader(t *testing.T) {
-	in := Load{Busy: 7, Slots: 10, Held: 3200 * time.Microsecond}
-	if out, err := ParseLoad(in.String()); err != nil || out != in {
-		t.Errorf("%v %v", out, err)
+	for _, in := range []Load{
+		{Busy: 7, Slots: 10, Held: 3200 * time.Microsecond},
+		{Busy: 7, Slots: 10, Held: 3200 * time.Microsecond, Backlog: 250 * time.Millisecond},
+	} {
+		if out, err := ParseLoad(in.String()); err != nil || out != in {
+			t.Errorf("%v %v", out, err)
+		}
 	}
-	for _, bad := range []string{"", "7", "7 10", "-1 2 3", "7 10 x", "7 10 99999999999"} {
+	for _, bad := range []string{"", "7", "7 10", "-1 2 3", "7 10 x", "7 10 99999999999", "7 10 3 x", "7 10 3 4 5"} {
 		if _, err := ParseLoad(bad); err == nil {
 			t.Errorf("%q was taken for a load", bad)
 		}
--- a/internal/request/gate/load.go
+++ b/internal/request/gate/load.go
@@ -15,30 +15,43 @@
 	Slots int
 	// Held is the mean time that a request holds its slot.
 	Held time.Duration
+	// Backlog is how long the host's link is busy with the bodies that the gate
+	// has asked for or is about to.
+	Backlog time.Duration
 }
 
-// String gives the form of the load header: busy, slots, microseconds.
+// String gives the form of the load header: busy, slots, and the times in
+// microseconds; a backlog is left out where there is none.
 func (l Load) String() string {
-	var b [48]byte
+	var b [64]byte
 	out := strconv.AppendInt(b[:0], int64(l.Busy), 10)
 	out = append(out, ' ')
 	out = strconv.AppendInt(out, int64(l.Slots), 10)
 	out = append(out, ' ')
 	out = strconv.AppendInt(out, l.Held.Microseconds(), 10)
+	if backlog := l.Backlog.Microseconds(); backlog > 0 {
+		out = append(out, ' ')
+		out = strconv.AppendInt(out, backlog, 10)
+	}
 	return string(out)
 }
 
 // ParseLoad reads what String wrote.
 func ParseLoad(s string) (Load, error) {
-	busy, rest, _ := strings.Cut(s, " ")
-	slots, held, _ := strings.Cut(rest, " ")
-	var numbers [3]uint64
-	for i, field := range [...]string{busy, slots, held} {
+	fields := strings.Split(s, " ")
+	if len(fields) != 3 && len(fields) != 4 {
+		return Load{}, fmt.Errorf("load %q: %d fields", s, len(fields))
+	}
+	var numbers [4]uint64
+	for i, field := range fields {
 		n, err := strconv.ParseUint(field, 10, 31)
 		if err != nil {
 			return Load{}, fmt.Errorf("load %q: %w", s, err)
 		}
 		numbers[i] = n
 	}
-	return Load{Busy: int(numbers[0]), Slots: int(numbers[1]), Held: time.Duration(numbers[2]) * time.Microsecond}, nil
+	return Load{
+		Busy: int(numbers[0]), Slots: int(numbers[1]),
+		Held: time.Duration(numbers[2]) * time.Microsecond, Backlog: time.Duration(numbers[3]) * time.Microsecond,
+	}, nil
 }
--- a/internal/request/ingress/trial.go
+++ b/internal/request/ingress/trial.go
@@ -155,7 +155,7 @@
 	}
 	key := member.UpstreamKey{Service: t.r.Service, Version: t.r.Version}
 	now := time.Now()
-	want := pick.Want{Need: e.need(t.r.Route)}
+	want := pick.Want{Need: e.need(t.r.Route), Body: len(t.in.Body) > 0}
 	if t.refusal.Code == api.CallShed && !t.refusal.Reached && !t.refusal.Short {
 		// A node was full: only one that is known to have room is worth the way.
 		want.Within = max(time.Nanosecond, time.Duration(hopeful*float64(t.r.Objective.Sub(now))))
--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -33,6 +33,9 @@
 type Want struct {
 	// Need is the usual time of its route's runs; 0 where it is not known.
 	Need time.Duration
+	// Body tells that a body goes with it, which waits for those that are on
+	// their way to the upstream's host.
+	Body bool
 	// Within leaves out the nodes at which no answer is expected within it; 0
 	// leaves out none.
 	Within time.Duration
@@ -153,6 +156,9 @@
 	}
 	l.seen++
 	cost := c.Sight.expected(l.now, c.Slots, l.mean, l.want.Need) + farCost[l.distance].Seconds()
+	if l.want.Body {
+		cost += c.Sight.backlog(l.now).Seconds()
+	}
 	if l.want.Within > 0 && cost > l.want.Within.Seconds() {
 		return
 	}
--- a/internal/request/pick/place_test.go
+++ b/internal/request/pick/place_test.go
@@ -147,6 +147,26 @@
 	}
 }
 
+// An upload goes where its body can come; a look-up does not mind.
+func TestUploadAvoidsAHostWhoseLinkIsBusy(t *testing.T) {
+	p := newPlacing("a", "a")
+	p.load(t, map[string]gate.Load{
+		"a0": {Slots: 10, Held: 100 * time.Millisecond, Backlog: 400 * time.Millisecond},
+		"a1": {Busy: 2, Slots: 10, Held: 100 * time.Millisecond},
+	})
+	for _, body := range []bool{true, false} {
+		picks := map[string]int{}
+		for range 50 {
+			picked, _ := p.place(t, nil, Want{Need: 100 * time.Millisecond, Body: body})
+			picks[picked.Record.Address]++
+			picked.Done(p.now, Neutral, gate.Load{}, false)
+		}
+		if body != (picks["a0"] == 0) {
+			t.Errorf("body %v: %v", body, picks)
+		}
+	}
+}
+
 func TestUpstreamThatIsAnnouncedAnewIsNotPutAsideForItsPast(t *testing.T) {
 	p := newPlacing("a", "a", "a")
 	picked, _ := p.place(t, nil, Want{})
--- a/internal/request/pick/sight.go
+++ b/internal/request/pick/sight.go
@@ -117,6 +117,11 @@
 	return weight*float64(s.load.Busy)/slots + (1-weight)*reference, slots
 }
 
+// backlog estimates how long bodies that were sent there before still come.
+func (s *Sight) backlog(now time.Time) time.Duration {
+	return max(0, s.load.Backlog-now.Sub(s.loadAt))
+}
+
 // use estimates the share of slots in use, the new call among them.
 func (s *Sight) use(now time.Time, announced int, reference float64) float64 {
 	use, slots := s.known(now, announced, reference)
