Watch the store from fewer nodes and read nothing at a first start that peers bring

Ruled out: idle watches (a fixed rate for the fleet) and renewals (a tenth each). Test: TestNodeOfAFirstStartReadsNothingThatItsPeersBring; the watchers' own tests stand as they were.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -50,10 +50,12 @@
 	// storeBackoff bounds the wait after failed calls to the store: entries
 	// must be back, and changes in force, within two seconds of its return.
 	storeBackoff = time.Second
-	// watchersPerCentre nodes of a data centre watch the store: each change
-	// costs a call for each of them, and they must be enough that some of them
-	// begin a watch soon after the store has forgotten a change.
-	watchersPerCentre = 4
+	// At least watchersPerCentre nodes of each data centre watch the store, and
+	// watchersLeast in all: each change costs a call for each of them. Of nine,
+	// the store turning a third of the nodes away leaves none with a chance of
+	// one in 10,000.
+	watchersPerCentre = 2
+	watchersLeast     = 8
 	// bytesPerMbit converts the rate of a link.
 	bytesPerMbit = 1e6 / 8
 	// heldPart of the memory may hold the bodies of requests.
@@ -184,7 +186,7 @@
 	}, n.members, incarnation)
 	n.rpc = &rpc.Client{HTTP: &http.Client{Transport: dial.Peers(nil)}, Key: n.cfg.Peers.Secret, Scheme: "http"}
 	keys := n.adapter.Operator()
-	n.provider = &provider.Operated{Store: n.store, Holder: n.holder, Keys: keys, Order: n.takeOrder}
+	n.provider = &provider.Operated{Store: n.store, Holder: n.holder, Keys: keys, Order: n.takeOrder, FirstStart: n.cfg.Operated.FirstStart}
 	n.registry = &registry.Registry{
 		Store: n.store, Self: n.self.Record, Members: n.members, TTL: n.cfg.Operated.LeaseTTL,
 		Hosts: n.cfg.Operated.SeedHostList(), FirstStart: n.cfg.Operated.FirstStart,
@@ -197,9 +199,12 @@
 	n.registry.Links, n.registry.Found = n.spread.Links, n.spread.Nudge
 	n.provider.Links = n.spread.Links
 	n.provider.Watcher = func() bool {
-		return provider.Rank(n.members.Index().Members, n.self.Record()) < watchersPerCentre
+		return provider.Rank(n.members.Index().Members, n.self.Record()) < watchersIn(n.centres())
+	}
+	n.provider.Size = func() int {
+		centres := n.centres()
+		return min(len(n.members.Index().Members), watchersIn(centres)*centres)
 	}
-	n.provider.Size = func() int { return min(len(n.members.Index().Members), watchersPerCentre*n.centres()) }
 	n.self.Publisher = n.spread
 	n.orders = orders.NewManager(orders.Config{
 		Self: n.cfg.Peers.Listen, Incarnation: incarnation, Members: n.members, Store: n.store,
@@ -213,6 +218,11 @@
 	n.holder.OnSwap(n.spread.ConfigChanged)
 }
 
+// watchersIn is how many nodes of each of a number of data centres watch.
+func watchersIn(centres int) int {
+	return max(watchersPerCentre, (watchersLeast+centres-1)/max(1, centres))
+}
+
 // centres counts the data centres that have members.
 func (n *Node) centres() int {
 	seen := map[string]bool{}
--- a/internal/process/provider/operated.go
+++ b/internal/process/provider/operated.go
@@ -30,6 +30,11 @@
 	// operatedPause bounds the wait after a failed call, which the guard of the
 	// store lengthens.
 	operatedPause = 200 * time.Millisecond
+	// joinSpan spreads what nodes of a fleet that starts for the first time do:
+	// they find each other within that time, and who is not to watch needs no
+	// reading of its own. joinMost is how long it waits for its peers' news.
+	joinSpan = 1500 * time.Millisecond
+	joinMost = 3 * time.Second
 	// listTimeout bounds one reading of all keys.
 	listTimeout = 3 * time.Second
 )
@@ -50,6 +55,8 @@
 	// Watcher tells whether this node watches the store for its data centre;
 	// others hear of changes from their peers.
 	Watcher func() bool
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
 }
 
 // watches tells whether this node is to watch the store now. One without
@@ -79,11 +86,17 @@
 
 // Run follows the operator's keys until ctx ends.
 func (p *Operated) Run(ctx context.Context) error {
+	informed := p.FirstStart && p.join(ctx)
 	for ctx.Err() == nil {
-		after, err := p.list(ctx)
-		for err == nil && ctx.Err() == nil && p.watches() {
+		var after uint64
+		var err error
+		if !informed {
+			after, err = p.list(ctx)
+		}
+		for !informed && err == nil && ctx.Err() == nil && p.watches() {
 			after, err = p.watch(ctx, after)
 		}
+		informed = false
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"%v", err)
 			pause.For(ctx, rand.N(operatedPause))
@@ -96,6 +109,19 @@
 	return nil
 }
 
+// join waits at the first start of a fleet until the node has links; true when
+// its peers have brought the configuration and others watch the store.
+func (p *Operated) join(ctx context.Context) bool {
+	pause.For(ctx, rand.N(joinSpan))
+	for end := time.Now().Add(joinMost); time.Now().Before(end) && ctx.Err() == nil && !p.watches(); {
+		if p.Held() > 0 {
+			return true
+		}
+		pause.For(ctx, lookEvery)
+	}
+	return false
+}
+
 // list reads all keys anew: a change may hide in what a watch has missed.
 func (p *Operated) list(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
--- a/internal/process/provider/operated_test.go
+++ b/internal/process/provider/operated_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
@@ -173,3 +174,38 @@
 	links.Store(0)
 	r.await(t, "the change", func() bool { return r.Held() == 8 })
 }
+
+func TestNodeOfAFirstStartReadsNothingThatItsPeersBring(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		links           int
+		watcher, brings bool
+		reads           bool
+	}{
+		{"peers bring it", 3, false, true, false},
+		{"peers bring nothing", 3, false, false, true},
+		{"it is to watch", 3, true, true, true},
+		{"it has no links", 0, false, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := store.New(1)
+				put(t, s, opConfig, "7")
+				r := newOperated(s)
+				r.FirstStart, r.Links, r.Watcher = true, func() int { return tc.links }, func() bool { return tc.watcher }
+				if tc.brings {
+					if err := r.config([]byte("7")); err != nil {
+						t.Fatal(err)
+					}
+				}
+				before := s.Counts().Reads
+				run(t, r)
+				time.Sleep(joinSpan + joinMost + time.Second)
+				synctest.Wait()
+				if reads := s.Counts().Reads > before; reads != tc.reads || r.Held() != 7 {
+					t.Errorf("reads %v, configuration %d", reads, r.Held())
+				}
+			})
+		})
+	}
+}
