A fault soak of the real programs

Tests: a case for each rule that must be found, the proxy's harms. Left: proxies between nodes; moves between versions; clocks.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,86 @@
+// Command soak plays random faults against a fleet of real node processes on
+// loopback and checks the promises to callers and upstreams.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/daisytide/daisytide/internal/soak"
+)
+
+// options of the command line.
+type options struct {
+	Seed    uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds   uint64        `long:"seeds" default:"1" description:"number of seeds, one after the other"`
+	Hosts   int           `long:"hosts" default:"6" description:"node processes, 3 at least"`
+	For     time.Duration `long:"for" default:"20s" description:"how long faults are injected, each seed"`
+	Keep    string        `long:"keep" description:"directory for settings and logs; default is a new temporary one"`
+	Verbose bool          `long:"verbose" description:"print each fault"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	broken, err := run(o)
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	case broken:
+		os.Exit(1)
+	}
+}
+
+func run(o options) (broken bool, err error) {
+	if o.Hosts < 3 {
+		return false, fmt.Errorf("%d hosts: 3 are needed, one a service", o.Hosts)
+	}
+	dir := o.Keep
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "daisytide-soak-"); err != nil {
+			return false, err
+		}
+	}
+	program := filepath.Join(dir, "daisytided")
+	if out, err := exec.Command("go", "build", "-o", program, "./cmd/daisytided").CombinedOutput(); err != nil {
+		return false, fmt.Errorf("build the node: %w: %s", err, out)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	for seed := o.Seed; seed < o.Seed+o.Seeds && ctx.Err() == nil; seed++ {
+		logs := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(logs, 0o700); err != nil {
+			return false, err
+		}
+		found, err := soak.Run(ctx, soak.Options{Seed: seed, Hosts: o.Hosts, For: o.For, Dir: logs, Program: program, Say: func(format string, args ...any) {
+			if o.Verbose {
+				fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
+			}
+		}})
+		if err != nil {
+			return false, err
+		}
+		if len(found) == 0 {
+			fmt.Printf("seed %d: no promise broken\n", seed)
+			_ = os.RemoveAll(logs)
+			continue
+		}
+		broken = true
+		for _, f := range found {
+			fmt.Printf("seed %d: %s\n", seed, f)
+		}
+		fmt.Printf("again: go run ./cmd/soak --seed %d --hosts %d --for %v --verbose; logs in %s\n", seed, o.Hosts, o.For, logs)
+	}
+	return broken, nil
+}
--- /dev/null
+++ b/internal/soak/record_test.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// each plays what callers and backends saw, and names the rule that it breaks.
+func TestBrokenPromisesAreFound(t *testing.T) {
+	began := time.Unix(1000, 0)
+	good := &http.Response{Header: http.Header{signature: {"signed"}}}
+	ran := func(r *record, id string, times int) {
+		for range times {
+			r.ran(id, "/once/1", nil)
+		}
+	}
+	for _, tc := range []struct {
+		name, rule string
+		calm       bool
+		play       func(r *record)
+	}{
+		{"nothing", "", true, func(r *record) {
+			ran(r, "a", 1)
+			r.done(sent{id: "a", path: "/once/1", once: true, status: 200}, good, wholeBody("a"))
+		}},
+		{"run twice", "twice", true, func(r *record) { ran(r, "a", 2); r.done(sent{id: "a", path: "/once/1", once: true}, nil, "") }},
+		{"a look-up may", "", true, func(r *record) { ran(r, "a", 2); r.done(sent{id: "a", path: "/read/1"}, nil, "") }},
+		{"refused and ran", "refused", true, func(r *record) {
+			ran(r, "a", 1)
+			r.done(sent{id: "a", path: "/once/1", once: true, status: 503}, good, "")
+		}},
+		{"another's answer", "mixed", true, func(r *record) {
+			r.done(sent{id: "a", path: "/read/1", status: 200}, good, wholeBody("b"))
+		}},
+		{"without signature", "mixed", true, func(r *record) {
+			r.done(sent{id: "a", path: "/read/1", status: 200}, &http.Response{Header: http.Header{}}, wholeBody("a"))
+		}},
+		{"cut at a planned stop", "lost", true, func(r *record) {
+			ran(r, "a", 1)
+			r.done(sent{id: "a", path: "/once/1", once: true, stopping: true, err: "EOF"}, nil, "")
+		}},
+		{"cut while disturbed", "", false, func(r *record) {
+			ran(r, "a", 1)
+			r.done(sent{id: "a", path: "/once/1", once: true, stopping: true, err: "EOF"}, nil, "")
+		}},
+		{"configuration back", "config", false, func(r *record) {
+			r.seen[[2]int{0, 1}] = version{7, began}
+			r.done(sent{id: "a", path: "/v6/1", start: 1, at: began.Add(time.Minute), status: 404}, good, "")
+		}},
+		{"configuration of an earlier start", "", false, func(r *record) {
+			r.seen[[2]int{0, 1}] = version{7, began}
+			r.done(sent{id: "a", path: "/v6/1", start: 2, at: began.Add(time.Minute), status: 404}, good, "")
+		}},
+		{"configuration late", "config", true, func(r *record) {
+			r.acked[9] = began
+			r.done(sent{id: "a", path: "/v9/1", start: 1, at: began.Add(applyBound + time.Second), status: 404}, good, "")
+		}},
+		{"configuration late while disturbed", "", false, func(r *record) {
+			r.acked[9] = began
+			r.done(sent{id: "a", path: "/v9/1", start: 1, at: began.Add(applyBound + time.Second), status: 404}, good, "")
+		}},
+		{"not served when healed", "recover", true, func(r *record) {
+			r.done(sent{id: "a", path: "/read/1", at: began.Add(time.Hour), status: 503}, good, "")
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRecord(func(int, time.Time, time.Time) bool { return tc.calm })
+			tc.play(r)
+			r.done(sent{id: "end", path: "/read/1", at: began.Add(2 * time.Hour), status: 200}, good, wholeBody("end"))
+			r.close(began.Add(30 * time.Minute))
+			if tc.rule == "" && len(r.found) > 0 || tc.rule != "" && (len(r.found) != 1 || !strings.HasPrefix(r.found[0], tc.rule+":")) {
+				t.Errorf("found %q, want %q", r.found, tc.rule)
+			}
+		})
+	}
+}
+
+func TestDisturbancesExcuseForAWhile(t *testing.T) {
+	h := &host{}
+	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
+	h.disturb(at(10), 2*time.Second)
+	h.hold(at(30), time.Second)
+	for _, tc := range []struct {
+		from, to      int
+		calm, flowing bool
+	}{
+		{0, 9, true, true}, {0, 11, false, true}, {14, 20, false, true}, {15, 20, true, true}, {25, 31, true, false},
+	} {
+		if h.calm(at(tc.from), at(tc.to)) != tc.calm || h.flowing(at(tc.from), at(tc.to)) != tc.flowing {
+			t.Errorf("%+v: calm %v, flowing %v", tc, !tc.calm, !tc.flowing)
+		}
+	}
+}
+
+// echoed sends a line through a proxy to an echo and waits for it for a while.
+func echoed(conn net.Conn) bool {
+	_ = conn.SetDeadline(time.Now().Add(300 * time.Millisecond))
+	if _, err := io.WriteString(conn, "line\n"); err != nil {
+		return false
+	}
+	buf := make([]byte, 5)
+	_, err := io.ReadFull(conn, buf)
+	return err == nil && string(buf) == "line\n"
+}
+
+func TestProxyHarmsWhatItIsTold(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	p, err := NewProxy(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", p.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	for name, mute := range map[string][2]bool{"there": {true, false}, "back": {false, true}} {
+		silent := open()
+		if !echoed(silent) {
+			t.Fatal("no echo")
+		}
+		p.Mute(mute[0], mute[1])
+		if echoed(silent) || !echoed(open()) {
+			t.Errorf("muted %s: the connection is not silent, or new ones are", name)
+		}
+	}
+	cut := open()
+	if !echoed(cut) {
+		t.Fatal("no echo")
+	}
+	p.Reset()
+	if echoed(cut) || !echoed(open()) {
+		t.Error("a reset connection works, or new ones do not")
+	}
+	p.Refuse(true)
+	if echoed(open()) {
+		t.Error("a refused connection works")
+	}
+	p.Refuse(false)
+	p.Delay(100 * time.Millisecond)
+	began := time.Now()
+	if !echoed(open()) || time.Since(began) < 200*time.Millisecond {
+		t.Errorf("delayed by %v", time.Since(began))
+	}
+}
