Give lines on beliefs fields, and tell of nodes put aside and of the store

Cause: on-call engineers search logs by field; what a node believes (upstream, configuration, move, member) stood in sentences, a node put aside by an entry left no line, and the store's loss was told by retries only. Test: TestRequestIsExplainedWithTheBeliefsOfItsNodes reads the fields.

--- a/internal/conn/platform/guard.go
+++ b/internal/conn/platform/guard.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
+
+	"github.com/daisytide/daisytide/internal/logs"
 )
 
 // Limits of a guard.
@@ -44,6 +47,8 @@
 	calls    uint64
 }
 
+const logPrefix = "store: "
+
 // NewGuard guards store with a rate in calls per second.
 func NewGuard(store Store, perSecond float64) *Guard {
 	return &Guard{BackoffMost: backoffMost, store: store, limiter: rate.NewLimiter(rate.Limit(perSecond), guardBurst), readings: map[string]*reading{}}
@@ -108,9 +113,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil || answered(OutcomeOf(err)) {
+		if !g.reached {
+			slog.Info(logPrefix + "reached")
+		}
 		g.fails, g.reached = 0, true
 		return
 	}
+	if g.reached {
+		slog.Warn(logPrefix+"lost", logs.FieldError, err.Error())
+	}
 	g.reached = false
 	wait := min(g.BackoffMost, backoffFirst<<min(g.fails, 16))
 	g.fails++
--- a/internal/logs/explain.go
+++ b/internal/logs/explain.go
@@ -29,7 +29,7 @@
 }
 
 // parts are the parts whose lines tell what a process believes.
-var parts = []string{"provider: ", "upstreams: ", "orders: ", "spread: ", "egress: ", "registry: ", "operated: ", "settings: "}
+var parts = []string{"provider: ", "upstreams: ", "orders: ", "spread: ", "ingress: ", "egress: ", "registry: ", "store: ", "operated: ", "settings: "}
 
 // Read reads the JSON lines of one log; anything before a line's first brace
 // is taken for what a recorder put there, its last word being the process.
--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -33,6 +33,30 @@
 	FieldLoad = "load"
 	// FieldError is the cause of a failure.
 	FieldError = "error"
+	// FieldBorn, FieldSequence and FieldSlots are what an instance said of itself:
+	// its start in Unix milliseconds, the number of the report, its slots.
+	FieldBorn     = "born"
+	FieldSequence = "sequence"
+	FieldSlots    = "slots"
+	// FieldFrom is who brought a configuration or a move's phase.
+	FieldFrom = "from"
+	// FieldTarget is the version that a move goes to, FieldOrder the store's
+	// revision of its order, FieldWithin its time and FieldSince its age in
+	// milliseconds, FieldPhase how far it is; FieldNew and FieldOld are the runs
+	// of the new and the old version that decided.
+	FieldTarget = "target"
+	FieldOrder  = "order"
+	FieldWithin = "within_ms"
+	FieldSince  = "since_ms"
+	FieldPhase  = "phase"
+	FieldNew    = "new_runs"
+	FieldOld    = "old_runs"
+	// FieldMember is a node's address.
+	FieldMember = "member"
+	// FieldAside is for how many milliseconds a node is put aside.
+	FieldAside = "aside_ms"
+	// FieldDied counts the requests that ran in an upstream when it died.
+	FieldDied = "died_with"
 	// FieldDropped and FieldWithheld count lines that were left out.
 	FieldDropped  = "dropped"
 	FieldWithheld = "withheld"
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -85,9 +85,9 @@
 	var out buffer
 	l := New(&out)
 	l.Install(slog.LevelInfo)
-	klog.Infof("provider: configuration %d is in force", 7)
+	slog.Info("provider: configuration in force", FieldConfig, 7)
 	slog.Info(MessageGate, FieldRequest, "r1", FieldCode, "4003 call-shed")
-	klog.Infof("provider: configuration %d is in force", 8)
+	slog.Info("provider: configuration in force", FieldConfig, 8)
 	slog.Info(MessageAnswered, FieldRequest, "r1", FieldStatus, 503)
 	slog.Info(MessageAnswered, FieldRequest, "r2", FieldStatus, 200)
 	l.Close()
@@ -103,8 +103,8 @@
 	if len(steps) != 2 || steps[0].Message != MessageGate || steps[0].Process != "node-3" {
 		t.Fatalf("%+v", steps)
 	}
-	for i, want := range []string{"configuration 7", "configuration 8"} {
-		if len(steps[i].Beliefs) != 1 || !strings.Contains(steps[i].Beliefs[0].Message, want) {
+	for i, want := range []float64{7, 8} {
+		if len(steps[i].Beliefs) != 1 || steps[i].Beliefs[0].Fields[FieldConfig] != want {
 			t.Errorf("step %d: %+v", i, steps[i].Beliefs)
 		}
 	}
--- a/internal/process/orders/ends.go
+++ b/internal/process/orders/ends.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/version/ramp"
 )
@@ -51,12 +53,19 @@
 // end sets and spreads the end of a move; the caller holds mu.
 func (m *Manager) end(mv *move, p ramp.Phase, now time.Time) {
 	older, newer := mv.totals()
-	klog.Infof(logPrefix+"the move of %s to %s is %s after %v: new %s, old %s",
-		mv.order.Service, mv.order.Target, p, now.Sub(mv.since).Round(time.Millisecond), describe(newer), describe(older))
 	mv.phase, mv.decided = p, now
+	logPhase(mv, "this node", now, logs.FieldNew, describe(newer), logs.FieldOld, describe(older))
 	m.publishState(mv, now)
 }
 
+// logPhase writes the line on a move's phase and who brought it.
+func logPhase(mv *move, from string, now time.Time, more ...any) {
+	slog.Info(logPrefix+"move changed", append([]any{
+		logs.FieldService, mv.order.Service, logs.FieldTarget, mv.order.Target, logs.FieldOrder, mv.order.Revision,
+		logs.FieldPhase, mv.phase.String(), logs.FieldFrom, from, logs.FieldSince, now.Sub(mv.since).Milliseconds(),
+	}, more...)...)
+}
+
 // recordDue tells whether this node is to write a move's phase now; the
 // caller holds mu.
 func (m *Manager) recordDue(mv *move, now time.Time) bool {
--- a/internal/process/orders/facts.go
+++ b/internal/process/orders/facts.go
@@ -145,7 +145,7 @@
 	later := s.Phase > mv.phase && !mv.recorded || s.Recorded && !mv.recorded
 	if later {
 		mv.phase, mv.recorded, mv.decided = s.Phase, s.Recorded, now
-		klog.Infof(logPrefix+"the move of %s to %s is %s, a peer says", s.Service, s.Target, s.Phase)
+		logPhase(mv, "a peer", now)
 	}
 	return changed || later, nil
 }
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -5,15 +5,15 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/loop"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/request/egress"
@@ -132,7 +132,8 @@
 	}
 	mv = &move{order: o, since: now, tallies: map[tallyKey]tally{}, own: map[string]map[string]ramp.Tally{}}
 	m.moves[o.Service] = mv
-	klog.Infof(logPrefix+"%s is to move to %s within %v (order %d)", o.Service, o.Target, o.Within, o.Revision)
+	slog.Info(logPrefix+"move ordered",
+		logs.FieldService, o.Service, logs.FieldTarget, o.Target, logs.FieldWithin, o.Within.Milliseconds(), logs.FieldOrder, o.Revision)
 	m.wake.Nudge()
 	return mv
 }
@@ -162,7 +163,7 @@
 	}
 	if mv.phase != p || !mv.recorded {
 		mv.phase, mv.recorded = p, true
-		klog.Infof(logPrefix+"the move of %s to %s is recorded as %s", service, target, p)
+		logPhase(mv, "the store", time.Now())
 		m.publishState(mv, time.Now())
 	}
 }
--- a/internal/process/provider/operated.go
+++ b/internal/process/provider/operated.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/pause"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
@@ -80,7 +82,7 @@
 
 func (p *Operated) offer(s *snapshot.Snapshot, from string) {
 	if p.Holder.Offer(s) {
-		klog.Infof(logPrefix+"configuration %d of %s is in force", s.Number(), from)
+		slog.Info(logPrefix+"configuration in force", logs.FieldConfig, s.Number(), logs.FieldFrom, from)
 	}
 }
 
--- a/internal/process/spread/detect.go
+++ b/internal/process/spread/detect.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/member"
 )
 
@@ -136,7 +138,7 @@
 	if !m.cfg.Members.Merge(r) {
 		return
 	}
-	klog.Infof(logPrefix+"%s is %s", r.Address, r.State)
+	slog.Info(logPrefix+"member changed", logs.FieldMember, r.Address, logs.FieldState, r.State.String())
 	item, err := wire.Marshal(r)
 	if err != nil {
 		klog.Errorf(logPrefix+"%v", err)
--- a/internal/process/upstreams/upstreams.go
+++ b/internal/process/upstreams/upstreams.go
@@ -4,12 +4,14 @@
 package upstreams
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/request/egress"
 )
 
@@ -148,8 +150,9 @@
 	old := l.current
 	l.current = &next
 	if old == nil || old.ID != next.ID || old.State != next.State || old.Born != next.Born {
-		klog.Infof(logPrefix+"instance %q (born %d, sequence %d) of %s %s is %s with %d slots",
-			next.ID, next.Born, next.Sequence, next.Service, next.Version, next.State, next.Slots)
+		slog.Info(logPrefix+"instance changed",
+			logs.FieldInstance, next.ID, logs.FieldState, string(next.State), logs.FieldBorn, next.Born, logs.FieldSequence, next.Sequence,
+			logs.FieldService, next.Service, logs.FieldVersion, next.Version, logs.FieldSlots, next.Slots)
 	}
 	if l.Changed != nil {
 		l.Changed(next)
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -13,8 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/logs"
@@ -353,7 +351,7 @@
 	g.mu.Unlock()
 	g.Upstream.Unreachable(i.ID)
 	if g.Ledger.Add(f) {
-		klog.Warningf(logPrefix+"instance %q of %s died with %d requests", i.ID, service, len(f.Prints))
+		slog.Warn(logPrefix+"instance died", logs.FieldInstance, i.ID, logs.FieldService, service, logs.FieldDied, len(f.Prints))
 		g.Crashed(f)
 	}
 }
--- a/internal/request/ingress/trial.go
+++ b/internal/request/ingress/trial.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/gate"
@@ -18,6 +20,8 @@
 	"github.com/daisytide/daisytide/internal/version/traffic"
 )
 
+const logPrefix = "ingress: "
+
 // trial is the attempts at one request.
 type trial struct {
 	e     *Ingress
@@ -172,17 +176,27 @@
 		in := *t.in
 		res := e.Local.Handle(ctx, t.r, &in)
 		t.note(picked.Record.Address, now, res)
-		picked.Done(time.Now(), faultOf(res), e.Local.Load(), true)
+		t.ended(picked, res, e.Local.Load(), true)
 		e.learn(t.r.Route, res.Need)
 		return res, true
 	}
 	res, load, carried := t.remote(ctx, picked.Record)
 	t.note(picked.Record.Address, now, res)
 	e.learn(t.r.Route, res.Need)
-	picked.Done(time.Now(), faultOf(res), load, carried)
+	t.ended(picked, res, load, carried)
 	return res, true
 }
 
+// ended tells the picker how an attempt ended. What puts a node aside changes
+// where requests go, so it is logged.
+func (t *trial) ended(p pick.Picked, res hop.Result, load gate.Load, carried bool) {
+	if aside := p.Done(time.Now(), faultOf(res), load, carried); aside > 0 {
+		slog.Warn(logPrefix+"node put aside",
+			logs.FieldMember, p.Record.Address, logs.FieldService, t.r.Service, logs.FieldAside, aside.Milliseconds(),
+			logs.FieldRequest, t.r.ID, logs.FieldCode, res.Code.String(), logs.FieldError, fmt.Sprint(res.Err))
+	}
+}
+
 // globalRandom makes the goroutine-safe global generator a source.
 type globalRandom struct{}
 
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -92,14 +92,20 @@
 }
 
 // Done notes how the attempt ended, and the load that came back with it where
-// there was one.
-func (p Picked) Done(now time.Time, f Fault, l gate.Load, carried bool) {
+// there was one. It returns for how long the node is put aside, if the attempt
+// was what put it there.
+func (p Picked) Done(now time.Time, f Fault, l gate.Load, carried bool) (aside time.Duration) {
 	p.state.mu.Lock()
 	defer p.state.mu.Unlock()
 	if carried {
 		p.state.sight.Carry(now, l)
 	}
+	before := p.state.sight.until
 	p.state.sight.End(now, f)
+	if until := p.state.sight.until; until.After(before) {
+		return until.Sub(now)
+	}
+	return 0
 }
 
 // scratch holds copies of the sights that one choice looks at, so that the
