--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -30,13 +30,12 @@
 	id, path string
 	host     int
 	// start tells the starts of the host's process apart.
-	start      int
-	once       bool
-	at         time.Time
-	status     int
-	err        string
-	stopping   bool
-	lastSecond bool
+	start    int
+	once     bool
+	at       time.Time
+	status   int
+	err      string
+	stopping bool
 }
 
 // record is what callers and backends saw, and what breaks a promise.
