--- a/internal/request/egress/queue_test.go
+++ b/internal/request/egress/queue_test.go
@@ -259,6 +259,39 @@
 	}
 }
 
+// noQueue refuses what finds no slot.
+type noQueue struct{ slots, running int }
+
+func (q *noQueue) arrive(time.Time, Want) (*Ticket, bool) {
+	if q.running >= q.slots {
+		return nil, false
+	}
+	q.running++
+	return nil, true
+}
+
+func (q *noQueue) done(time.Time, time.Duration) { q.running-- }
+
+// latestFirst lets as many wait as there are slots, admits the one that came
+// last first, and drops the oldest when it is full.
+type latestFirst struct{ fifo }
+
+func (q *latestFirst) arrive(now time.Time, w Want) (*Ticket, bool) {
+	t, _ := q.fifo.arrive(now, w)
+	if len(q.waiting) > q.slots {
+		q.waiting[0].decide(Verdict{Code: api.CallShed})
+		q.waiting = q.waiting[1:]
+	}
+	return t, true
+}
+
+func (q *latestFirst) done(now time.Time, took time.Duration) {
+	if n := len(q.waiting); n > 1 {
+		q.waiting = append([]*Ticket{q.waiting[n-1]}, q.waiting[:n-1]...)
+	}
+	q.fifo.done(now, took)
+}
+
 type event struct {
 	at  time.Time
 	run func(now time.Time)
@@ -370,3 +403,27 @@
 		}
 	}
 }
+
+// BenchmarkOverload compares rules of a queue at 1.5 times its room: -bench
+// Overload -benchtime 1x. What there is room for is 0.667.
+func BenchmarkOverload(b *testing.B) {
+	for _, rule := range []struct {
+		name string
+		make func() admission
+	}{
+		{"first come first served", func() admission { return &fifo{slots: driveSlots} }},
+		{"no queue", func() admission { return &noQueue{slots: driveSlots} }},
+		{"latest first", func() admission { return &latestFirst{fifo{slots: driveSlots}} }},
+		{"by objective and rank", func() admission { return &objectiveQueue{Queue{Slots: driveSlots}} }},
+	} {
+		b.Run(rule.name, func(b *testing.B) {
+			for range b.N {
+				inTime, served, byRank := play(rule.make(), 1)
+				b.ReportMetric(inTime, "in-time")
+				b.ReportMetric(served, "served")
+				b.ReportMetric(byRank[0], "rank-1")
+				b.ReportMetric(byRank[1], "rank-2")
+			}
+		})
+	}
+}
