Count no fault of a node when the caller left

An attempt that is broken off because its caller left ends like a cut one; three of them, or one while a connection was opened, put the node aside. Ruled out: lost answers of the same spell: they bring 'EOF' or a reset. Change: an attempt whose caller left shows nothing of the node; one whose time was over does, as before. Tests: TestCallerThatLeavesShowsNoFaultOfTheNode, TestNodesStayInUseWhenCallersLeave; both fail without the change (both nodes put aside after 12 callers).

--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -324,3 +325,47 @@
 		})
 	}
 }
+
+// Callers that leave must not put the nodes aside at which they were served.
+func TestCallerThatLeavesShowsNoFaultOfTheNode(t *testing.T) {
+	left, cancel := context.WithCancel(context.Background())
+	cancel()
+	late, cancelLate := context.WithDeadline(context.Background(), time.Unix(1, 0))
+	defer cancelLate()
+	for name, res := range map[string]hop.Result{
+		"cut": cut, "not reached": hop.Refuse(api.CallNotReached, 0, nil), "timed out": {Code: api.CallTimeout, Ran: api.RanUnknown},
+	} {
+		if got := shown(left, res); got != pick.Neutral {
+			t.Errorf("%s, the caller left: fault %d", name, got)
+		}
+		for _, ctx := range []context.Context{context.Background(), late} {
+			if got := shown(ctx, res); got != faultOf(res) || got == pick.Neutral {
+				t.Errorf("%s, the caller waits: fault %d", name, got)
+			}
+		}
+	}
+}
+
+// Whole attempts, broken off by callers that leave, leave every node in use.
+func TestNodesStayInUseWhenCallersLeave(t *testing.T) {
+	r := newRig(t, 1)
+	r.hang = true
+	for range 12 {
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		r.entry.Serve(ctx, &h1.Request{Method: "GET", Target: "/read/1", Host: "a", Header: http.Header{"Id": {"7"}}, Arrived: time.Now()})
+	}
+	for _, record := range r.entry.Members.Index().Members {
+		tried := []string{"self", "other0"}
+		if record.Address == "self" {
+			tried = tried[1:]
+		} else {
+			tried = tried[:1]
+		}
+		key := member.UpstreamKey{Service: "s", Version: "v1"}
+		picked, ok := r.entry.Picker.Place(r.entry.Members.Index(), key, tried, time.Now(), rand.New(rand.NewPCG(1, 1)), pick.Want{})
+		if !ok || picked.Aside(time.Now()) {
+			t.Errorf("%s is put aside", record.Address)
+		}
+	}
+}
--- a/internal/request/ingress/trial.go
+++ b/internal/request/ingress/trial.go
@@ -176,21 +176,21 @@
 		in := *t.in
 		res := e.Local.Handle(ctx, t.r, &in)
 		t.note(picked.Record.Address, now, res)
-		t.ended(picked, res, e.Local.Load(), true)
+		t.ended(ctx, picked, res, e.Local.Load(), true)
 		e.learn(t.r.Route, res.Need)
 		return res, true
 	}
 	res, load, carried := t.remote(ctx, picked.Record)
 	t.note(picked.Record.Address, now, res)
 	e.learn(t.r.Route, res.Need)
-	t.ended(picked, res, load, carried)
+	t.ended(ctx, picked, res, load, carried)
 	return res, true
 }
 
 // ended tells the picker how an attempt ended. What puts a node aside changes
 // where requests go, so it is logged.
-func (t *trial) ended(p pick.Picked, res hop.Result, load gate.Load, carried bool) {
-	if aside := p.Done(time.Now(), faultOf(res), load, carried); aside > 0 {
+func (t *trial) ended(ctx context.Context, p pick.Picked, res hop.Result, load gate.Load, carried bool) {
+	if aside := p.Done(time.Now(), shown(ctx, res), load, carried); aside > 0 {
 		slog.Warn(logPrefix+"node put aside",
 			logs.FieldMember, p.Record.Address, logs.FieldService, t.r.Service, logs.FieldAside, aside.Milliseconds(),
 			logs.FieldRequest, t.r.ID, logs.FieldCode, res.Code.String(), logs.FieldError, fmt.Sprint(res.Err))
@@ -236,6 +236,16 @@
 	return hop.Result{Code: api.CallCut, Ran: api.RanUnknown, Err: err}
 }
 
+// shown is what an attempt that ended under ctx has shown of the node. A caller
+// that leaves breaks off the attempt, wherever it is: that is no fault of the
+// node, though its connection ends like a cut one.
+func shown(ctx context.Context, res hop.Result) pick.Fault {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return pick.Neutral
+	}
+	return faultOf(res)
+}
+
 // faultOf reads what an attempt has shown of the node and its upstream. A node
 // that gave no sign of life is like one that was not reached: each further
 // request sent there would wait as long and could not be called refused.
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -91,6 +91,13 @@
 	return Picked{Record: n.record, state: n.state}, true
 }
 
+// Aside tells whether the node is put aside.
+func (p Picked) Aside(now time.Time) bool {
+	p.state.mu.Lock()
+	defer p.state.mu.Unlock()
+	return p.state.sight.Ejected(now)
+}
+
 // Done notes how the attempt ended, and the load that came back with it where
 // there was one. It returns for how long the node is put aside, if the attempt
 // was what put it there.
