Make the models' tests free of races and of the machine's speed

Ruled out: races of the product: all four addresses are variables of the tests. Change: atomics and a lock; one rig for all sequences, with a time limit that the walk cannot meet. No check changed. Conclusion: the walk is what it says, whatever the machine does.

--- a/internal/process/orders/model_test.go
+++ b/internal/process/orders/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,15 +12,14 @@
 	"github.com/daisytide/daisytide/internal/version/ramp"
 )
 
-// lossyWires hands facts on, or loses them.
+// lossyWires hands facts on, or loses them while it is cut.
 type lossyWires struct {
-	rng    *rand.Rand
 	others []*Manager
-	cut    bool
+	cut    atomic.Bool
 }
 
 func (w *lossyWires) Publish(topic string, item []byte) {
-	if w.cut {
+	if w.cut.Load() {
 		return
 	}
 	(&wired{w.others}).Publish(topic, item)
@@ -38,7 +38,7 @@
 				ends = append(ends, v)
 			}
 		})
-		w := &lossyWires{rng: rng}
+		w := &lossyWires{}
 		var nodes []*Manager
 		for _, name := range []string{"n0", "n1", "n2"} {
 			m := newManager(name, s, &wired{})
@@ -61,12 +61,12 @@
 				}
 				m.mu.Unlock()
 			case 1:
-				w.cut = !w.cut
+				w.cut.Store(!w.cut.Load())
 			default:
 				m.tick(context.Background(), now)
 			}
 		}
-		w.cut = false
+		w.cut.Store(false)
 		for range 6 {
 			now = now.Add(10 * time.Second)
 			for _, m := range nodes {
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -131,12 +131,12 @@
 		start(t, newRegistry(s, "10.0.0.1:1"))
 		time.Sleep(5 * time.Second)
 		late := newRegistry(s, "10.0.0.2:1")
-		found := 0
-		late.Found = func() { found++ }
+		var found atomic.Int64
+		late.Found = func() { found.Add(1) }
 		start(t, late)
 		time.Sleep(100 * time.Millisecond)
-		if len(late.Peers()) != 1 || found != 1 {
-			t.Errorf("peers %v, told %d times", late.Peers(), found)
+		if len(late.Peers()) != 1 || found.Load() != 1 {
+			t.Errorf("peers %v, told %d times", late.Peers(), found.Load())
 		}
 	})
 }
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -49,14 +50,17 @@
 	entry *Ingress
 	// plan gives the results of the attempts; sent counts them.
 	plan []hop.Result
+	mu   sync.Mutex
 	sent int
 	// hang makes an attempt wait for the end of its context.
 	hang bool
 }
 
 func (r *rig) handle(ctx context.Context) hop.Result {
+	r.mu.Lock()
 	i := r.sent
 	r.sent++
+	r.mu.Unlock()
 	if r.hang {
 		<-ctx.Done()
 		return hop.Result{Code: api.CallTimeout, Ran: api.RanUnknown, Err: ctx.Err()}
@@ -118,17 +122,8 @@
 		go func() { _ = s.Serve(l) }()
 		add("other"+strconv.Itoa(i), l.Addr().String())
 	}
-	c := routes()
-	envelope, err := (&document.Accepted{Number: 1, Traffic: &c}).Envelope()
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := snapshot.Build(envelope)
-	if err != nil {
-		t.Fatal(err)
-	}
 	holder := &snapshot.Holder{}
-	holder.Offer(s)
+	holder.Offer(snapshotOf(t, 1, routes()))
 	r.entry = &Ingress{
 		Self: "self", Service: "s", Holder: holder, Members: members, Versions: oneVersion{},
 		Picker: &pick.Picker{Self: "self", DataCentre: "a"}, Budget: retry.NewBudgetOf(func() float64 { return 10 }), RetryShare: 10,
@@ -137,6 +132,19 @@
 	return r
 }
 
+func snapshotOf(t *testing.T, number uint64, c traffic.Config) *snapshot.Snapshot {
+	t.Helper()
+	envelope, err := (&document.Accepted{Number: number, Traffic: &c}).Envelope()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := snapshot.Build(envelope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 func (r *rig) get(path string, headers ...string) *h1.Response {
 	h := http.Header{"Id": {"7"}}
 	for i := 0; i+1 < len(headers); i += 2 {
--- a/internal/request/ingress/model_test.go
+++ b/internal/request/ingress/model_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/request/hop"
+	"github.com/daisytide/daisytide/internal/request/pick"
+	"github.com/daisytide/daisytide/internal/request/retry"
 )
 
 // outcomes are the ends that one attempt can have.
@@ -27,12 +29,21 @@
 	// was cut to one more for each further upstream that it may reach.
 	const most = maxPlaces + upstreams - 1
 	walked := 0
+	// The time limit is no part of what is walked: a slow machine must not meet it.
+	c := routes()
+	for i := range c.Routes {
+		c.Routes[i].TimeLimit, c.Routes[i].Objective = time.Minute, time.Minute
+	}
+	r := newRig(t, most)
+	r.entry.Holder.Offer(snapshotOf(t, 2, c))
 	for _, path := range []string{"/once/1", "/read/1"} {
 		for a, first := range outcomes {
 			for b, second := range outcomes {
 				for c, third := range outcomes {
 					plan := []hop.Result{first, second, third}
-					r := newRig(t, most, plan...)
+					r.plan, r.sent = plan, 0
+					r.entry.Picker = &pick.Picker{Self: "self", DataCentre: "a"}
+					r.entry.Budget = retry.NewBudgetOf(func() float64 { return 10 })
 					resp := r.get(path)
 					name := fmt.Sprintf("%s: %s, %s, %s", path, a, b, c)
 					if r.sent < 1 || r.sent > most {
