--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -18,8 +18,8 @@
 	needPart = 0.7
 	// trialEvery is how often an idle slot tries a route again whose usual time
 	// leaves its requests no time: what that time rests on may be over, and
-	// without runs it would never change. Four slots' worth of runs a second is
-	// what a truly slow upstream may lose by it.
+	// without runs it would never change. Four runs a second are at most
+	// what a truly slow upstream is given by it.
 	trialEvery = 250 * time.Millisecond
 	// timely times a route's usual time must be left before the objective: an
 	// answer just after it is of little use, and runs vary by half of their mean.
