Keep net/http from sending a peer's question again

Read in net/http: a peer that stops says so (GOAWAY); with GetBody the HTTP/2 layer makes a second request, finds no connection left, and the HTTP/1 layer above rewinds the first body. Without GetBody the first attempt's error comes back, and nothing is rewound. Ruled out: our own sharing: both stacks are inside one Client.Do. Change: questions between nodes have no GetBody; an asker gets the error and goes on as it does for any peer that is gone. Product code of operated nodes asks peers one question (reach) this way.

--- a/internal/conn/rpc/rpc.go
+++ b/internal/conn/rpc/rpc.go
@@ -51,6 +51,10 @@
 	if err != nil {
 		return fmt.Errorf("ask %s: %w", address, err)
 	}
+	// With GetBody net/http would send a question again when the peer's connection
+	// goes away, and look at the first body while it is still being sent. Askers
+	// have other peers to turn to.
+	req.GetBody = nil
 	req.Header.Set(call.HeaderPeerKey, c.Key)
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
