Keep an upstream out that deregistered before its node knew of it

Node c-1 was restarted at 23.7 s; the first that it heard of its upstream was the deregistration, at 23.83 s, without the start ('born' 0); a late heartbeat (sequence 20, with its start) came at 26.12 s and made it ready. Change: after a deregistration without a start, under the same id only a start since then is another one. Test: three rows of TestOnlyNewsOfTheLatestInstanceChangesAnything; the first failed before.

--- a/internal/process/upstreams/upstreams.go
+++ b/internal/process/upstreams/upstreams.go
@@ -104,6 +104,10 @@
 		return same || c == nil
 	case c == nil:
 		return true
+	case c.State == api.UpstreamDown && c.Born == 0:
+		// Gone before this process knew of its start, and the deregistration did
+		// not tell it: under the same id only a start since then is another.
+		return r.ID != c.ID || r.Born > c.HeardAt.UnixMilli()
 	case r.Born != c.Born:
 		return r.Born > c.Born
 	case !same:
