Follow and rest in functions of their own in place of a flag

Cause: on reading the change: Operated.Run carried a flag, set once at a fleet's first start, through three conditions of its loop. Change: follow (read and watch) and rest (wait until it is to watch); the first start rests first. Behaviour, tests and bounds as they were. Conclusion: the loop reads as it runs.

--- a/internal/process/provider/operated.go
+++ b/internal/process/provider/operated.go
@@ -88,29 +88,36 @@
 
 // Run follows the operator's keys until ctx ends.
 func (p *Operated) Run(ctx context.Context) error {
-	informed := p.FirstStart && p.join(ctx)
+	if p.FirstStart && p.join(ctx) {
+		p.rest(ctx)
+	}
 	for ctx.Err() == nil {
-		var after uint64
-		var err error
-		if !informed {
-			after, err = p.list(ctx)
-		}
-		for !informed && err == nil && ctx.Err() == nil && p.watches() {
-			after, err = p.watch(ctx, after)
-		}
-		informed = false
-		if err != nil {
+		if err := p.follow(ctx); err != nil {
 			klog.V(1).Infof(logPrefix+"%v", err)
 			pause.For(ctx, rand.N(operatedPause))
 			continue
 		}
-		for ctx.Err() == nil && !p.watches() {
-			pause.For(ctx, lookEvery)
-		}
+		p.rest(ctx)
 	}
 	return nil
 }
 
+// follow reads all keys and watches them while this node is to.
+func (p *Operated) follow(ctx context.Context) error {
+	after, err := p.list(ctx)
+	for err == nil && ctx.Err() == nil && p.watches() {
+		after, err = p.watch(ctx, after)
+	}
+	return err
+}
+
+// rest waits until this node is to watch the store.
+func (p *Operated) rest(ctx context.Context) {
+	for ctx.Err() == nil && !p.watches() {
+		pause.For(ctx, lookEvery)
+	}
+}
+
 // join waits at the first start of a fleet until the node has links; true when
 // its peers have brought the configuration and others watch the store.
 func (p *Operated) join(ctx context.Context) bool {
