Count and log every call of nodes that are not operated, and those without a route

Nodes without an operator had counters only, no id for a request and no line on a failed one; and operated nodes neither counted nor logged requests that ended before a route was found (no configuration, no route, no time left).

Ruled out: a second registry for the older nodes; both kinds use metrics.Requests, logs.Log and one rule for the outcome now.

Change: Daisytide-Request is the caller's id or a new one, goes to gate and upstream and back on the answer; entry and gate observe each call; /metrics on the operator listener. Attempts become text only when a line is written.

--- a/cmd/daisytided/main.go
+++ b/cmd/daisytided/main.go
@@ -120,7 +120,12 @@
 		HTTP: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
 	}
 	if !cfg.Operated.Enabled {
-		return node.New(cfg, store)
+		n, err := node.New(cfg, store)
+		if err != nil {
+			return nil, err
+		}
+		n.LogRequests(log)
+		return n, nil
 	}
 	debug.SetMemoryLimit(int64(cfg.Operated.MemoryMB) << 20 / 10 * operatedMemory)
 	return operated.New(cfg, store, platform.Adapter{}, log)
--- /dev/null
+++ b/internal/logs/attempt.go
@@ -0,0 +1,21 @@
+package logs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+)
+
+// Attempt is one node that a request was sent to. It becomes text only when a
+// line with it is written.
+type Attempt struct {
+	Node string
+	Code api.Code
+	Took time.Duration
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (a Attempt) MarshalText() ([]byte, error) {
+	return fmt.Appendf(nil, "%s %s %dms", a.Node, a.Code, a.Took.Milliseconds()), nil
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -9,6 +9,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/daisytide/daisytide/api"
 )
 
 // Hop says where on its way a request was timed.
@@ -37,11 +39,28 @@
 	Failed Outcome = "failed"
 )
 
+// OutcomeOf sorts the end of a request; status is the upstream's where code is
+// api.OK.
+func OutcomeOf(code api.Code, status int, ran api.Ran) Outcome {
+	switch {
+	case code == api.OK && status < http.StatusInternalServerError:
+		return Answered
+	case code == api.OK:
+		return Upstream
+	case ran == api.RanNo:
+		return Refused
+	default:
+		return Failed
+	}
+}
+
 // maxRoutes bounds the series: routes beyond it are counted as otherRoutes.
 // Only routes that got a request count, so hundreds of unused ones cost nothing.
 const (
 	maxRoutes   = 64
 	otherRoutes = "other"
+	// noRoute counts requests that ended before a route was found.
+	noRoute = "none"
 )
 
 // Edges of the histograms' classes, in seconds: 1 ms to 4 s, doubling.
@@ -93,6 +112,9 @@
 
 // series returns the label of a route.
 func (m *Requests) series(route string) string {
+	if route == "" {
+		return noRoute
+	}
 	m.mu.RLock()
 	known, full := m.routes[route], len(m.routes) >= maxRoutes
 	m.mu.RUnlock()
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"sync/atomic"
 
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/spread"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
@@ -11,6 +12,10 @@
 // Metrics returns the node's counters; the daemon publishes them by expvar.
 func (n *Node) Metrics() *expvar.Map { return n.metrics }
 
+// LogRequests makes entry and gate write a line on each request that failed,
+// within the log's bound; it is called before Run.
+func (n *Node) LogRequests(l *logs.Log) { n.entry.Log, n.gate.Log = l, l }
+
 // OnSwap calls fn with the number of each configuration that comes into force.
 func (n *Node) OnSwap(fn func(number uint64)) {
 	n.holder.OnSwap(func(s *snapshot.Snapshot) { fn(s.Number()) })
@@ -44,4 +49,9 @@
 	n.metrics.Set("links", expvar.Func(func() any { return n.spread.Links() }))
 	n.metrics.Set("members", expvar.Func(func() any { return len(n.members.Index().Members) }))
 	n.metrics.Set("running", expvar.Func(func() any { return n.gate.Running() }))
+	n.requests.Value("configuration", "Number of the configuration in force.", func() float64 { return float64(n.holder.Current().Number()) })
+	n.requests.Value("members", "Members of the fleet that the node knows.", func() float64 { return float64(len(n.members.Index().Members)) })
+	n.requests.Value("links", "Links to other nodes.", func() float64 { return float64(n.spread.Links()) })
+	n.requests.Value("gate_busy", "Requests at the gate, in progress and waiting.", func() float64 { return float64(n.gate.Load().Busy) })
+	n.requests.Value("retries", "Requests sent to a second upstream since the start.", func() float64 { return float64(n.entry.Counts().Retries.Load()) })
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/daisytide/daisytide/internal/conn/link"
 	"github.com/daisytide/daisytide/internal/conn/platform"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/audit"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/process/operator"
@@ -67,6 +68,7 @@
 	versions     entry.Versions
 	operator     *operator.Server
 	metrics      *expvar.Map
+	requests     *metrics.Requests
 
 	runners []func(context.Context) error
 	peerMux *http.ServeMux
@@ -91,12 +93,13 @@
 // settings name it. It listens at once, so that the addresses are known.
 func New(cfg *settings.Settings, store platform.Store) (*Node, error) {
 	n := &Node{
-		cfg:     cfg,
-		holder:  &snapshot.Holder{},
-		members: member.NewTable(),
-		traffic: &link.Traffic{},
-		metrics: new(expvar.Map).Init(),
-		peerMux: http.NewServeMux(),
+		cfg:      cfg,
+		holder:   &snapshot.Holder{},
+		members:  member.NewTable(),
+		traffic:  &link.Traffic{},
+		metrics:  new(expvar.Map).Init(),
+		requests: metrics.New(),
+		peerMux:  http.NewServeMux(),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
--- a/internal/process/node/wire_calls.go
+++ b/internal/process/node/wire_calls.go
@@ -26,7 +26,8 @@
 		Refusals: n.entry.Counts().Refusals.Load,
 	})
 	n.holder.OnSwap(func(*snapshot.Snapshot) { n.gate.ApplyConfig() })
-	atGate := call.Chain(n.gate.Handle, n.gateMiddlewares...)
+	n.gate.Metrics, n.entry.Metrics = n.requests, n.requests
+	atGate := n.gate.Observed(call.Chain(n.gate.Handle, n.gateMiddlewares...))
 	n.entry.Holder = n.holder
 	n.entry.Members = n.members
 	n.entry.Versions = n.versions
--- a/internal/process/node/wire_operators.go
+++ b/internal/process/node/wire_operators.go
@@ -22,6 +22,7 @@
 		Audit:     n.audit,
 		Refused:   refused,
 		Metrics:   n.metrics,
+		Requests:  n.requests.Handler(),
 	}
 	n.survey = &survey.Survey{
 		Self:    n.self.Record,
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -438,6 +438,10 @@
 			t.Error("a request failed")
 		}
 	}
+	if status, _, _ := ask("GET", near.url("/nowhere"), nil); status != http.StatusNotFound {
+		t.Errorf("a path without a route: status %d", status)
+	}
+	sent++
 	if got := scraped(t, near, "entry"); got != sent {
 		t.Errorf("the entry counted %d of %d requests", got, sent)
 	}
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -49,6 +49,8 @@
 	Refused *expvar.Int
 	// Metrics are the node's counters, shown beside those of the process.
 	Metrics *expvar.Map
+	// Requests serves the counters and histograms of requests; nil serves none.
+	Requests http.Handler
 }
 
 // Handler returns the routes of the listener.
@@ -64,6 +66,9 @@
 	mux.HandleFunc("GET "+api.PathStatus, func(w http.ResponseWriter, _ *http.Request) { write(w, s.Node.Status()) })
 	mux.HandleFunc("POST "+api.PathAnnounce, s.announce)
 	mux.HandleFunc("GET "+pathVars, s.vars)
+	if s.Requests != nil {
+		mux.Handle("GET "+pathMetrics, s.Requests)
+	}
 	mux.HandleFunc("/", notFound)
 	root := http.NewServeMux()
 	pages := console.New(forms{s}, s.Holder, s.Token, s.Refused)
@@ -176,7 +181,7 @@
 // a path that is not known.
 func notFound(w http.ResponseWriter, r *http.Request) {
 	for _, path := range []string{
-		api.PathConfig, api.PathValidate, api.PathHosts, api.PathRollouts, api.PathAudit, api.PathStatus, api.PathAnnounce, pathVars,
+		api.PathConfig, api.PathValidate, api.PathHosts, api.PathRollouts, api.PathAudit, api.PathStatus, api.PathAnnounce, pathVars, pathMetrics,
 	} {
 		if r.URL.Path == path {
 			refuse(w, api.Errorf(api.OperatorMethod, "%s does not take %s", path, r.Method))
@@ -189,7 +194,9 @@
 // pathVars shows the counters; nodeVars names those of the node in them.
 const (
 	pathVars = "/debug/vars"
-	nodeVars = "daisytide"
+	// pathMetrics gives counters and histograms as Prometheus' text.
+	pathMetrics = "/metrics"
+	nodeVars    = "daisytide"
 )
 
 // vars writes the counters of the process, as expvar does, and those of this
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/version/document"
 )
 
@@ -22,6 +23,9 @@
 	HeaderTimeLeft = "Daisytide-Time-Left"
 	// HeaderDepth counts the hops between services above this call.
 	HeaderDepth = "Daisytide-Depth"
+	// HeaderRequest is the request's id in logs, the caller's or a new one; it
+	// goes to the upstream and back on the answer.
+	HeaderRequest = "Daisytide-Request"
 )
 
 // Headers between entry and gate.
@@ -48,12 +52,15 @@
 // Limits of what callers may send.
 const (
 	MaxKeyBytes    = 128
+	MaxIDBytes     = 128
 	MaxHeaderBytes = 64 << 10
 	MaxDepth       = 64
 )
 
 // Call is one request at one hop.
 type Call struct {
+	// ID finds the request in the logs.
+	ID         string
 	Service    string
 	Version    string
 	Route      string
@@ -75,6 +82,8 @@
 	BodyLimit int64
 	// Remote tells that the call came from the entry of another node.
 	Remote bool
+	// Tried are the nodes that the entry sent the call to, for the log.
+	Tried []logs.Attempt
 }
 
 // TimeLeft returns what is left of the call's time at now.
@@ -143,7 +152,7 @@
 // FromCaller reads the headers that a caller may send. limit is the route's
 // time limit; a shorter time left wins.
 func FromCaller(h http.Header, limit time.Duration, now time.Time) (*Call, error) {
-	c := &Call{Attempt: 1, Key: h.Get(HeaderKey)}
+	c := &Call{ID: h.Get(HeaderRequest), Attempt: 1, Key: h.Get(HeaderKey)}
 	if len(c.Key) > MaxKeyBytes {
 		return nil, api.Errorf(api.CallHeader, "%s is over %d bytes", HeaderKey, MaxKeyBytes)
 	}
--- a/internal/request/call/hop.go
+++ b/internal/request/call/hop.go
@@ -84,7 +84,7 @@
 		numbers[i] = v
 	}
 	return &Call{
-		Service: fields[fieldService], Route: fields[fieldRoute], Version: fields[fieldVersion],
+		ID: h.Get(HeaderRequest), Service: fields[fieldService], Route: fields[fieldRoute], Version: fields[fieldVersion],
 		Caller: document.Caller(fields[fieldCaller]), Idempotent: numbers[fieldIdempotent] == 1,
 		Deadline: now.Add(time.Duration(numbers[fieldTimeLeft]) * time.Microsecond),
 		Key:      h.Get(HeaderKey), Attempt: int(numbers[fieldAttempt]), Depth: int(numbers[fieldDepth]),
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,16 +111,11 @@
 
 // OutcomeOf sorts a result for the metrics.
 func OutcomeOf(res hop.Result) metrics.Outcome {
-	switch {
-	case res.Code == api.OK && res.Answer.Status < http.StatusInternalServerError:
-		return metrics.Answered
-	case res.Code == api.OK:
-		return metrics.Upstream
-	case res.Ran == api.RanNo:
-		return metrics.Refused
-	default:
-		return metrics.Failed
+	status := 0
+	if res.Code == api.OK {
+		status = res.Answer.Status
 	}
+	return metrics.OutcomeOf(res.Code, status, res.Ran)
 }
 
 // log writes one line on a request that was refused or failed here.
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/forward"
@@ -57,6 +59,12 @@
 	// Middlewares see each call before it is sent to a gate, in order.
 	Middlewares []call.Middleware
 
+	// Log tells of calls that failed or needed more than one attempt; nil
+	// tells of none.
+	Log *logs.Log
+	// Metrics may be nil.
+	Metrics *metrics.Requests
+
 	counts   Counts
 	leaving  atomic.Bool
 	lastCall atomic.Int64
@@ -97,7 +105,10 @@
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	res := e.serve(w, r, now)
+	id := requestID(r.Header)
+	w.Header()[call.HeaderRequest] = id
+	c, res := e.serve(w, r, now)
+	e.observe(c, id[0], res, now)
 	if res.Code != api.OK {
 		e.counts.Failed.Add(1)
 	}
@@ -107,19 +118,25 @@
 	gate.Finish(w, res)
 }
 
-func (e *Entry) serve(w http.ResponseWriter, r *http.Request, now time.Time) call.Result {
+// serve answers a call; c is nil where no route was found for it.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, now time.Time) (c *call.Call, res call.Result) {
 	snap := e.Holder.Current()
 	if snap == nil {
-		return call.Refuse(api.CallNotReady, nil)
+		return nil, call.Refuse(api.CallNotReady, nil)
 	}
 	rt := snap.Routes.Find(r.Method, r.Host, r.URL.Path)
 	if rt == nil {
-		return call.Refuse(api.CallNoRoute, nil)
+		return nil, call.Refuse(api.CallNoRoute, nil)
 	}
 	c, err := newCall(r, rt, snap, now)
 	if err != nil {
-		return call.Refuse(api.CallHeader, err)
+		return nil, call.Refuse(api.CallHeader, err)
 	}
+	return c, e.route(w, r, c, snap, now)
+}
+
+// route brings a call on its way unless it can't be served.
+func (e *Entry) route(w http.ResponseWriter, r *http.Request, c *call.Call, snap *snapshot.Snapshot, now time.Time) call.Result {
 	if r.ContentLength > c.BodyLimit {
 		return call.Refuse(api.CallBodyTooLarge, nil)
 	}
--- /dev/null
+++ b/internal/request/entry/observe.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
+	"github.com/daisytide/daisytide/internal/request/call"
+)
+
+// idBase writes ids in the fewest digits that strconv has.
+const idBase = 36
+
+// requestID returns the caller's id for the request as the values of its
+// header; without a usable one it makes one up and sets it in h.
+func requestID(h http.Header) []string {
+	if given := h[call.HeaderRequest]; len(given) == 1 && given[0] != "" && len(given[0]) <= call.MaxIDBytes {
+		return given
+	}
+	id := []string{strconv.FormatUint(rand.Uint64(), idBase)}
+	h[call.HeaderRequest] = id
+	return id
+}
+
+// observe counts a call that ended, and writes a line unless it simply
+// succeeded; c is nil where no route was found.
+func (e *Entry) observe(c *call.Call, id string, res call.Result, arrived time.Time) {
+	if c == nil {
+		c = &call.Call{ID: id, Config: e.Holder.Current().Number(), Deadline: arrived}
+	}
+	now := time.Now()
+	outcome := metrics.OutcomeOf(res.Code, res.Status, res.Ran)
+	e.Metrics.Observe(metrics.Entry, c.Route, outcome, now.Sub(arrived))
+	plain := outcome == metrics.Answered && len(c.Tried) <= 1
+	if e.Log == nil || plain || !e.Log.Request() {
+		return
+	}
+	status := res.Status
+	if status == 0 {
+		status = api.Info(res.Code).HTTP
+	}
+	slog.Info(logs.MessageAnswered,
+		logs.FieldRequest, id, logs.FieldRoute, c.Route, logs.FieldService, c.Service, logs.FieldVersion, c.Version,
+		logs.FieldConfig, c.Config, logs.FieldCode, res.Code.String(), logs.FieldRan, string(res.Ran), logs.FieldStatus, status,
+		logs.FieldAttempts, c.Tried, logs.FieldLeft, c.TimeLeft(now).Milliseconds(), logs.FieldTook, now.Sub(arrived).Milliseconds(),
+		logs.FieldError, fmt.Sprint(res.Err))
+}
--- a/internal/request/entry/trial.go
+++ b/internal/request/entry/trial.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/forward"
@@ -95,11 +96,13 @@
 		return t.none(), false
 	}
 	t.tried = append(t.triedRoom[:len(t.tried)], picked.Record.Address)
+	began := time.Now()
 	if picked.Record.Address == e.Local.Address {
 		t.note(t.local(ctx, picked))
 	} else {
 		t.note(t.remote(ctx, picked))
 	}
+	t.call.Tried = append(t.call.Tried, logs.Attempt{Node: picked.Record.Address, Code: t.last.Code, Took: time.Since(began)})
 	return t.last, true
 }
 
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/version/document"
 )
@@ -32,7 +34,12 @@
 // Gate admits calls to one upstream.
 type Gate struct {
 	Observers []Observer
-	cfg       Config
+	// Log tells of calls that were refused or failed here; nil tells of none.
+	Log *logs.Log
+	// Metrics may be nil.
+	Metrics *metrics.Requests
+
+	cfg Config
 
 	// mu guards all below. An announcement that changes the connections
 	// replaces the transport; runs in progress keep the one they began with.
--- /dev/null
+++ b/internal/request/gate/observe.go
@@ -0,0 +1,37 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
+	"github.com/daisytide/daisytide/internal/request/call"
+)
+
+// Observed counts each call that ends at h and writes a line on those that
+// were refused or failed.
+func (g *Gate) Observed(h call.Handler) call.Handler {
+	return func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) call.Result {
+		began := time.Now()
+		res := h(ctx, w, r, c)
+		took := time.Since(began)
+		g.Metrics.Observe(metrics.Gate, c.Route, metrics.OutcomeOf(res.Code, res.Status, res.Ran), took)
+		if res.Code != api.OK && g.Log != nil && g.Log.Request() {
+			g.log(c, res, took)
+		}
+		return res
+	}
+}
+
+func (g *Gate) log(c *call.Call, res call.Result, took time.Duration) {
+	slog.Info(logs.MessageGate,
+		logs.FieldRequest, c.ID, logs.FieldRoute, c.Route, logs.FieldService, c.Service, logs.FieldVersion, c.Version,
+		logs.FieldConfig, c.Config, logs.FieldCode, res.Code.String(), logs.FieldRan, string(res.Ran),
+		logs.FieldState, string(g.Upstream().State), logs.FieldLoad, g.Load().String(),
+		logs.FieldLeft, c.TimeLeft(time.Now()).Milliseconds(), logs.FieldTook, took.Milliseconds(), logs.FieldError, fmt.Sprint(res.Err))
+}
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -101,26 +101,35 @@
 // Serve implements h1.Handler.
 func (e *Ingress) Serve(ctx context.Context, in *h1.Request) *h1.Response {
 	e.Counts.Requests.Add(1)
-	snap := e.Holder.Current()
+	t := &trial{e: e, in: in, refusal: hop.Refuse(api.CallNoUpstream, 0, nil)}
+	res := t.serve(ctx)
+	out := e.respond(in, res, t.r)
+	route := ""
+	if t.r != nil {
+		route = t.r.Route
+	}
+	e.Metrics.Observe(metrics.Entry, route, egress.OutcomeOf(res), time.Since(in.Arrived))
+	t.log(res, out)
+	return out
+}
+
+// serve finds the request's route and brings it to a node.
+func (t *trial) serve(ctx context.Context) hop.Result {
+	snap := t.e.Holder.Current()
 	if snap == nil || snap.Traffic == nil {
-		return e.respond(in, hop.Refuse(api.CallNotReady, backDefault, nil), nil)
+		return hop.Refuse(api.CallNotReady, backDefault, nil)
 	}
-	route := snap.Traffic.Find(in.Host, in.Path())
-	if route == nil {
-		return e.respond(in, hop.Refuse(api.CallNoRoute, 0, nil), nil)
+	t.route = snap.Traffic.Find(t.in.Host, t.in.Path())
+	if t.route == nil {
+		return hop.Refuse(api.CallNoRoute, 0, nil)
 	}
-	r := e.request(in, route, snap)
-	if r.Left(time.Now()) <= 0 {
-		return e.respond(in, hop.Refuse(api.CallNoTime, backDefault, nil), r)
+	t.r = t.e.request(t.in, t.route, snap)
+	if t.r.Left(time.Now()) <= 0 {
+		return hop.Refuse(api.CallNoTime, backDefault, nil)
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, t.r.Deadline)
 	defer cancel()
-	t := &trial{e: e, in: in, r: r, route: route, refusal: hop.Refuse(api.CallNoUpstream, 0, nil)}
-	res := t.run(ctx)
-	out := e.respond(in, res, r)
-	e.Metrics.Observe(metrics.Entry, r.Route, egress.OutcomeOf(res), time.Since(in.Arrived))
-	t.log(res, out)
-	return out
+	return t.run(ctx)
 }
 
 // log writes one line on a request that did not simply succeed.
@@ -130,10 +139,15 @@
 		return
 	}
 	now := time.Now()
+	r := t.r
+	if r == nil {
+		_, id := t.e.Dialect.ID(t.in.Header)
+		r = &hop.Request{ID: id, Config: t.e.Holder.Current().Number(), Deadline: now}
+	}
 	slog.Info(logs.MessageAnswered,
-		logs.FieldRequest, t.r.ID, logs.FieldRoute, t.r.Route, logs.FieldService, t.r.Service, logs.FieldVersion, t.r.Version,
-		logs.FieldConfig, t.r.Config, logs.FieldCode, res.Code.String(), logs.FieldRan, string(res.Ran), logs.FieldStatus, out.Status,
-		logs.FieldAttempts, t.attempts, logs.FieldLeft, t.r.Left(now).Milliseconds(), logs.FieldTook, now.Sub(t.in.Arrived).Milliseconds(),
+		logs.FieldRequest, r.ID, logs.FieldRoute, r.Route, logs.FieldService, r.Service, logs.FieldVersion, r.Version,
+		logs.FieldConfig, r.Config, logs.FieldCode, res.Code.String(), logs.FieldRan, string(res.Ran), logs.FieldStatus, out.Status,
+		logs.FieldAttempts, t.attempts, logs.FieldLeft, r.Left(now).Milliseconds(), logs.FieldTook, now.Sub(t.in.Arrived).Milliseconds(),
 		logs.FieldAfter, res.After.Milliseconds(), logs.FieldError, fmt.Sprint(res.Err))
 }
 
--- a/internal/request/ingress/trial.go
+++ b/internal/request/ingress/trial.go
@@ -40,12 +40,12 @@
 	// refusal is the last one.
 	refusal hop.Result
 	// attempts tells of each attempt, for the log.
-	attempts []string
+	attempts []logs.Attempt
 }
 
 // note remembers an attempt for the log.
 func (t *trial) note(to string, began time.Time, res hop.Result) {
-	t.attempts = append(t.attempts, fmt.Sprintf("%s %s %dms", to, res.Code, time.Since(began).Milliseconds()))
+	t.attempts = append(t.attempts, logs.Attempt{Node: to, Code: res.Code, Took: time.Since(began)})
 }
 
 // run brings the request to one node after another while that is safe.
--- a/internal/standin/cluster/load_test.go
+++ b/internal/standin/cluster/load_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/process/node"
 	"github.com/daisytide/daisytide/internal/process/operator/client"
 	"github.com/daisytide/daisytide/internal/standin/quiet"
 	"github.com/daisytide/daisytide/internal/standin/upstream"
@@ -24,11 +25,17 @@
 // startService starts hosts of which the first entries have no upstream, and
 // puts doc in force.
 func startService(tb testing.TB, nodes, entries int, o upstream.Options, doc document.Document) *Cluster {
+	tb.Helper()
+	return startServiceWith(tb, nodes, entries, o, doc, nil)
+}
+
+// startServiceWith calls onNode with each node before it runs.
+func startServiceWith(tb testing.TB, nodes, entries int, o upstream.Options, doc document.Document, onNode func(int, *node.Node)) *Cluster {
 	tb.Helper()
 	quiet.Logs()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	tb.Cleanup(cancel)
-	c, err := Start(context.Background(), Config{Nodes: nodes, DataCentres: 1, Seed: 1, Upstream: func(i int) upstream.Options {
+	c, err := Start(context.Background(), Config{Nodes: nodes, DataCentres: 1, Seed: 1, OnNode: onNode, Upstream: func(i int) upstream.Options {
 		if i < entries {
 			return upstream.Options{}
 		}
