Soak: wait for calls at the end, and see when the machine itself stands still

Change: calls that were sent are waited for. The harness watches its own timer; a machine that stood still counts like a pause of every host, and the calls after the last fault are judged in a span without one, waited for up to six times; else the verdict says that it was not judged, as a finding.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -57,7 +57,8 @@
 		id: fmt.Sprintf("%x", c.ids.Add(1)), path: path, host: c.host.number, start: start, once: method == http.MethodPost,
 		at: time.Now(), stopping: stopping,
 	}
-	ctx, cancel := context.WithTimeout(ctx, callerLimit)
+	// A call that was sent is waited for, also at the end of the run.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerLimit)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.host.callers+path, bytes.NewReader(make([]byte, body)))
 	if err != nil {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -117,8 +117,8 @@
 	return number, err == nil && n == 1
 }
 
-// close checks what shows only at the end.
-func (r *record) close(healedSince time.Time) {
+// close checks what shows only at the end; in healed all is well again.
+func (r *record) close(healed span) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	served, asked := 0, 0
@@ -132,14 +132,14 @@
 		case s.status == 0 && runs > 0 && s.stopping && strings.Contains(s.err, "EOF") && r.calm(s.host, s.at.Add(-settleBound), s.at.Add(callerLimit)):
 			r.found = append(r.found, fmt.Sprintf("lost: request %s ran and host %d cut it at a planned stop: %s", s.id, s.host, s.err))
 		}
-		if s.at.After(healedSince) {
+		if s.at.After(healed.from) && s.at.Before(healed.to) {
 			asked++
 			if s.status == http.StatusOK {
 				served++
 			}
 		}
 	}
-	if asked == 0 || float64(served) < healedShare*float64(asked) {
+	if !healed.to.IsZero() && (asked == 0 || float64(served) < healedShare*float64(asked)) {
 		r.found = append(r.found, fmt.Sprintf("recover: %d of %d requests were served when all was well again", served, asked))
 	}
 }
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -1,12 +1,17 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/daisytide/daisytide/platform"
 )
 
 // each plays what callers and backends saw, and names the rule that it breaks.
@@ -66,12 +71,16 @@
 		{"not served when healed", "recover", true, func(r *record) {
 			r.done(sent{id: "a", path: "/read/1", at: began.Add(time.Hour), status: 503}, good, "")
 		}},
+		{"not served before and after", "", true, func(r *record) {
+			r.done(sent{id: "a", path: "/read/1", at: began.Add(29 * time.Minute), status: 503}, good, "")
+			r.done(sent{id: "b", path: "/read/1", at: began.Add(4 * time.Hour), status: 503}, good, "")
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRecord(func(int, time.Time, time.Time) bool { return tc.calm })
 			tc.play(r)
 			r.done(sent{id: "end", path: "/read/1", at: began.Add(2 * time.Hour), status: 200}, good, wholeBody("end"))
-			r.close(began.Add(30 * time.Minute))
+			r.close(span{began.Add(30 * time.Minute), began.Add(3 * time.Hour)})
 			if tc.rule == "" && len(r.found) > 0 || tc.rule != "" && (len(r.found) != 1 || !strings.HasPrefix(r.found[0], tc.rule+":")) {
 				t.Errorf("found %q, want %q", r.found, tc.rule)
 			}
@@ -79,6 +88,49 @@
 	}
 }
 
+// The end of a run is no caller's leaving: what was sent is waited for.
+func TestCallsInProgressAreNotCutAtTheEndOfARun(t *testing.T) {
+	began := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		time.Sleep(50 * time.Millisecond)
+		w.Header().Set(signature, "signed")
+		_, _ = io.WriteString(w, wholeBody(r.Header.Get(platform.HeaderRequestID)))
+	}))
+	defer server.Close()
+	r := newRecord(func(int, time.Time, time.Time) bool { return true })
+	c := &caller{
+		host: &host{callers: server.Listener.Addr().String()}, record: r, latest: func() int { return 1 },
+		client: server.Client(), ids: &atomic.Int64{},
+	}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.run(ctx, 1)
+	}()
+	<-began
+	end()
+	<-done
+	if len(r.sent) != 1 || r.sent[0].status != http.StatusOK {
+		t.Errorf("recorded %+v", r.sent)
+	}
+}
+
+func TestMachineThatStandsStillIsNoted(t *testing.T) {
+	var told time.Duration
+	s := stalls{told: func(_ time.Time, d time.Duration) { told = d }}
+	began := time.Unix(1000, 0)
+	s.note(began, began.Add(stallTick+stallLeast/2))
+	if s.total() != 0 || told != 0 {
+		t.Errorf("%v noted of a busy moment", s.total())
+	}
+	s.note(began, began.Add(3*time.Second))
+	if !s.since(began) || s.since(began.Add(4*time.Second)) || told != 3*time.Second {
+		t.Errorf("latest %v, told %v", s.latest(), told)
+	}
+}
+
 func TestDisturbancesExcuseForAWhile(t *testing.T) {
 	h := &host{}
 	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,6 +40,9 @@
 	startFor   = 4 * time.Second
 	settleFor  = 10 * time.Second
 	healedFor  = 4 * time.Second
+	// healTries bounds how often the end is looked at again because the machine
+	// itself stood still meanwhile.
+	healTries = 6
 	callersPer = 3
 	// faultPause is the mean time between two faults; they overlap.
 	faultPause = 700 * time.Millisecond
@@ -64,11 +67,13 @@
 	latest  atomic.Int64
 	moved   int
 	healing sync.WaitGroup
+	stalls  stalls
 }
 
 // Run plays one seed and returns the broken promises.
 func Run(ctx context.Context, o Options) ([]string, error) {
 	s := &soak{o: o, rng: rand.New(rand.NewPCG(o.Seed, 6)), store: store.New(o.Seed)}
+	s.stalls.told = s.stalled
 	s.record = newRecord(func(n int, from, to time.Time) bool { return s.hosts[n].calm(from, to) })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -87,6 +92,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, running := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		s.stalls.watch(running)
+		return nil
+	})
 	for _, h := range s.hosts {
 		g.Go(func() error { return h.run(running) })
 		g.Go(func() error {
@@ -112,9 +121,7 @@
 		sleep(running, time.Duration(s.rng.ExpFloat64()*float64(faultPause)))
 	}
 	s.healing.Wait()
-	sleep(running, settleFor)
-	healed := time.Now()
-	sleep(running, healedFor)
+	healed := s.healed(running)
 	stopCalling()
 	sleep(running, callerLimit)
 	s.record.close(healed)
@@ -130,6 +137,33 @@
 	return s.record.found, nil
 }
 
+// healed waits until all should be well and for a while after that, and
+// returns the span in which calls must be served. A span in which the whole
+// machine stood still tells nothing of the nodes, and another one is waited for;
+// without one it is empty.
+func (s *soak) healed(ctx context.Context) span {
+	for range healTries {
+		settling := time.Now()
+		sleep(ctx, settleFor)
+		from := time.Now()
+		sleep(ctx, healedFor)
+		if !s.stalls.since(settling) {
+			return span{from, time.Now()}
+		}
+		s.o.Say("the machine stood still for %v in all, its last time %v ago", s.stalls.total(), time.Since(s.stalls.latest()))
+	}
+	s.record.find("recover: not judged, the machine stood still for %v in all", s.stalls.total())
+	return span{}
+}
+
+// stalled treats a machine that stood still like a pause of every host.
+func (s *soak) stalled(from time.Time, d time.Duration) {
+	for _, h := range s.hosts {
+		h.disturb(from, d+settleBound)
+		h.hold(from, d+settleBound)
+	}
+}
+
 // configure writes the next configuration. Each brings a route that no earlier
 // one had, and keeps those of before.
 func (s *soak) configure(ctx context.Context) {
