Refuse at once what no node can serve while one request finds out

Both other hosts of artbay had left; the last one lost its power at 19.8 s and 26.3 s. Every request for it was sent there all the same and waited for the dial until its deadline: 360 inner calls in six seconds ended 188 ms later (call-not-reached, call-no-time), each holding a slot of presswork, whose gates then shed 440 orders in two seconds.

Ruled out: a shorter dial (it would give up hosts that are merely far or busy); leaving out nodes that are put aside for good (nothing would show their return).

The first byte from the node opens it for all, so a blip closes it for milliseconds. An upstream that answers with failures is used on as before.

Tests: TestRequestsForAnUnreachableServiceAreRefusedAtOnce (failed before: none of 10), TestOnlyUpstreamThatIsNotReachedGetsOneRequestAtATime, TestOnlyUpstreamThatFailsIsUsedOn.

--- a/internal/conn/h1/client.go
+++ b/internal/conn/h1/client.go
@@ -78,6 +78,8 @@
 	// Sign is how long the server may take for the first byte of any answer,
 	// interim ones included; 0 sets no bound.
 	Sign time.Duration
+	// Alive, where set, is told of that first byte.
+	Alive func()
 	// IDHeader names a header that the answer must echo with ID; an answer
 	// with another value belongs to nobody. Empty checks nothing.
 	IDHeader, ID string
@@ -295,6 +297,9 @@
 		}
 		if !x.signed {
 			x.signed = true
+			if x.call.Alive != nil {
+				x.call.Alive()
+			}
 			if x.call.Sign > 0 {
 				_ = x.conn.SetReadDeadline(time.Time{})
 			}
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -48,6 +48,9 @@
 	backPart = 0.33
 	// backDefault is that time where no node gave one.
 	backDefault = 100 * time.Millisecond
+	// backUnreached is that time while none of a service's nodes is reached: a
+	// process takes about a second to start, a host longer.
+	backUnreached = time.Second
 )
 
 // Versions chooses the version of a service that gets a request.
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -294,6 +295,62 @@
 	}
 }
 
+// silentGate takes connections and never answers.
+func silentGate(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+	return l.Addr().String()
+}
+
+// The host of a service's only upstream is gone: callers are told at once, with
+// the longest time that they may wait, and only one of them finds out.
+func TestRequestsForAnUnreachableServiceAreRefusedAtOnce(t *testing.T) {
+	r := newRig(t, 0)
+	for i := range r.entry.Holder.Current().Traffic.Config.Routes {
+		r.entry.Holder.Current().Traffic.Config.Routes[i].TimeLimit = 3 * time.Second
+	}
+	r.entry.Members.Merge(member.Record{
+		Address: "self", DataCentre: "a", Incarnation: 2, State: member.Alive, Service: "other", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
+	})
+	r.entry.Members.Merge(member.Record{
+		Address: "gone", Gate: silentGate(t), DataCentre: "a", Incarnation: 1, State: member.Alive,
+		Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
+	})
+	if resp := r.get("/read/1"); resp.Status == http.StatusOK {
+		t.Fatalf("status %d from a silent gate", resp.Status)
+	}
+	const callers, soon = 10, 300 * time.Millisecond
+	var atOnce atomic.Int64
+	var all sync.WaitGroup
+	for range callers {
+		all.Go(func() {
+			began := time.Now()
+			resp := r.get("/read/1")
+			back, _ := strconv.Atoi(resp.Header.Get("Back"))
+			if resp.Status == http.StatusServiceUnavailable && time.Since(began) < soon && back >= 900 && back <= 1000 {
+				atOnce.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if n := atOnce.Load(); n != callers-1 {
+		t.Errorf("%d of %d told at once to return after a third of their time, want all but one", n, callers)
+	}
+}
+
 func TestRoutesThatAreGoneAreForgotten(t *testing.T) {
 	r := newRig(t, 0, answered(200))
 	r.get("/read/1", "Left", "150")
--- a/internal/request/ingress/trial.go
+++ b/internal/request/ingress/trial.go
@@ -169,6 +169,9 @@
 	}
 	picked, ok := e.Picker.Place(x, key, t.tried, now, rand.New(globalRandom{}), want)
 	if !ok {
+		if len(t.tried) == 0 && len(x.Serving[key]) > 0 {
+			t.refusal.After = backUnreached
+		}
 		return hop.Result{}, false
 	}
 	t.tried = append(t.tried, picked.Record.Address)
@@ -180,7 +183,7 @@
 		e.learn(t.r.Route, res.Need)
 		return res, true
 	}
-	res, load, carried := t.remote(ctx, picked.Record)
+	res, load, carried := t.remote(ctx, picked)
 	t.note(picked.Record.Address, now, res)
 	e.learn(t.r.Route, res.Need)
 	t.ended(ctx, picked, res, load, carried)
@@ -204,14 +207,15 @@
 func (globalRandom) Uint64() uint64 { return rand.Uint64() }
 
 // remote sends the request to the gate of another node.
-func (t *trial) remote(ctx context.Context, to member.Record) (hop.Result, gate.Load, bool) {
+func (t *trial) remote(ctx context.Context, picked pick.Picked) (hop.Result, gate.Load, bool) {
+	to := picked.Record
 	now := time.Now()
 	header := h1.Forwardable(t.in.Header)
 	t.r.ToGate(header, now)
 	sign := time.Duration(signPart * float64(t.r.Left(now)))
 	c := &h1.Call{
 		Method: t.in.Method, Target: t.in.Target, Host: t.in.Host, Header: header, Body: t.in.Body,
-		Ask: true, Sign: min(max(sign, signMin), signMax),
+		Ask: true, Sign: min(max(sign, signMin), signMax), Alive: picked.Alive,
 	}
 	resp, err := t.e.Client.Do(ctx, to.Gate, c)
 	if err == nil {
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -61,6 +61,8 @@
 type Picked struct {
 	Record member.Record
 	state  *state
+	// probe tells that this attempt finds out whether the node can be reached.
+	probe bool
 }
 
 // Pick chooses among the nodes of key that are not in tried; false where none
@@ -88,7 +90,14 @@
 	n.state.mu.Lock()
 	defer n.state.mu.Unlock()
 	n.state.sight.Begin()
-	return Picked{Record: n.record, state: n.state}, true
+	return Picked{Record: n.record, state: n.state, probe: n.state.sight.probe()}, true
+}
+
+// Alive notes that the node has shown that it has the attempt.
+func (p Picked) Alive() {
+	p.state.mu.Lock()
+	defer p.state.mu.Unlock()
+	p.state.sight.alive()
 }
 
 // Aside tells whether the node is put aside.
@@ -107,6 +116,9 @@
 	if carried {
 		p.state.sight.Carry(now, l)
 	}
+	if p.probe {
+		p.state.sight.probed = false
+	}
 	before := p.state.sight.until
 	p.state.sight.End(now, f)
 	if until := p.state.sight.until; until.After(before) {
--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -63,7 +63,9 @@
 
 // cheapest returns the candidate with the lowest expected time of the nearest
 // distance that has an open one. Where none is open anywhere, one that is put
-// aside is used all the same.
+// aside is used all the same, unless it was not reached and another call finds
+// out whether it can be: a host that is gone would keep each call for as long as
+// it may wait.
 func cheapest(groups *[distances][]Candidate, now time.Time, rng *rand.Rand, w Want) (distance Distance, place int, found bool) {
 	mean := meanOf(groups, now)
 	for _, closed := range []bool{false, true} {
@@ -143,7 +145,7 @@
 // at compares one candidate with the best so far, unless it may not be used.
 func (l *look) at(i int, rng *rand.Rand) {
 	c := &l.group[i]
-	if c.Tried || c.Sight.Ejected(l.now) && i != l.spare {
+	if c.Tried || c.Sight.hopeless() || c.Sight.Ejected(l.now) && i != l.spare {
 		return
 	}
 	for k := range min(l.seen, len(l.drawn)) {
--- a/internal/request/pick/place_test.go
+++ b/internal/request/pick/place_test.go
@@ -147,6 +147,60 @@
 	}
 }
 
+// Whether the only upstream is back is found out by one request at a time; the
+// others need not wait for what none of them can get.
+func TestOnlyUpstreamThatIsNotReachedGetsOneRequestAtATime(t *testing.T) {
+	p := newPlacing("a")
+	first, _ := p.place(t, nil, Want{})
+	first.Done(p.now, NotReached, gate.Load{}, false)
+	for _, end := range []struct {
+		fault Fault
+		alive bool
+		// open is how many of ten further requests are placed then.
+		open int
+	}{{NotReached, false, 1}, {Neutral, false, 1}, {NoFault, true, 10}} {
+		probe, ok := p.place(t, nil, Want{})
+		if !ok {
+			t.Fatalf("%+v: no request finds out", end)
+		}
+		if _, ok := p.place(t, nil, Want{}); ok {
+			t.Errorf("%+v: a second one while the first is on its way", end)
+		}
+		if end.alive {
+			// It runs there, and the others no longer wait for its answer.
+			probe.Alive()
+		} else {
+			probe.Done(p.now, end.fault, gate.Load{}, false)
+		}
+		var placed []Picked
+		for range 10 {
+			if picked, ok := p.place(t, nil, Want{}); ok {
+				placed = append(placed, picked)
+			}
+		}
+		if len(placed) != end.open {
+			t.Errorf("%+v: %d placed, want %d", end, len(placed), end.open)
+		}
+		for _, picked := range placed {
+			picked.Done(p.now, end.fault, gate.Load{}, false)
+		}
+	}
+}
+
+// An upstream that answers with failures is not one that can't be reached.
+func TestOnlyUpstreamThatFailsIsUsedOn(t *testing.T) {
+	p := newPlacing("a")
+	for range 2 * faultsToEject {
+		picked, _ := p.place(t, nil, Want{})
+		picked.Done(p.now, Failed, gate.Load{}, false)
+	}
+	for range 5 {
+		if _, ok := p.place(t, nil, Want{}); !ok {
+			t.Fatal("refused")
+		}
+	}
+}
+
 // An upload goes where its body can come; a look-up does not mind.
 func TestUploadAvoidsAHostWhoseLinkIsBusy(t *testing.T) {
 	p := newPlacing("a", "a")
--- a/internal/request/pick/sight.go
+++ b/internal/request/pick/sight.go
@@ -55,14 +55,37 @@
 	ejections int
 	// until is when it may be picked again.
 	until time.Time
+	// unreached tells that the last call that showed something did not reach
+	// it; probed that a call is on its way since, which finds out for all.
+	unreached, probed bool
 }
 
 // Begin notes a call sent there.
 func (s *Sight) Begin() { s.own++ }
 
+// probe tells that a call that begins finds out whether an upstream that was
+// not reached can be again.
+func (s *Sight) probe() bool {
+	begins := s.unreached && !s.probed
+	s.probed = s.probed || begins
+	return begins
+}
+
+// alive notes that the upstream's node has shown life.
+func (s *Sight) alive() { s.unreached, s.probed = false, false }
+
+// hopeless tells that a call there would most likely wait for nothing, and that
+// another one finds out.
+func (s *Sight) hopeless() bool { return s.unreached && s.probed }
+
 // End notes how a call sent there ended.
 func (s *Sight) End(now time.Time, f Fault) {
 	s.own--
+	if f == NotReached {
+		s.unreached = true
+	} else if f != Neutral {
+		s.alive()
+	}
 	switch f {
 	case NoFault:
 		s.faults = 0
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,12 +37,12 @@
 const (
 	// settleFor is how long a fleet has to find itself at first, and to heal at
 	// the end before it must serve all: recover_s of the smallest deployments.
-	startFor   = 4 * time.Second
-	settleFor  = 10 * time.Second
-	healedFor  = 4 * time.Second
+	startFor  = 4 * time.Second
+	settleFor = 10 * time.Second
+	healedFor = 4 * time.Second
 	// healTries bounds how often the end is looked at again because the machine
 	// itself stood still meanwhile.
-	healTries = 6
+	healTries  = 6
 	callersPer = 3
 	// faultPause is the mean time between two faults; they overlap.
 	faultPause = 700 * time.Millisecond
