Renew all leases soon after the store's return, and ask it less while it is away

Cause: leases may lapse while the store is away, and a node whose renewals fall before and after it notices up to 6 s later; entries are to be back within about two seconds.

Ruled out: shorter leases (ten times as many renewals in quiet times); a read of the own entry (a full call each).

Change: a node that finds the store back after a second or more tells the fleet by a count that is spread; each node renews within a second. Failed calls are repeated after 0.9 to 1.5 s.

Tests: TestEntriesAreBackSoonAfterAReturnThatOneNodeNotices (failed before: 0 of 2), TestStoreThatIsAwayIsAskedSeldom (failed before: 13 calls in 9 s), TestReturnNoticedByManyIsToldOnce.

--- a/internal/conn/platform/guard.go
+++ b/internal/conn/platform/guard.go
@@ -33,6 +33,9 @@
 type Guard struct {
 	// BackoffMost bounds the wait after failures in a row.
 	BackoffMost time.Duration
+	// Returned, where set, is told that calls are answered again, and since when
+	// they were not.
+	Returned func(away time.Duration)
 
 	store   Store
 	limiter *rate.Limiter
@@ -44,7 +47,9 @@
 	fails    int
 	until    time.Time
 	reached  bool
-	calls    uint64
+	// lost is when calls ceased to be answered.
+	lost  time.Time
+	calls uint64
 }
 
 const logPrefix = "store: "
@@ -110,17 +115,15 @@
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if err == nil || answered(OutcomeOf(err)) {
-		if !g.reached {
-			slog.Info(logPrefix + "reached")
-		}
-		g.fails, g.reached = 0, true
+	if err == nil || shows(OutcomeOf(err)) {
+		g.answered()
 		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.reached {
 		slog.Warn(logPrefix+"lost", logs.FieldError, err.Error())
+		g.lost = time.Now()
 	}
 	g.reached = false
 	wait := min(g.BackoffMost, backoffFirst<<min(g.fails, 16))
@@ -128,8 +131,23 @@
 	g.until = time.Now().Add(rand.N(wait))
 }
 
-// answered tells whether an outcome shows a store at work.
-func answered(o Outcome) bool {
+// answered notes that a call was answered.
+func (g *Guard) answered() {
+	g.mu.Lock()
+	back, lost := !g.reached, g.lost
+	g.fails, g.reached = 0, true
+	g.mu.Unlock()
+	if !back {
+		return
+	}
+	slog.Info(logPrefix + "reached")
+	if g.Returned != nil && !lost.IsZero() {
+		g.Returned(time.Since(lost))
+	}
+}
+
+// shows tells whether an outcome shows a store at work.
+func shows(o Outcome) bool {
 	return o == OutcomeRefused || o == OutcomeConflict || o == OutcomeHistoryLost
 }
 
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -196,7 +196,8 @@
 		Dialer:  &link.Dialer{Key: n.cfg.Peers.Secret, Traffic: n.traffic},
 		Traffic: n.traffic, Seeds: n.registry.Peers, Reach: n.askReach,
 	})
-	n.registry.Links, n.registry.Found = n.spread.Links, n.spread.Nudge
+	n.registry.Links, n.registry.Found, n.registry.Publisher = n.spread.Links, n.spread.Nudge, n.spread
+	n.store.Returned = n.registry.StoreReturned
 	n.provider.Links = n.spread.Links
 	n.provider.Watcher = func() bool {
 		return provider.Rank(n.members.Index().Members, n.self.Record()) < watchersIn(n.centres())
@@ -215,6 +216,7 @@
 	n.spread.Register(orders.Moves{Manager: n.orders})
 	n.spread.Register(orders.Tallies{Manager: n.orders})
 	n.spread.Register(n.ledger)
+	n.spread.Register(n.registry.Returns())
 	n.holder.OnSwap(n.spread.ConfigChanged)
 }
 
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -17,6 +17,7 @@
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/pause"
 	"github.com/daisytide/daisytide/internal/process/member"
+	"github.com/daisytide/daisytide/internal/process/spread"
 )
 
 const logPrefix = "registry: "
@@ -38,9 +39,9 @@
 	// listEvery that of any other.
 	listAlone = 1500 * time.Millisecond
 	listEvery = 12 * time.Second
-	// retryPause is the wait after a failed call: entries must be back within
-	// two seconds of the store's return.
-	retryPause = 500 * time.Millisecond
+	// retryPause is the mean wait after a failed call: entries must be back
+	// within two seconds of the store's return, and the whole fleet asks.
+	retryPause = 1200 * time.Millisecond
 	// callTimeout bounds one exchange.
 	callTimeout = 2 * time.Second
 )
@@ -54,6 +55,8 @@
 	Links func() int
 	// Found is told when entries have been read; nil is told nothing.
 	Found func()
+	// Publisher spreads what this node notices of the store; may be nil.
+	Publisher spread.Publisher
 	// FirstStart tells that the whole fleet starts for the first time.
 	FirstStart bool
 	TTL        time.Duration
@@ -61,6 +64,9 @@
 	// node's own address they are peers.
 	Hosts []string
 
+	once    sync.Once
+	returns *Returns
+
 	mu    sync.Mutex
 	found []string
 }
@@ -81,7 +87,7 @@
 		lease, err := r.register(ctx)
 		if err != nil {
 			klog.Warningf(logPrefix+"%v", err)
-			pause.For(ctx, retryPause/2+rand.N(retryPause))
+			pause.For(ctx, retryWait())
 			continue
 		}
 		r.keep(ctx, lease)
@@ -151,7 +157,7 @@
 	}
 	wait := time.Duration(renewPart * float64(ttl))
 	for {
-		pause.For(ctx, wait)
+		r.await(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -163,11 +169,28 @@
 			klog.Warningf(logPrefix+"the lease has lapsed: %v", err)
 			return
 		default:
-			wait = retryPause/2 + rand.N(retryPause)
+			wait = retryWait()
 		}
 	}
 }
 
+// retryWait is a random wait of retryPause in the mean, within a quarter of it.
+func retryWait() time.Duration {
+	return retryPause*3/4 + rand.N(retryPause/2)
+}
+
+// await waits for d, or until the store is back from an absence.
+func (r *Registry) await(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.Returns().risen:
+		pause.For(ctx, rand.N(returnSpan))
+	}
+}
+
 func (r *Registry) renew(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
