--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -25,6 +25,11 @@
 	// drawsPerLook bounds the draws for one upstream to look at: some were drawn
 	// before, were tried, or are put aside.
 	drawsPerLook = 4
+	// leaveAbove times the aim is the expected time from which the own data
+	// centre is left, moveBelow times the aim the one up to which another is
+	// worth its bytes: where all are as busy, nothing is gained on the way.
+	leaveAbove = 1.25
+	moveBelow  = 0.7
 	// spreadPart varies each estimate, so that entries that know the same do
 	// not all choose the same upstream.
 	spreadPart = 0.15
@@ -80,10 +85,12 @@
 				continue
 			}
 			o := cheapestOf(groups, d, mean, now, rng, w)
-			if o.found && w.keeps(o) {
+			switch {
+			case !o.found:
+				continue
+			case !nearest.found && w.stays(o), nearest.found && w.moves(o):
 				return o.distance, o.place, true
-			}
-			if !nearest.found {
+			case !nearest.found:
 				nearest = o
 			}
 		}
@@ -94,11 +101,14 @@
 	return 0, 0, false
 }
 
-// keeps tells that farther data centres need not be looked at.
-func (w Want) keeps(o option) bool {
-	return w.Body || w.Aim <= 0 || o.cost <= w.Aim.Seconds()
+// stays tells that farther data centres need not be looked at.
+func (w Want) stays(o option) bool {
+	return w.Body || w.Aim <= 0 || o.cost <= leaveAbove*w.Aim.Seconds()
 }
 
+// moves tells that an upstream of a farther data centre is worth the way.
+func (w Want) moves(o option) bool { return o.cost <= moveBelow*w.Aim.Seconds() }
+
 // anyOpen tells whether a group has an untried candidate that is neither put
 // aside nor busy with its first request after that.
 func anyOpen(group []Candidate, now time.Time) bool {
