Go on with the entry of the last start

Change: a node that is not part of a first start reads the entries, which may be seconds old (a tenth of the price), and renews the lease of its own entry if that still says the same; it writes one otherwise. A node whose upstream runs on keeps its entry at a planned stop.

Tests: TestNodeThatStartsAgainKeepsItsEntry (planned and not), TestEntryThatCannotBeKeptIsWrittenAnew.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -190,6 +190,8 @@
 	n.registry = &registry.Registry{
 		Store: n.store, Self: n.self.Record, Members: n.members, TTL: n.cfg.Operated.LeaseTTL,
 		Hosts: n.cfg.Operated.SeedHostList(), FirstStart: n.cfg.Operated.FirstStart,
+		// A host that is given up loses its upstream before its node.
+		Returning: func() bool { return n.upstream.Current().Ready() },
 	}
 	n.spread = spread.NewManager(spread.Config{
 		Self: n.self.Record, Members: n.members, Holder: n.holder, Configs: n.provider,
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -57,6 +57,9 @@
 	Found func()
 	// Publisher spreads what this node notices of the store; may be nil.
 	Publisher spread.Publisher
+	// Returning tells at a stop that the node is to be started again here, so
+	// that its entry may stand meanwhile; nil is no.
+	Returning func() bool
 	// FirstStart tells that the whole fleet starts for the first time.
 	FirstStart bool
 	TTL        time.Duration
@@ -82,22 +85,52 @@
 // entry back.
 func (r *Registry) Run(ctx context.Context) error {
 	r.AddHosts(r.Hosts)
+	lease, kept := platform.Lease{}, false
+	if !r.FirstStart {
+		lease, kept = r.resume(ctx)
+	}
 	go r.listLoop(ctx)
 	for ctx.Err() == nil {
-		lease, err := r.register(ctx)
-		if err != nil {
-			klog.Warningf(logPrefix+"%v", err)
-			pause.For(ctx, retryWait())
-			continue
+		if !kept {
+			var err error
+			if lease, err = r.register(ctx); err != nil {
+				klog.Warningf(logPrefix+"%v", err)
+				pause.For(ctx, retryWait())
+				continue
+			}
 		}
+		kept = false
 		r.keep(ctx, lease)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && (r.Returning == nil || !r.Returning()) {
 			r.revoke(lease)
 		}
 	}
 	return nil
 }
 
+// resume reads the others' entries, which may be seconds old, and goes on with
+// the entry of this node's last start if it still stands and says the same.
+func (r *Registry) resume(ctx context.Context) (lease platform.Lease, kept bool) {
+	pause.For(ctx, rand.N(listSoon))
+	self := r.Self()
+	for _, e := range r.list(ctx, true) {
+		var old member.Record
+		if e.Key != platform.PrefixNodes+self.Address || e.Lease == "" || wire.Unmarshal(e.Value, &old) != nil {
+			continue
+		}
+		if old.Gate != self.Gate || old.DataCentre != self.DataCentre || old.Region != self.Region {
+			continue
+		}
+		lease = platform.Lease{ID: e.Lease, TTL: r.TTL}
+		if err := r.renew(ctx, lease.ID); err != nil {
+			klog.V(1).Infof(logPrefix+"the entry of the last start: %v", err)
+			return platform.Lease{}, false
+		}
+		return lease, true
+	}
+	return platform.Lease{}, false
+}
+
 // AddHosts adds addresses on hosts of other nodes.
 func (r *Registry) AddHosts(hosts []string) {
 	_, port, err := net.SplitHostPort(r.Self().Address)
@@ -209,29 +242,31 @@
 func (r *Registry) listLoop(ctx context.Context) {
 	if r.FirstStart {
 		pause.For(ctx, listFirst+rand.N(listSpan))
-	} else {
-		pause.For(ctx, rand.N(listSoon))
-	}
-	for first := true; ctx.Err() == nil; first = false {
-		if !first || !r.FirstStart || r.Links() == 0 {
-			r.list(ctx, !first)
+		if r.Links() == 0 {
+			r.list(ctx, false)
 		}
+	}
+	for ctx.Err() == nil {
 		wait := listEvery/2 + rand.N(listEvery)
 		if r.Links() == 0 {
 			wait = listAlone/2 + rand.N(listAlone)
 		}
 		pause.For(ctx, wait)
+		if ctx.Err() == nil {
+			r.list(ctx, r.Links() > 0)
+		}
 	}
 }
 
-// list takes the entries of all nodes as news of them.
-func (r *Registry) list(ctx context.Context, stale bool) {
+// list takes the entries of all nodes as news of them, and returns them. What
+// may be seconds old costs a tenth.
+func (r *Registry) list(ctx context.Context, stale bool) []platform.Entry {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entries, _, err := r.Store.List(ctx, platform.PrefixNodes, stale)
 	if err != nil {
 		klog.V(1).Infof(logPrefix+"%v", err)
-		return
+		return nil
 	}
 	for _, e := range entries {
 		var rec member.Record
@@ -245,4 +280,5 @@
 	if r.Found != nil {
 		r.Found()
 	}
+	return entries
 }
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/daisytide/daisytide/internal/conn/platform"
+	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/process/member"
 	"github.com/daisytide/daisytide/internal/standin/store"
 )
@@ -93,6 +95,110 @@
 	}
 }
 
+// tally counts the calls of each kind that a node makes.
+type tally struct {
+	*store.Store
+	mu    sync.Mutex
+	calls map[string]int
+}
+
+func (s *tally) count(op string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls == nil {
+		s.calls = map[string]int{}
+	}
+	s.calls[op]++
+}
+
+func (s *tally) List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, uint64, error) {
+	s.count(map[bool]string{false: "list", true: "stale list"}[stale])
+	return s.Store.List(ctx, prefix, stale)
+}
+
+func (s *tally) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+	s.count("grant")
+	return s.Store.Grant(ctx, ttl)
+}
+
+func (s *tally) CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte, lease string) (platform.Entry, error) {
+	s.count("write")
+	return s.Store.CompareAndSwap(ctx, key, revision, value, lease)
+}
+
+func (s *tally) Get(ctx context.Context, key string) (platform.Entry, error) {
+	s.count("get")
+	return s.Store.Get(ctx, key)
+}
+
+// A node that is started again, after a crash or a planned stop, goes on with
+// the entry of its last start: no write and no full read.
+func TestNodeThatStartsAgainKeepsItsEntry(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &tally{Store: store.New(1)}
+			first := newRegistry(s, "10.0.0.1:1")
+			first.TTL, first.Returning = 10*time.Second, func() bool { return true }
+			if planned {
+				stop := start(t, first)
+				time.Sleep(time.Second)
+				stop()
+			} else {
+				lease, err := first.register(context.Background())
+				if err != nil || lease.ID == "" {
+					t.Fatal(err)
+				}
+			}
+			s.calls = nil
+			again := newRegistry(s, "10.0.0.1:1")
+			again.TTL = 10 * time.Second
+			again.Links = func() int { return 1 }
+			start(t, again)
+			time.Sleep(12 * time.Second)
+			if n := entries(t, s.Store); n != 1 {
+				t.Errorf("planned %v: %d entries 12 s after the start", planned, n)
+			}
+			if s.calls["write"]+s.calls["grant"]+s.calls["get"]+s.calls["list"] > 0 {
+				t.Errorf("planned %v: calls %v", planned, s.calls)
+			}
+		})
+	}
+}
+
+// The entry of the last start lapses before it can be kept, or says something
+// else than the node does now: then it is written anew.
+func TestEntryThatCannotBeKeptIsWrittenAnew(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		before func(t *testing.T, s *store.Store, r *Registry)
+	}{
+		{"lapsed", func(t *testing.T, s *store.Store, r *Registry) { s.LapseLeases() }},
+		{"another gate", func(t *testing.T, s *store.Store, r *Registry) {
+			r.Self = func() member.Record {
+				return member.Record{Address: "10.0.0.1:1", DataCentre: "a", Gate: "10.0.0.1:9", Incarnation: 2, State: member.Alive}
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := store.New(1)
+				if _, err := newRegistry(s, "10.0.0.1:1").register(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+				again := newRegistry(s, "10.0.0.1:1")
+				tc.before(t, s, again)
+				start(t, again)
+				time.Sleep(5 * time.Second)
+				e, err := s.Get(context.Background(), platform.PrefixNodes+"10.0.0.1:1")
+				var got member.Record
+				if err != nil || e.Lease == "" || wire.Unmarshal(e.Value, &got) != nil || got.Gate != again.Self().Gate {
+					t.Errorf("%+v, %v: %+v", e, err, got)
+				}
+			})
+		})
+	}
+}
+
 func TestForeignEntriesNameNobody(t *testing.T) {
 	s := store.New(1)
 	ctx := context.Background()
