Log the usual time that decided, and print moments as whole numbers

Change: need_ms at the gate; whole numbers.

Test: TestExplainPrintsARequestsWayWithWholeNumbers (failed before).

--- a/cmd/daisytide/explain.go
+++ b/cmd/daisytide/explain.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/daisytide/daisytide/api"
@@ -57,7 +58,15 @@
 func fields(f map[string]any) string {
 	var b strings.Builder
 	for _, k := range slices.Sorted(maps.Keys(f)) {
-		fmt.Fprintf(&b, " %s=%v", k, f[k])
+		fmt.Fprintf(&b, " %s=%v", k, plain(f[k]))
 	}
 	return b.String()
 }
+
+// plain writes numbers without an exponent, as moments in milliseconds are.
+func plain(v any) any {
+	if n, ok := v.(float64); ok {
+		return strconv.FormatFloat(n, 'f', -1, 64)
+	}
+	return v
+}
--- a/cmd/daisytide/main_test.go
+++ b/cmd/daisytide/main_test.go
@@ -174,3 +174,22 @@
 		t.Errorf("audit: %s", stdout)
 	}
 }
+
+func TestExplainPrintsARequestsWayWithWholeNumbers(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "node-1.log")
+	text := `{"time":"2026-12-04T10:00:00Z","level":"INFO","msg":"upstreams: instance changed","instance":"i-1","born":1768326472880}
+{"time":"2026-12-04T10:00:01Z","level":"INFO","msg":"request at gate","request":"r1","code":"4003 call-shed","need_ms":130,"left_ms":119}
+`
+	if err := os.WriteFile(log, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, stdout, stderr := command(t, "explain", "r1", log)
+	for _, want := range []string{"node-1 request at gate code=4003 call-shed left_ms=119 need_ms=130", "since 10:00:00.000: upstreams: instance changed born=1768326472880"} {
+		if code != 0 || !strings.Contains(stdout, want) {
+			t.Errorf("exit code %d, no %q in\n%s%s", code, want, stdout, stderr)
+		}
+	}
+	if code, _, _ := command(t, "explain", "r2", log); code == 0 {
+		t.Error("a request without a line is explained")
+	}
+}
--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -31,6 +31,9 @@
 	// FieldLoad is the gate's load: in progress and waiting, slots, and the
 	// microseconds that a slot is held.
 	FieldLoad = "load"
+	// FieldNeed is the usual time of the route's runs at the gate, in
+	// milliseconds.
+	FieldNeed = "need_ms"
 	// FieldError is the cause of a failure.
 	FieldError = "error"
 	// FieldBorn, FieldSequence and FieldSlots are what an instance said of itself:
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -100,12 +100,12 @@
 	began := time.Now()
 	res := g.handle(ctx, r, in)
 	g.Metrics.Observe(metrics.Gate, r.Route, OutcomeOf(res), time.Since(began))
+	g.mu.Lock()
+	res.Need, res.Short = g.queue.Need(r.Route), g.queue.Short(r.Route)
+	g.mu.Unlock()
 	if res.Code != api.OK && g.Log != nil && g.Log.Request() {
 		g.log(r, res, time.Since(began))
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	res.Need, res.Short = g.queue.Need(r.Route), g.queue.Short(r.Route)
 	return res
 }
 
@@ -129,7 +129,7 @@
 		logs.FieldRequest, r.ID, logs.FieldRoute, r.Route, logs.FieldService, r.Service, logs.FieldVersion, r.Version,
 		logs.FieldConfig, r.Config, logs.FieldCode, res.Code.String(), logs.FieldRan, string(res.Ran),
 		logs.FieldInstance, instance, logs.FieldState, state, logs.FieldAge, age.Milliseconds(), logs.FieldLoad, g.Load().String(),
-		logs.FieldLeft, r.Left(now).Milliseconds(), logs.FieldTook, took.Milliseconds(), logs.FieldError, fmt.Sprint(res.Err))
+		logs.FieldNeed, res.Need.Milliseconds(), logs.FieldLeft, r.Left(now).Milliseconds(), logs.FieldTook, took.Milliseconds(), logs.FieldError, fmt.Sprint(res.Err))
 }
 
 func (g *Gate) handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
