--- a/internal/request/ingress/trial.go
+++ b/internal/request/ingress/trial.go
@@ -159,7 +159,7 @@
 	}
 	key := member.UpstreamKey{Service: t.r.Service, Version: t.r.Version}
 	now := time.Now()
-	want := pick.Want{Need: e.need(t.r.Route), Body: len(t.in.Body) > 0, Aim: t.aim(now)}
+	want := pick.Want{Need: e.need(t.r.Route), Body: len(t.in.Body) > 0, Objective: t.objective(now)}
 	if t.refusal.Code == api.CallShed && !t.refusal.Reached && !t.refusal.Short {
 		// A node was full: only one that is known to have room is worth the way.
 		want.Within = max(time.Nanosecond, time.Duration(hopeful*float64(t.r.Objective.Sub(now))))
@@ -190,9 +190,9 @@
 	return res, true
 }
 
-// aim is the time in which the answer should come: until the objective, or when
+// objective is the time in which the answer should come: until the objective, or when
 // that has passed until the caller gives up.
-func (t *trial) aim(now time.Time) time.Duration {
+func (t *trial) objective(now time.Time) time.Duration {
 	if left := t.r.Objective.Sub(now); left > 0 {
 		return left
 	}
--- a/internal/request/pick/place.go
+++ b/internal/request/pick/place.go
@@ -25,8 +25,8 @@
 	// drawsPerLook bounds the draws for one upstream to look at: some were drawn
 	// before, were tried, or are put aside.
 	drawsPerLook = 4
-	// leaveAbove times the aim is the expected time from which the own data
-	// centre is left, moveBelow times the aim the one up to which another is
+	// leaveAbove times the objective is the expected time from which the own data
+	// centre is left, moveBelow times the objective the one up to which another is
 	// worth its bytes: where all are as busy, nothing is gained on the way.
 	leaveAbove = 1.25
 	moveBelow  = 0.7
@@ -42,10 +42,10 @@
 	// Body tells that a body goes with it, which waits for those that are on
 	// their way to the upstream's host.
 	Body bool
-	// Aim is the time in which the answer should come: a data centre that is
+	// Objective is the time in which the answer should come: a data centre that is
 	// expected to take longer is left for another that is not. 0 leaves none.
 	// Bodies are dear to carry far, so a request with one is not taken away.
-	Aim time.Duration
+	Objective time.Duration
 	// Within leaves out the nodes at which no answer is expected within it; 0
 	// leaves out none.
 	Within time.Duration
@@ -103,11 +103,11 @@
 
 // stays tells that farther data centres need not be looked at.
 func (w Want) stays(o option) bool {
-	return w.Body || w.Aim <= 0 || o.cost <= leaveAbove*w.Aim.Seconds()
+	return w.Body || w.Objective <= 0 || o.cost <= leaveAbove*w.Objective.Seconds()
 }
 
 // moves tells that an upstream of a farther data centre is worth the way.
-func (w Want) moves(o option) bool { return o.cost <= moveBelow*w.Aim.Seconds() }
+func (w Want) moves(o option) bool { return o.cost <= moveBelow*w.Objective.Seconds() }
 
 // anyOpen tells whether a group has an untried candidate that is neither put
 // aside nor busy with its first request after that.
--- a/internal/request/pick/place_test.go
+++ b/internal/request/pick/place_test.go
@@ -204,7 +204,7 @@
 // The only upstream of the own data centre can't answer in time: a look-up goes
 // to another data centre at once, if it can there. An upload, dear to carry far,
 // lets the gate decide.
-func TestLookUpLeavesADataCentreThatWouldMissItsAim(t *testing.T) {
+func TestLookUpLeavesADataCentreThatWouldMissItsObjective(t *testing.T) {
 	slow := gate.Load{Busy: 57, Slots: 12, Held: 124 * time.Millisecond}
 	linked := gate.Load{Busy: 2, Slots: 12, Held: 50 * time.Millisecond, Backlog: 400 * time.Millisecond}
 	idle := gate.Load{Busy: 1, Slots: 12, Held: 50 * time.Millisecond}
@@ -214,12 +214,12 @@
 		want     Want
 		place    string
 	}{
-		{"slots are taken", slow, idle, Want{Need: 55 * time.Millisecond, Aim: 200 * time.Millisecond}, "b1"},
-		{"the link is taken", linked, idle, Want{Need: 55 * time.Millisecond, Aim: 200 * time.Millisecond}, "b1"},
-		{"there is time", slow, idle, Want{Need: 55 * time.Millisecond, Aim: 2 * time.Second}, "a0"},
-		{"the other is no better", slow, slow, Want{Need: 55 * time.Millisecond, Aim: 200 * time.Millisecond}, "a0"},
-		{"an upload", slow, idle, Want{Need: 55 * time.Millisecond, Aim: 200 * time.Millisecond, Body: true}, "a0"},
-		{"no aim", slow, idle, Want{Need: 55 * time.Millisecond}, "a0"},
+		{"slots are taken", slow, idle, Want{Need: 55 * time.Millisecond, Objective: 200 * time.Millisecond}, "b1"},
+		{"the link is taken", linked, idle, Want{Need: 55 * time.Millisecond, Objective: 200 * time.Millisecond}, "b1"},
+		{"there is time", slow, idle, Want{Need: 55 * time.Millisecond, Objective: 2 * time.Second}, "a0"},
+		{"the other is no better", slow, slow, Want{Need: 55 * time.Millisecond, Objective: 200 * time.Millisecond}, "a0"},
+		{"an upload", slow, idle, Want{Need: 55 * time.Millisecond, Objective: 200 * time.Millisecond, Body: true}, "a0"},
+		{"no objective", slow, idle, Want{Need: 55 * time.Millisecond}, "a0"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := newPlacing("a", "b")
