--- a/internal/conn/platform/guard_test.go
+++ b/internal/conn/platform/guard_test.go
@@ -62,3 +62,29 @@
 		}
 	})
 }
+
+// The first answer of all is no return; neither is each answer after one.
+func TestReturnOfTheStoreIsToldOnceWithItsAbsence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(1)
+		g := platform.NewGuard(s, 100)
+		g.BackoffMost = 50 * time.Millisecond
+		var told []time.Duration
+		g.Returned = func(away time.Duration) { told = append(told, away) }
+		ask := func() { _, _ = g.Get(context.Background(), "k") }
+		ask()
+		s.SetFaults(store.Faults{Down: true})
+		ask()
+		time.Sleep(3 * time.Second)
+		ask()
+		s.SetFaults(store.Faults{})
+		if len(told) != 0 {
+			t.Fatalf("told of a return before it: %v", told)
+		}
+		ask()
+		ask()
+		if len(told) != 1 || told[0] < 3*time.Second || told[0] > 4*time.Second {
+			t.Errorf("told %v", told)
+		}
+	})
+}
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -192,11 +192,11 @@
 }
 
 // pathVars shows the counters; nodeVars names those of the node in them.
+// pathMetrics gives counters and histograms as Prometheus' text.
 const (
-	pathVars = "/debug/vars"
-	// pathMetrics gives counters and histograms as Prometheus' text.
-	pathMetrics = "/metrics"
+	pathVars    = "/debug/vars"
 	nodeVars    = "daisytide"
+	pathMetrics = "/metrics"
 )
 
 // vars writes the counters of the process, as expvar does, and those of this
