--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -16,9 +16,11 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/operated"
 	"github.com/daisytide/daisytide/internal/process/operator/client"
 	"github.com/daisytide/daisytide/internal/process/settings"
+	"github.com/daisytide/daisytide/internal/standin/scrape"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/platform"
 )
@@ -396,31 +398,6 @@
 	_ = far
 }
 
-// scraped sums a histogram's counts of one hop at a node.
-func scraped(t *testing.T, h *host, hop string) int {
-	t.Helper()
-	resp, err := http.Get("http://" + h.cfg.Operators.Listen + "/metrics")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	total := 0
-	for line := range strings.Lines(string(text)) {
-		if strings.HasPrefix(line, `daisytide_request_seconds_count{hop="`+hop+`"`) {
-			n, err := strconv.Atoi(strings.TrimSpace(line[strings.LastIndex(line, " "):]))
-			if err != nil {
-				t.Fatal(err)
-			}
-			total += n
-		}
-	}
-	return total
-}
-
 func TestHistogramTotalsAreTheRequestsSent(t *testing.T) {
 	s := store.New(1)
 	near, far := start(t, s, "near", "i-near"), start(t, s, "far", "i-far")
@@ -442,10 +419,10 @@
 		t.Errorf("a path without a route: status %d", status)
 	}
 	sent++
-	if got := scraped(t, near, "entry"); got != sent {
+	if got := scrape.Requests(t, "http://"+near.cfg.Operators.Listen, "", metrics.Entry); got != sent {
 		t.Errorf("the entry counted %d of %d requests", got, sent)
 	}
-	if got := scraped(t, far, "gate"); got < 51 || got > sent {
+	if got := scrape.Requests(t, "http://"+far.cfg.Operators.Listen, "", metrics.Gate); got < 51 || got > sent {
 		t.Errorf("the gate counted %d of %d requests", got, sent)
 	}
 }
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -257,28 +256,6 @@
 // A node that goes silent on a kept connection: what must run once is tried
 // elsewhere only while its body was not asked for.
 func TestSilentNodeIsGivenUpForAnother(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				br := bufio.NewReader(conn)
-				for {
-					if _, err := br.ReadByte(); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
 	r := newRig(t, 0, answered(200))
 	r.entry.Holder.Current().Traffic.Config.Routes[1].TimeLimit = time.Minute
 	r.entry.Members.Merge(member.Record{
@@ -286,7 +263,7 @@
 		Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
 	})
 	r.entry.Members.Merge(member.Record{
-		Address: "silent", Gate: l.Addr().String(), DataCentre: "a", Incarnation: 1, State: member.Alive,
+		Address: "silent", Gate: silentGate(t), DataCentre: "a", Incarnation: 1, State: member.Alive,
 		Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
 	})
 	in := &h1.Request{Method: "POST", Target: "/once/1", Host: "a", Header: http.Header{}, Body: []byte("b"), Arrived: time.Now()}
--- a/internal/standin/cluster/explain_test.go
+++ b/internal/standin/cluster/explain_test.go
@@ -6,51 +6,28 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/node"
 	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/standin/scrape"
 	"github.com/daisytide/daisytide/internal/standin/upstream"
 )
 
 // observed sums the histogram counts of one hop at a host.
-func observed(t *testing.T, h *Host, hop string) int {
+func observed(t *testing.T, h *Host, hop metrics.Hop) int {
 	t.Helper()
-	r, err := http.NewRequest(http.MethodGet, h.OperatorBase()+"/metrics", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Header.Set("Daisytide-Token", Token)
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("metrics: status %d, %v", resp.StatusCode, err)
-	}
-	total := 0
-	for line := range strings.Lines(string(text)) {
-		if strings.HasPrefix(line, `daisytide_request_seconds_count{hop="`+hop+`"`) {
-			n, err := strconv.Atoi(strings.TrimSpace(line[strings.LastIndex(line, " "):]))
-			if err != nil {
-				t.Fatal(err)
-			}
-			total += n
-		}
-	}
-	return total
+	return scrape.Requests(t, h.OperatorBase(), Token, hop)
 }
 
 func TestHistogramTotalsOfBothHopsAreTheCallsSent(t *testing.T) {
 	c := startService(t, 2, 1, upstream.Options{Service: "svc", Version: "v1", Slots: 10, Connections: 100}, mixed(2*time.Second))
-	entry, before := observed(t, c.Hosts[0], "entry"), observed(t, c.Hosts[1], "gate")
+	entry, before := observed(t, c.Hosts[0], metrics.Entry), observed(t, c.Hosts[1], metrics.Gate)
 	const sent = 40
 	for range sent {
 		if e := request(caller(), http.MethodGet, c.Hosts[0].CallerBase()+"/look", 0); e.status != http.StatusOK {
@@ -61,10 +38,10 @@
 	if unrouted.status != http.StatusNotFound {
 		t.Fatalf("%+v", unrouted)
 	}
-	if n := observed(t, c.Hosts[0], "entry") - entry; n != sent+1 {
+	if n := observed(t, c.Hosts[0], metrics.Entry) - entry; n != sent+1 {
 		t.Errorf("entry: %d counted of %d", n, sent+1)
 	}
-	if n := observed(t, c.Hosts[1], "gate") - before; n != sent {
+	if n := observed(t, c.Hosts[1], metrics.Gate) - before; n != sent {
 		t.Errorf("gate: %d counted of %d", n, sent)
 	}
 }
