Publish the gauges of both kinds of node from one place

Change: metrics.Gauges and Publish; names, texts and values are as before. Ruled out: giving store_calls to both, which would be a new series.

Test: TestGaugesAreReadAtEachScrape.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -105,6 +105,26 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "daisytide_" + name, Help: help}, read))
 }
 
+// Gauges are the values that a node of either kind publishes, read at each
+// scrape.
+type Gauges struct {
+	Configuration  func() uint64
+	Members, Links func() int
+	// Busy counts the requests at the gate, in progress and waiting.
+	Busy func() int
+	// Retries counts the requests sent to a second upstream.
+	Retries func() uint64
+}
+
+// Publish publishes a node's gauges.
+func (m *Requests) Publish(g Gauges) {
+	m.Value("configuration", "Number of the configuration in force.", func() float64 { return float64(g.Configuration()) })
+	m.Value("members", "Members of the fleet that the node knows.", func() float64 { return float64(g.Members()) })
+	m.Value("links", "Links to other nodes.", func() float64 { return float64(g.Links()) })
+	m.Value("gate_busy", "Requests at the gate, in progress and waiting.", func() float64 { return float64(g.Busy()) })
+	m.Value("retries", "Requests sent to a second upstream since the start.", func() float64 { return float64(g.Retries()) })
+}
+
 // Handler serves the metrics as text.
 func (m *Requests) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+func TestGaugesAreReadAtEachScrape(t *testing.T) {
+	m, number := New(), uint64(0)
+	m.Publish(Gauges{
+		Configuration: func() uint64 { number++; return number },
+		Members:       func() int { return 12 }, Links: func() int { return 6 }, Busy: func() int { return 3 },
+		Retries: func() uint64 { return 9 },
+	})
+	scrape(m)
+	text := scrape(m)
+	for _, want := range []string{"daisytide_configuration 2", "daisytide_members 12", "daisytide_links 6", "daisytide_gate_busy 3", "daisytide_retries 9"} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("lacks %s", want)
+		}
+	}
+}
+
 func TestNoMetricsCountNothing(t *testing.T) {
 	var m *Requests
 	m.Observe(Entry, "r", Answered, time.Millisecond)
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/spread"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
@@ -49,9 +50,11 @@
 	n.metrics.Set("links", expvar.Func(func() any { return n.spread.Links() }))
 	n.metrics.Set("members", expvar.Func(func() any { return len(n.members.Index().Members) }))
 	n.metrics.Set("running", expvar.Func(func() any { return n.gate.Running() }))
-	n.requests.Value("configuration", "Number of the configuration in force.", func() float64 { return float64(n.holder.Current().Number()) })
-	n.requests.Value("members", "Members of the fleet that the node knows.", func() float64 { return float64(len(n.members.Index().Members)) })
-	n.requests.Value("links", "Links to other nodes.", func() float64 { return float64(n.spread.Links()) })
-	n.requests.Value("gate_busy", "Requests at the gate, in progress and waiting.", func() float64 { return float64(n.gate.Load().Busy) })
-	n.requests.Value("retries", "Requests sent to a second upstream since the start.", func() float64 { return float64(n.entry.Counts().Retries.Load()) })
+	n.requests.Publish(metrics.Gauges{
+		Configuration: func() uint64 { return n.holder.Current().Number() },
+		Members:       func() int { return len(n.members.Index().Members) },
+		Links:         n.spread.Links,
+		Busy:          func() int { return n.gate.Load().Busy },
+		Retries:       n.entry.Counts().Retries.Load,
+	})
 }
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -10,6 +10,7 @@
 	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/conn/link"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/upstreams"
 )
 
@@ -70,12 +71,14 @@
 	} {
 		n.metrics.Set(name, expvar.Func(read))
 	}
-	n.requests.Value("configuration", "Number of the configuration in force.", func() float64 { return float64(n.holder.Current().Number()) })
-	n.requests.Value("members", "Members of the fleet that the node knows.", func() float64 { return float64(len(n.members.Index().Members)) })
-	n.requests.Value("links", "Links to other nodes.", func() float64 { return float64(n.spread.Links()) })
+	n.requests.Publish(metrics.Gauges{
+		Configuration: func() uint64 { return n.holder.Current().Number() },
+		Members:       func() int { return len(n.members.Index().Members) },
+		Links:         n.spread.Links,
+		Busy:          func() int { return n.gate.Load().Busy },
+		Retries:       c.Retries.Load,
+	})
 	n.requests.Value("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
-	n.requests.Value("gate_busy", "Requests at the gate, in progress and waiting.", func() float64 { return float64(n.gate.Load().Busy) })
-	n.requests.Value("retries", "Requests sent to a second upstream since the start.", func() float64 { return float64(c.Retries.Load()) })
 }
 
 // callerLimits returns what the configuration in force allows callers.
