Contain odd messages, entries and endless responses

- An entry of another writer under daisytide/nodes/ was merged unchecked (states, ports and addresses of any kind).
Peers refused the record with an error that closed the link, with every repair anew.
- An invalid item closed the link that brought it.
- A digest with a damaged number stayed the highest offer of its peer.
- A recovery count next to 2^64 ended the counting of recoveries.
- Seconds beyond a time.Duration became negative on amd64, so that a ramp of 1e300 s was complete at once there.
- A configuration before an invalid one in the same watch was dropped.
- A response header had no size limit, bodies no common one, and closing a body after an error first read it to its end: an endless body held its slot until the deadline.
- A context that ended at the moment of the first byte was forgotten, as the read deadline was lifted after it.
- A handler that panicked ended the process.

--- a/internal/conn/h1/client.go
+++ b/internal/conn/h1/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,7 +22,12 @@
 const (
 	// MaxResponseBytes bounds a response's body, which is buffered in memory.
 	MaxResponseBytes = 32 << 20
-	readBufferSize   = 4 << 10
+	// maxResponseHeaderBytes bounds the header of a response, and of each interim
+	// response before it.
+	maxResponseHeaderBytes = 64 << 10
+	// maxInterimResponses bounds the interim responses before a response.
+	maxInterimResponses = 32
+	readBufferSize      = 4 << 10
 	// defaultKeepAlive is how long an idle connection is kept for reuse if the
 	// server sends no Keep-Alive timeout. If it does, keepAliveFraction of that is
 	// used, so that a request is not sent while the server closes the connection.
@@ -96,6 +102,12 @@
 	DialTimeout time.Duration
 	// MaxIdleConns bounds the idle connections kept per address.
 	MaxIdleConns int
+	// MaxBufferedBytes bounds the bytes of all bodies that are being read; a
+	// response that exceeds it fails. 0 sets no bound beyond MaxResponseBytes.
+	MaxBufferedBytes int64
+
+	// buffered is the number of bytes read of the bodies that are being read.
+	buffered atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*clientConn
@@ -103,7 +115,8 @@
 
 type clientConn struct {
 	net.Conn
-	br *bufio.Reader
+	limiter *headerLimiter
+	br      *bufio.Reader
 	// lastUsed is when the connection was released, and reusableUntil when it
 	// expires.
 	lastUsed, reusableUntil time.Time
@@ -116,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{conn: conn, req: req}
+	x := &exchange{ctx: ctx, client: c, conn: conn, req: req}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	resp, err := x.run()
 	notCancelled := stop()
@@ -168,7 +181,12 @@
 		}
 		return nil, &Error{Failure: f, Err: err}
 	}
-	return &clientConn{Conn: conn, br: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	return newClientConn(conn), nil
+}
+
+func newClientConn(conn net.Conn) *clientConn {
+	limiter := &headerLimiter{r: conn}
+	return &clientConn{Conn: conn, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize)}
 }
 
 // popIdle removes and returns the most recently used idle connection to an
@@ -208,8 +226,10 @@
 
 // exchange is a request and its response on a connection.
 type exchange struct {
-	conn *clientConn
-	req  *ClientRequest
+	ctx    context.Context
+	client *Client
+	conn   *clientConn
+	req    *ClientRequest
 	// sent and fullySent say how much of the request may have been written. mu
 	// guards them, since a large body is written while the response is read.
 	mu              sync.Mutex
@@ -255,7 +275,7 @@
 		return nil, err
 	}
 	if x.req.FirstByteTimeout > 0 {
-		_ = x.conn.SetReadDeadline(time.Now().Add(x.req.FirstByteTimeout))
+		x.setReadDeadline(time.Now().Add(x.req.FirstByteTimeout))
 	}
 	if len(body) == 0 {
 		return x.readFinalResponse(nil)
@@ -270,6 +290,15 @@
 	return x.sendBody(body)
 }
 
+// setReadDeadline sets the read deadline. If the context has ended, it is set to the
+// past again, since the one that Do set at that moment may have been replaced.
+func (x *exchange) setReadDeadline(at time.Time) {
+	_ = x.conn.SetReadDeadline(at)
+	if x.ctx.Err() != nil {
+		_ = x.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // sendBody writes the body while it reads the response, which may arrive first.
 func (x *exchange) sendBody(body []byte) (*Response, error) {
 	written := make(chan error, 1)
@@ -302,8 +331,8 @@
 // awaitContinue it returns nil when it reads 100 Continue.
 func (x *exchange) readResponse(awaitContinue bool) (*Response, error) {
 	req := &http.Request{Method: x.req.Method}
-	for mismatches := 0; ; {
-		resp, err := http.ReadResponse(x.conn.br, req)
+	for mismatches, interim := 0, 0; ; {
+		resp, err := x.readHeader(req)
 		if err != nil {
 			return nil, err
 		}
@@ -313,13 +342,16 @@
 				x.req.OnFirstByte()
 			}
 			if x.req.FirstByteTimeout > 0 {
-				_ = x.conn.SetReadDeadline(time.Time{})
+				x.setReadDeadline(time.Time{})
 			}
 		}
 		if resp.StatusCode < 200 {
 			if awaitContinue && resp.StatusCode == http.StatusContinue {
 				return nil, nil
 			}
+			if interim++; interim > maxInterimResponses {
+				return nil, fmt.Errorf("received more than %d interim responses", maxInterimResponses)
+			}
 			continue
 		}
 		out, err := x.readResponseBody(resp)
@@ -338,6 +370,15 @@
 	}
 }
 
+// readHeader reads the status line and the headers of a response.
+func (x *exchange) readHeader(req *http.Request) (*http.Response, error) {
+	l := x.conn.limiter
+	l.limiting, l.remaining = true, maxResponseHeaderBytes+readBufferSize
+	resp, err := http.ReadResponse(x.conn.br, req)
+	l.limiting = false
+	return resp, err
+}
+
 // echoesOtherID reports whether a response echoes another request's ID.
 func (x *exchange) echoesOtherID(resp *http.Response) bool {
 	if x.req.IDHeader == "" {
@@ -351,9 +392,12 @@
 // connection: it is complete if the server closed the connection, and cut short
 // if the connection was reset.
 func (x *exchange) readResponseBody(resp *http.Response) (*Response, error) {
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	in := &budgetReader{r: resp.Body, client: x.client}
+	defer in.release()
+	body, err := io.ReadAll(io.LimitReader(in, MaxResponseBytes+1))
 	if err != nil {
+		// The connection will be closed. Closing the body would first read it to
+		// its end, which may never come.
 		return nil, err
 	}
 	if len(body) > MaxResponseBytes {
@@ -362,6 +406,26 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// budgetReader counts the bytes that it reads against the client's
+// MaxBufferedBytes.
+type budgetReader struct {
+	r      io.Reader
+	client *Client
+	read   int64
+}
+
+// Read implements io.Reader.
+func (b *budgetReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	b.read += int64(n)
+	if total := b.client.buffered.Add(int64(n)); b.client.MaxBufferedBytes > 0 && total > b.client.MaxBufferedBytes {
+		return n, fmt.Errorf("the bodies of all responses exceed %d bytes", b.client.MaxBufferedBytes)
+	}
+	return n, err
+}
+
+func (b *budgetReader) release() { b.client.buffered.Add(-b.read) }
+
 // keepAliveTimeOf returns how long a connection may be kept for reuse after a
 // response with the given headers.
 func keepAliveTimeOf(h http.Header) time.Duration {
--- a/internal/conn/h1/fuzz_test.go
+++ b/internal/conn/h1/fuzz_test.go
@@ -82,8 +82,8 @@
 		}()
 		_ = clientEnd.SetDeadline(time.Now().Add(5 * time.Second))
 		x := &exchange{
-			conn: &clientConn{Conn: clientEnd, br: bufio.NewReader(clientEnd)},
-			req:  &ClientRequest{Method: "GET", Target: "/", Host: "a", Header: http.Header{"Id": {"7"}}, IDHeader: "Id", ID: "7"},
+			ctx: context.Background(), client: newTestClient(), conn: newClientConn(clientEnd),
+			req: &ClientRequest{Method: "GET", Target: "/", Host: "a", Header: http.Header{"Id": {"7"}}, IDHeader: "Id", ID: "7"},
 		}
 		resp, err := x.run()
 		_ = clientEnd.Close()
--- a/internal/conn/h1/server.go
+++ b/internal/conn/h1/server.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +69,7 @@
 	closing          atomic.Bool
 	active           atomic.Int64
 	lastRequestNanos atomic.Int64
+	panics           atomic.Uint64
 }
 
 // Serve accepts connections until the listener is closed.
@@ -86,6 +89,23 @@
 	}
 }
 
+// handle runs the handler. If it panics, the request gets a response that does not
+// say whether it ran, and its connection ends.
+func (s *Server) handle(ctx context.Context, r *Request) (resp *Response) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.panics.Add(1)
+			klog.Errorf(logPrefix+"the handler of a request panicked: %v\n%s", cause, debug.Stack())
+			resp = s.RefusalResponse(http.StatusBadGateway, "internal error")
+			resp.Close = true
+		}
+	}()
+	return s.Handler(ctx, r)
+}
+
+// Panics returns the number of requests whose handler panicked.
+func (s *Server) Panics() uint64 { return s.panics.Load() }
+
 // ActiveRequests returns the number of requests whose handler runs.
 func (s *Server) ActiveRequests() int64 { return s.active.Load() }
 
--- a/internal/conn/h1/server_conn.go
+++ b/internal/conn/h1/server_conn.go
@@ -15,15 +15,15 @@
 	"time"
 )
 
-// headerLimiter limits the bytes that are read from a connection while a request
-// header is read.
+// headerLimiter limits the bytes that are read from a connection while a header is
+// read.
 type headerLimiter struct {
 	r         io.Reader
 	limiting  bool
 	remaining int
 }
 
-var errHeaderTooLarge = errors.New("the request header exceeds the size limit")
+var errHeaderTooLarge = errors.New("the header exceeds the size limit")
 
 // Read implements io.Reader.
 func (l *headerLimiter) Read(p []byte) (int, error) {
@@ -294,7 +294,7 @@
 	c.server.active.Add(1)
 	c.server.lastRequestNanos.Store(time.Now().UnixNano())
 	go func() {
-		resp := c.server.Handler(c.ctx, req)
+		resp := c.server.handle(c.ctx, req)
 		if release != nil {
 			release()
 		}
--- a/internal/process/gossip/anti_entropy.go
+++ b/internal/process/gossip/anti_entropy.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/link"
 )
@@ -15,6 +17,9 @@
 // maxItemsBytes bounds the items of one Items message.
 const maxItemsBytes = 64 << 10
 
+// invalidItemLogInterval is the minimum time between two log lines on invalid items.
+const invalidItemLogInterval = 10 * time.Second
+
 // recentCapacity bounds each of the two generations of recentHashes.
 const recentCapacity = 4096
 
@@ -137,11 +142,12 @@
 }
 
 // handleItems merges the received items and forwards those that changed
-// something.
-func (m *Manager) handleItems(p *peer, f *link.Items) error {
+// something. An invalid item is left out: closing the link instead would cut the
+// sender off for as long as it holds the item, since every repair sends it again.
+func (m *Manager) handleItems(p *peer, f *link.Items) {
 	t := m.topics[f.Topic]
 	if t == nil {
-		return nil
+		return
 	}
 	bucketed, _ := t.(BucketedTopic)
 	var applied, superseding [][]byte
@@ -153,7 +159,8 @@
 		}
 		changed, err := t.Merge(item)
 		if err != nil {
-			return err
+			m.recordInvalidItem(p, f.Topic, err)
+			continue
 		}
 		if changed {
 			applied = append(applied, item)
@@ -168,5 +175,16 @@
 	}
 	m.sendRepair(p, f.Topic, superseding)
 	m.forward(p, f.Topic, applied)
-	return nil
+}
+
+// recordInvalidItem counts an item that was left out and logs it, at most once per
+// invalidItemLogInterval.
+func (m *Manager) recordInvalidItem(p *peer, topic string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counters.InvalidItems++
+	if now := time.Now(); now.Sub(m.invalidItemLogged) >= invalidItemLogInterval {
+		m.invalidItemLogged = now
+		klog.Warningf(logPrefix+"left out an item of %s from %s, %d so far: %v", topic, p.address, m.counters.InvalidItems, err)
+	}
 }
--- a/internal/process/gossip/config_transfer.go
+++ b/internal/process/gossip/config_transfer.go
@@ -35,7 +35,7 @@
 // bases for deltas.
 type configTransfer struct {
 	mu sync.Mutex
-	// offers maps each linked peer to the highest number that it holds.
+	// offers maps each linked peer to the number that it last reported.
 	offers        map[string]uint64
 	excludedUntil map[string]time.Time
 	pending       pendingPull
@@ -66,11 +66,13 @@
 	return configTransfer{offers: map[string]uint64{}, excludedUntil: map[string]time.Time{}}
 }
 
-// recordOffer records that a peer holds a configuration number.
+// recordOffer records the configuration number that a peer last reported. A lower
+// one replaces a higher one: a peer's number never decreases within a link, so the
+// higher one was damaged on the way.
 func (t *configTransfer) recordOffer(address string, number uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.offers[address] = max(t.offers[address], number)
+	t.offers[address] = number
 }
 
 // removePeer removes a peer whose link has closed.
@@ -197,7 +199,7 @@
 	if number == 0 {
 		return
 	}
-	p.configNumber.Store(max(p.configNumber.Load(), number))
+	p.configNumber.Store(number)
 	m.transfer.recordOffer(p.address, number)
 	m.startNextPull(time.Now())
 }
@@ -220,7 +222,7 @@
 
 func (m *Manager) handlePull(p *peer, in *link.ConfigRequest) {
 	s := m.cfg.Holder.Current()
-	if s.Number() < in.Number {
+	if s == nil || s.Number() < in.Number {
 		return
 	}
 	body := m.transfer.buildBody(s, in.Base)
--- /dev/null
+++ b/internal/process/gossip/handlers_test.go
@@ -0,0 +1,133 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/link"
+	"github.com/daisytide/daisytide/internal/process/membership"
+	"github.com/daisytide/daisytide/internal/version/snapshot"
+)
+
+// scriptedConn delivers given messages and then ends. It discards what is sent.
+type scriptedConn struct{ messages []*link.Message }
+
+func (c *scriptedConn) Send(context.Context, *link.Message) error { return nil }
+
+func (c *scriptedConn) Receive(context.Context) (*link.Message, error) {
+	if len(c.messages) == 0 {
+		return nil, io.EOF
+	}
+	m := c.messages[0]
+	c.messages = c.messages[1:]
+	return m, nil
+}
+
+func (c *scriptedConn) Close() error { return nil }
+
+func scriptedLink(messages ...*link.Message) *scriptedConn {
+	hello := &link.Message{Hello: &link.Hello{
+		Protocol: link.ProtocolVersion, Self: membership.Record{Address: "10.0.0.2:1", Incarnation: 1, State: membership.Alive},
+	}}
+	return &scriptedConn{messages: append([]*link.Message{hello}, messages...)}
+}
+
+// topicFunc is a Topic whose Merge is a function.
+type topicFunc func(item []byte) (bool, error)
+
+func (topicFunc) Name() string                      { return "test" }
+func (f topicFunc) Merge(item []byte) (bool, error) { return f(item) }
+func (topicFunc) Checksum() uint64                  { return 0 }
+func (topicFunc) Items() [][]byte                   { return nil }
+func testItems(items ...[]byte) *link.Message {
+	return &link.Message{Items: &link.Items{Topic: "test", Encoded: items}}
+}
+func newStartedManager(h *snapshot.Holder) *Manager {
+	return NewManager(Config{
+		Self:    func() membership.Record { return membership.Record{Address: "10.0.0.1:1"} },
+		Members: membership.NewTable(), Holder: h, ConfigStore: holderStore{h}, RandomSeed: 1,
+	})
+}
+
+// holderStore is a ConfigStore that puts what peers offer in force.
+type holderStore struct{ *snapshot.Holder }
+
+func (s holderStore) HighestNumber() uint64      { return s.Current().Number() }
+func (s holderStore) Offer(o *snapshot.Snapshot) { s.StoreIfNewer(o) }
+
+// A request that was damaged on the way may ask for configuration 0, also at a
+// node that has just started and holds none.
+func TestRequestForConfigurationZeroAtNodeWithoutOneIsIgnored(t *testing.T) {
+	m := newStartedManager(&snapshot.Holder{})
+	m.Accept(scriptedLink(&link.Message{ConfigRequest: &link.ConfigRequest{}}))
+	if n := m.Counters().HandlerPanics; n != 0 {
+		t.Errorf("%d handlers panicked", n)
+	}
+}
+
+func TestPanicOfAHandlerCostsItsLink(t *testing.T) {
+	m := newStartedManager(&snapshot.Holder{})
+	merged := 0
+	m.RegisterTopic(topicFunc(func(item []byte) (bool, error) {
+		if len(item) == 0 {
+			panic("a fault of the topic")
+		}
+		merged++
+		return false, nil
+	}))
+	m.Accept(scriptedLink(testItems(nil), testItems([]byte("a"))))
+	if c := m.Counters(); c.HandlerPanics != 1 || merged != 0 || m.LinkCount() != 0 {
+		t.Errorf("%d panics counted, %d items merged after it, %d links left; want 1, 0, 0", c.HandlerPanics, merged, m.LinkCount())
+	}
+	m.Accept(scriptedLink(testItems([]byte("b"))))
+	if merged != 1 {
+		t.Errorf("%d items merged over the next link, want 1", merged)
+	}
+}
+
+// An item that is invalid at this node, for example one of a later release, must
+// not cut off the peer that holds it.
+func TestInvalidItemIsLeftOutAndTheLinkKept(t *testing.T) {
+	m := newStartedManager(&snapshot.Holder{})
+	merged := 0
+	m.RegisterTopic(topicFunc(func(item []byte) (bool, error) {
+		if string(item) == "invalid" {
+			return false, errors.New("invalid")
+		}
+		merged++
+		return false, nil
+	}))
+	m.Accept(scriptedLink(testItems([]byte("a"), []byte("invalid"), []byte("b")), testItems([]byte("c"))))
+	if c := m.Counters(); merged != 3 || c.InvalidItems != 1 {
+		t.Errorf("%d items merged and %d counted as invalid, want 3 and 1", merged, c.InvalidItems)
+	}
+}
+
+// A digest with a damaged number must not keep a node from pulling the number that
+// its peers hold.
+func TestDamagedNumberOfAPeerIsReplacedByItsNextOne(t *testing.T) {
+	transfer := newConfigTransfer()
+	now := time.Unix(1000, 0)
+	transfer.recordOffer("10.0.0.2:1", 1<<60)
+	transfer.recordOffer("10.0.0.2:1", 7)
+	if peer, number, ok := transfer.startPull(6, now); !ok || number != 7 {
+		t.Errorf("pulls %d from %q, want 7", number, peer)
+	}
+}
+
+// A record with an address that cannot be dialled would take the place of a
+// neighbour, and one that peers refuse would be sent again with every repair.
+func TestLinkOfAnInvalidRecordIsRefused(t *testing.T) {
+	for _, address := range []string{"", "10.0.0.2", "10.0.0.2:0", "10.0.0.2:65536", "10.0.0.2:-1", "10.0.0.2:http", ":7600", "[fe80::1%eth0]:7600"} {
+		m := newStartedManager(&snapshot.Holder{})
+		conn := scriptedLink()
+		conn.messages[0].Hello.Self.Address = address
+		m.Accept(conn)
+		if len(m.cfg.Members.All()) != 0 {
+			t.Errorf("address %q: a member was merged", address)
+		}
+	}
+}
--- a/internal/process/gossip/manager.go
+++ b/internal/process/gossip/manager.go
@@ -84,6 +84,8 @@
 	nextBootstrap time.Time
 	nextLostDial  time.Time
 	counters      Counters
+	// invalidItemLogged is when an invalid item was last logged.
+	invalidItemLogged time.Time
 
 	transfer configTransfer
 	recent   recentHashes
@@ -102,6 +104,11 @@
 	Deltas uint64
 	// Repairs counts items sent by anti-entropy.
 	Repairs uint64
+	// InvalidItems counts received items that were left out because they could
+	// not be decoded or had an invalid field.
+	InvalidItems uint64
+	// HandlerPanics counts messages whose handler panicked.
+	HandlerPanics uint64
 }
 
 // NewManager returns a manager without links.
--- a/internal/process/gossip/peer.go
+++ b/internal/process/gossip/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +39,7 @@
 	sendQueue chan outgoing
 	// lastReceived is when the last message arrived, in Unix nanoseconds.
 	lastReceived atomic.Int64
-	// configNumber is the highest configuration number that the peer is known
-	// to hold.
+	// configNumber is the configuration number that the peer last reported.
 	configNumber atomic.Uint64
 	// digestReceived is set after the peer's first digest.
 	digestReceived atomic.Bool
@@ -84,6 +84,10 @@
 	if err != nil || first.Hello == nil {
 		return
 	}
+	if err := first.Hello.Self.Validate(); err != nil {
+		klog.Warningf(logPrefix+"link refused: %v", err)
+		return
+	}
 	if refused := m.admit(first.Hello); refused != nil {
 		_ = conn.Send(ctx, &link.Message{Refusal: refused})
 		return
@@ -116,6 +120,8 @@
 		return nil, membership.Record{}, first.Refusal.Alternatives, api.Errorf(first.Refusal.Code, "%s refused the link", address)
 	case first.Hello == nil:
 		err = api.Errorf(api.PeerFrame, "%s did not start with a hello message", address)
+	case first.Hello.Self.Validate() != nil:
+		err = first.Hello.Self.Validate()
 	case first.Hello.Protocol != link.ProtocolVersion:
 		err = api.Errorf(api.PeerVersion, "%s uses protocol version %d", address, first.Hello.Protocol)
 	}
@@ -143,7 +149,7 @@
 		m.writeLoop(ctx, p)
 	}()
 	if item, err := wire.Marshal(remote); err == nil {
-		_ = m.handleItems(p, &link.Items{Topic: membership.TopicName, Encoded: [][]byte{item}})
+		m.handleItems(p, &link.Items{Topic: membership.TopicName, Encoded: [][]byte{item}})
 	}
 	m.send(p, m.buildDigest())
 	m.readLoop(ctx, p)
@@ -157,7 +163,7 @@
 			return
 		}
 		p.lastReceived.Store(time.Now().UnixNano())
-		if err := m.handle(p, msg); err != nil {
+		if err := m.handleContained(p, msg); err != nil {
 			klog.Warningf(logPrefix+"message from %s: %v", p.address, err)
 			return
 		}
@@ -238,13 +244,28 @@
 	}
 }
 
-// handle processes one message; an error closes the link.
-func (m *Manager) handle(p *peer, msg *link.Message) error {
+// handleContained processes one message. A panic becomes an error that closes the
+// link, so that no message can end the process. The handlers hold locks only by
+// deferred unlocks; what a panic leaves half merged is repaired by the digests on
+// the next link.
+func (m *Manager) handleContained(p *peer, msg *link.Message) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			m.updateCounters(func(c *Counters) { c.HandlerPanics++ })
+			err = api.Errorf(api.PeerFrame, "the handler of a message panicked: %v\n%s", cause, debug.Stack())
+		}
+	}()
+	m.handle(p, msg)
+	return nil
+}
+
+// handle processes one message.
+func (m *Manager) handle(p *peer, msg *link.Message) {
 	switch {
 	case msg.Digest != nil:
 		m.handleDigest(p, msg.Digest)
 	case msg.Items != nil:
-		return m.handleItems(p, msg.Items)
+		m.handleItems(p, msg.Items)
 	case msg.BucketChecksums != nil:
 		m.handleBuckets(p, msg.BucketChecksums)
 	case msg.ItemRequest != nil:
@@ -256,5 +277,4 @@
 	case msg.ConfigBody != nil:
 		m.handleBody(p, msg.ConfigBody)
 	}
-	return nil
 }
--- a/internal/process/membership/record.go
+++ b/internal/process/membership/record.go
@@ -3,6 +3,11 @@
 package membership
 
 import (
+	"net"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
 	"github.com/daisytide/daisytide/api"
 )
 
@@ -81,18 +86,50 @@
 	return r.Region == o.Region && r.DataCentre == o.DataCentre && r.Rack == o.Rack
 }
 
-// maxFieldBytes bounds each text field of a record.
-const maxFieldBytes = 256
+// Bounds of a valid record.
+const (
+	// maxFieldBytes bounds each text field.
+	maxFieldBytes = 256
+	// maxIncarnation leaves room for refutations, which add one to the incarnation
+	// of the record that they refute.
+	maxIncarnation = 1 << 62
+	maxSlots       = 1 << 20
+)
 
-// validate rejects records that no node produces.
-func (r Record) validate() error {
-	if r.Address == "" || r.State < Alive || r.State > Gone {
-		return api.Errorf(api.PeerFrame, "member record without address or valid state")
+// Validate returns an error for a record that no node produces. Records of peers
+// and entries of the store must pass it before they are merged: one that a peer
+// refuses would be sent again with every repair, and an address that cannot be
+// dialled would take the place of a neighbour.
+func (r Record) Validate() error {
+	if r.State < Alive || r.State > Gone {
+		return api.Errorf(api.PeerFrame, "member record with the state %d", r.State)
 	}
 	for _, s := range []string{r.Address, r.Region, r.DataCentre, r.Rack, r.Service, r.Version, string(r.Upstream), r.Gate} {
-		if len(s) > maxFieldBytes {
-			return api.Errorf(api.PeerFrame, "member record with a text field of %d bytes", len(s))
+		if len(s) > maxFieldBytes || !utf8.ValidString(s) {
+			return api.Errorf(api.PeerFrame, "member record with a text field of %d bytes that is too long or not UTF-8", len(s))
+		}
+	}
+	if err := validateAddress(r.Address); err != nil {
+		return err
+	}
+	if r.Gate != "" {
+		if err := validateAddress(r.Gate); err != nil {
+			return err
 		}
 	}
+	if r.Incarnation > maxIncarnation || r.Slots < 0 || r.Slots > maxSlots {
+		return api.Errorf(api.PeerFrame, "member record of %s with incarnation %d and %d slots", r.Address, r.Incarnation, r.Slots)
+	}
+	return nil
+}
+
+// validateAddress checks that an address has a host without a zone and a port
+// between 1 and 65535.
+func validateAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	n, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || portErr != nil || n == 0 || host == "" || strings.Contains(host, "%") {
+		return api.Errorf(api.PeerFrame, "member record with the address %q", address)
+	}
 	return nil
 }
--- a/internal/process/membership/topic.go
+++ b/internal/process/membership/topic.go
@@ -19,7 +19,7 @@
 	if err := wire.Unmarshal(item, &r); err != nil {
 		return false, err
 	}
-	if err := r.validate(); err != nil {
+	if err := r.Validate(); err != nil {
 		return false, err
 	}
 	return t.Table.Merge(r), nil
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -63,7 +63,8 @@
 	// second.
 	bytesPerSecondPerMbps = 1e6 / 8
 	// bodyMemoryDivisor is the divisor of the process memory that gives the
-	// maximum memory for bodies of requests.
+	// maximum memory for the bodies that one of the servers or clients of the
+	// request path buffers.
 	bodyMemoryDivisor = 5
 	// maxIdlePeerConns and maxIdleUpstreamConns are the maximum numbers of idle
 	// connections kept for one address.
@@ -251,11 +252,16 @@
 	return len(seen)
 }
 
+// maxBodyMemory returns the maximum number of bytes of bodies that one server or
+// client of the request path buffers.
+func (n *Node) maxBodyMemory() int64 { return int64(n.cfg.Operated.MemoryMB) << 20 / bodyMemoryDivisor }
+
 // wireRequests builds the components on the path of a request.
 func (n *Node) wireRequests() {
 	n.localUpstream = &localupstream.Tracker{Service: n.cfg.Operated.Service, Address: n.cfg.Operated.Address}
+	maxBodyMemory := n.maxBodyMemory()
 	n.gate = &egress.Gate{
-		Upstream: n.localUpstream, Client: &h1.Client{DialTimeout: upstreamDialTimeout, MaxIdleConns: maxIdleUpstreamConns}, Dialect: n.adapter,
+		Upstream: n.localUpstream, Client: &h1.Client{DialTimeout: upstreamDialTimeout, MaxIdleConns: maxIdleUpstreamConns, MaxBufferedBytes: maxBodyMemory}, Dialect: n.adapter,
 		LinkBytesPerSecond: int64(n.cfg.Operated.LinkMbps * bytesPerSecondPerMbps),
 		VersionAllowed:     n.orders.VersionAllowed, QuarantineEvents: n.quarantineEvents, PublishCrash: n.gossipCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
@@ -270,7 +276,7 @@
 		Picker:       &balancer.Picker{Self: n.cfg.Peers.Listen, DataCentre: n.cfg.Node.DataCentre, Region: n.cfg.Node.Region},
 		Budget:       retry.NewBudgetWithBurst(retryBudget.NodeBurst),
 		RetryPercent: retryBudget.NodePercent(),
-		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
+		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns, MaxBufferedBytes: maxBodyMemory}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
 	}
 	n.holder.OnSwap(n.ingress.PruneRoutes)
 }
@@ -278,16 +284,16 @@
 // handleOrder adds an order that was read from the store. An order from a list
 // of all keys may have ended long ago, so that its status is read from the store
 // as well.
-func (n *Node) handleOrder(e kvstore.Entry, listed bool) {
+func (n *Node) handleOrder(e kvstore.Entry, listed bool) error {
 	o, err := n.adapter.DecodeOrder(e.Key, e.Revision, e.Value)
 	if err != nil {
-		klog.Errorf(logPrefix+"the order at revision %d is not valid: %v", e.Revision, err)
-		return
+		return err
 	}
 	n.orders.AddOrder(o, time.Now())
 	if listed {
 		go n.readStatus(o)
 	}
+	return nil
 }
 
 // statusReadTimeout is the time limit for reading the status of one rollout.
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -16,7 +16,7 @@
 
 // wireServers builds the servers of the listeners.
 func (n *Node) wireServers() {
-	maxBodyMemory := int64(n.cfg.Operated.MemoryMB) << 20 / bodyMemoryDivisor
+	maxBodyMemory := n.maxBodyMemory()
 	n.callerServer = &h1.Server{Handler: n.ingress.Serve, Limits: n.callerLimits, RefusalResponse: refusalResponse, MaxBufferedBytes: maxBodyMemory}
 	peerLimits := func() h1.Limits {
 		return h1.Limits{HeaderBytes: 64 << 10, BodyBytes: maxPeerBodyBytes, HeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout}
@@ -79,6 +79,20 @@
 		Busy:          func() int { return n.gate.Load().Busy },
 		Retries:       c.Retries.Load,
 	})
+	for name, g := range map[string]struct {
+		help string
+		read func() float64
+	}{
+		"gossip_invalid_items":  {"Items of peers that were left out as invalid.", func() float64 { return float64(n.gossip.Counters().InvalidItems) }},
+		"gossip_handler_panics": {"Messages of peers whose handler panicked.", func() float64 { return float64(n.gossip.Counters().HandlerPanics) }},
+		"registry_invalid":      {"Entries of nodes that the last list of the store left out as invalid.", func() float64 { return float64(n.registry.InvalidEntries()) }},
+		"operator_invalid":      {"Configurations and orders in the store that were not usable.", func() float64 { return float64(n.provider.InvalidEntries()) }},
+		"request_panics": {"Requests whose handler panicked.", func() float64 {
+			return float64(n.callerServer.Panics() + n.gateServer.Panics() + n.readyServer.Panics())
+		}},
+	} {
+		n.requests.AddGauge(name, g.help, g.read)
+	}
 	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
 }
 
--- a/internal/process/orders/topics.go
+++ b/internal/process/orders/topics.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/version/ramp"
 )
@@ -133,6 +134,10 @@
 	if err := wire.Unmarshal(item, &s); err != nil {
 		return false, err
 	}
+	if s.Service == "" || s.Target == "" || s.Duration <= 0 || s.Age < 0 || s.Phase > ramp.Withdrawn {
+		return false, api.Errorf(api.PeerFrame, "the state of a rollout of %.100q to %.100q with duration %v, age %v and phase %d",
+			s.Service, s.Target, s.Duration, s.Age, s.Phase)
+	}
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/process/provider/follower.go
+++ b/internal/process/provider/follower.go
@@ -5,7 +5,9 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -52,8 +54,9 @@
 	Holder *snapshot.Holder
 	Keys   traffic.OperatorKeys
 	// OnOrder handles the value of a key under Keys.Orders. listed is set if the
-	// value comes from a list of all keys and may be old.
-	OnOrder func(e kvstore.Entry, listed bool)
+	// value comes from a list of all keys and may be old. It returns an error for a
+	// value that is not usable.
+	OnOrder func(e kvstore.Entry, listed bool) error
 	// LinkCount returns the number of established peer links, and WatcherCount that
 	// of watchers in the fleet, on which the duration of a watch depends.
 	LinkCount, WatcherCount func() int
@@ -62,6 +65,9 @@
 	IsWatcher func() bool
 	// FirstStart is set if the whole fleet starts for the first time.
 	FirstStart bool
+
+	// invalidEntries counts the entries that were not usable.
+	invalidEntries atomic.Int64
 }
 
 // shouldWatch reports whether this node should watch the store now. A node without
@@ -143,8 +149,9 @@
 	if err != nil {
 		return 0, err
 	}
+	f.applyNewestConfig(entries)
 	for _, e := range entries {
-		f.applyEntry(e, true)
+		f.applyOrder(e, true)
 	}
 	return revision, nil
 }
@@ -161,33 +168,43 @@
 		ctxtime.Sleep(ctx, rand.N(followRetryJitter))
 		return after, nil
 	}
-	// If there are several configurations, apply only the newest.
-	newest := -1
-	for i, e := range entries {
-		if e.Key == f.Keys.Config {
-			newest = i
-		}
-	}
-	for i, e := range entries {
-		if e.Key != f.Keys.Config || i == newest {
-			f.applyEntry(e, false)
-		}
+	f.applyNewestConfig(entries)
+	for _, e := range entries {
+		f.applyOrder(e, false)
 	}
 	return revision, nil
 }
 
-func (f *Follower) applyEntry(e kvstore.Entry, listed bool) {
-	switch {
-	case e.Deleted:
-	case e.Key == f.Keys.Config:
-		if err := f.applyConfig(e.Value); err != nil {
-			klog.Errorf(logPrefix+"the store's configuration at revision %d is not usable: %v", e.Revision, err)
+// applyNewestConfig puts the newest configuration among the entries into force. One
+// that is not usable does not keep an earlier one of the same watch out.
+func (f *Follower) applyNewestConfig(entries []kvstore.Entry) {
+	for _, e := range slices.Backward(entries) {
+		if e.Deleted || e.Key != f.Keys.Config {
+			continue
 		}
-	case strings.HasPrefix(e.Key, f.Keys.Orders):
-		f.OnOrder(e, listed)
+		err := f.applyConfig(e.Value)
+		if err == nil {
+			return
+		}
+		f.invalidEntries.Add(1)
+		klog.Errorf(logPrefix+"the store's configuration at revision %d is not usable: %.500v", e.Revision, err)
+	}
+}
+
+// applyOrder passes an order on.
+func (f *Follower) applyOrder(e kvstore.Entry, listed bool) {
+	if e.Deleted || !strings.HasPrefix(e.Key, f.Keys.Orders) {
+		return
+	}
+	if err := f.OnOrder(e, listed); err != nil {
+		f.invalidEntries.Add(1)
+		klog.Errorf(logPrefix+"the order %.200q at revision %d is not usable: %.500v", e.Key, e.Revision, err)
 	}
 }
 
+// InvalidEntries returns the number of entries that were not usable.
+func (f *Follower) InvalidEntries() int64 { return f.invalidEntries.Load() }
+
 // applyConfig decodes a configuration and puts it into force if its number is
 // higher than the current one.
 func (f *Follower) applyConfig(value []byte) error {
--- a/internal/process/provider/follower_random_test.go
+++ b/internal/process/provider/follower_random_test.go
@@ -23,9 +23,9 @@
 			valid := true
 			switch rng.IntN(3) {
 			case 0:
-				r.applyEntry(kvstore.Entry{Key: opConfig, Value: []byte(strconv.FormatUint(number, 10)), Revision: uint64(step)}, rng.IntN(2) == 0)
+				r.applyNewestConfig([]kvstore.Entry{{Key: opConfig, Value: []byte(strconv.FormatUint(number, 10)), Revision: uint64(step)}})
 			case 1:
-				r.applyEntry(kvstore.Entry{Key: opConfig, Value: []byte("not " + strconv.FormatUint(number, 10)), Revision: uint64(step)}, false)
+				r.applyNewestConfig([]kvstore.Entry{{Key: opConfig, Value: []byte("not " + strconv.FormatUint(number, 10)), Revision: uint64(step)}})
 				valid = false
 			default:
 				if err := peer.applyConfig([]byte(strconv.FormatUint(number, 10))); err != nil {
--- a/internal/process/provider/follower_test.go
+++ b/internal/process/provider/follower_test.go
@@ -36,7 +36,7 @@
 	r.Follower = &Follower{
 		Store: s, Holder: &snapshot.Holder{},
 		Keys:      traffic.OperatorKeys{Prefix: opPrefix, Config: opConfig, Orders: opOrders, Decode: decodeNumber},
-		OnOrder:   func(kvstore.Entry, bool) { r.orders.Add(1) },
+		OnOrder:   func(kvstore.Entry, bool) error { r.orders.Add(1); return nil },
 		LinkCount: func() int { return 0 }, WatcherCount: func() int { return 1 }, IsWatcher: func() bool { return true },
 	}
 	return r
@@ -209,3 +209,16 @@
 		})
 	}
 }
+
+// A watch may deliver a usable configuration and a later one that is not. The usable
+// one must come into force.
+func TestConfigurationBeforeAnInvalidOneInTheSameWatchIsApplied(t *testing.T) {
+	r := newFollower(store.New(1))
+	r.applyNewestConfig([]kvstore.Entry{
+		{Key: opConfig, Value: []byte("7"), Revision: 1}, {Key: opConfig, Value: []byte("8"), Revision: 2},
+		{Key: opConfig, Value: []byte("not a number"), Revision: 3},
+	})
+	if r.HighestNumber() != 8 || r.InvalidEntries() != 1 {
+		t.Errorf("configuration %d in force and %d invalid entries, want 8 and 1", r.HighestNumber(), r.InvalidEntries())
+	}
+}
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -9,10 +9,12 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/kvstore"
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/ctxtime"
@@ -45,8 +47,15 @@
 	retryDelay = 1200 * time.Millisecond
 	// callTimeout bounds one registration, renewal or list.
 	callTimeout = 2 * time.Second
+	// invalidEntryLogInterval is the minimum time between two log lines on
+	// invalid entries.
+	invalidEntryLogInterval = 10 * time.Second
 )
 
+// maxEntryBytes bounds the value of a node's entry; a record with all fields at
+// their limits has about half of it.
+const maxEntryBytes = 4 << 10
+
 // Registry maintains the entry of one node.
 type Registry struct {
 	Store   kvstore.Store
@@ -72,8 +81,13 @@
 	recoveriesOnce sync.Once
 	recoveries     *StoreRecoveries
 
+	// invalidEntries is the number of entries that the last list left out.
+	invalidEntries atomic.Int64
+
 	mu    sync.Mutex
 	peers []string
+	// invalidEntryLogged is when an invalid entry was last logged.
+	invalidEntryLogged time.Time
 }
 
 // Peers returns the peer addresses found so far, for bootstrapping.
@@ -262,6 +276,39 @@
 	}
 }
 
+// decodeEntry decodes and checks the entry of one node. Its key must name the
+// record's address.
+func decodeEntry(e kvstore.Entry) (membership.Record, error) {
+	var rec membership.Record
+	if len(e.Value) > maxEntryBytes {
+		return rec, api.Errorf(api.StoreCorrupt, "the value has %d bytes", len(e.Value))
+	}
+	if err := wire.Unmarshal(e.Value, &rec); err != nil {
+		return rec, err
+	}
+	if err := rec.Validate(); err != nil {
+		return rec, err
+	}
+	if e.Key != kvstore.PrefixNodes+rec.Address {
+		return rec, api.Errorf(api.StoreCorrupt, "the value names the address %q", rec.Address)
+	}
+	return rec, nil
+}
+
+// warnInvalidEntry logs an entry that is left out, at most one per
+// invalidEntryLogInterval.
+func (r *Registry) warnInvalidEntry(key string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); now.Sub(r.invalidEntryLogged) >= invalidEntryLogInterval {
+		r.invalidEntryLogged = now
+		klog.Warningf(logPrefix+"left out the entry %.200q: %.200v", key, err)
+	}
+}
+
+// InvalidEntries returns the number of entries that the last list left out.
+func (r *Registry) InvalidEntries() int64 { return r.invalidEntries.Load() }
+
 // listEntries merges the entries of all nodes into the member table and returns
 // them. A stale list may be seconds old and costs a tenth of a fresh one.
 func (r *Registry) listEntries(ctx context.Context, stale bool) []kvstore.Entry {
@@ -272,15 +319,18 @@
 		klog.V(1).Infof(logPrefix+"list the entries: %v", err)
 		return nil
 	}
+	invalid := 0
 	for _, e := range entries {
-		var rec membership.Record
-		if err := wire.Unmarshal(e.Value, &rec); err != nil || rec.Address == "" {
-			klog.Warningf(logPrefix+"the entry %q is not usable: %v", e.Key, err)
+		rec, err := decodeEntry(e)
+		if err != nil {
+			invalid++
+			r.warnInvalidEntry(e.Key, err)
 			continue
 		}
 		r.Members.Merge(rec)
 		r.addPeer(rec.Address)
 	}
+	r.invalidEntries.Store(int64(invalid))
 	if r.OnList != nil {
 		r.OnList()
 	}
--- a/internal/process/registry/store_recovery.go
+++ b/internal/process/registry/store_recovery.go
@@ -43,7 +43,9 @@
 // Name implements gossip.Topic.
 func (r *StoreRecoveries) Name() string { return TopicStoreRecoveries }
 
-// Merge implements gossip.Topic: the highest count wins.
+// Merge implements gossip.Topic: the later count wins. Counts are compared as
+// serial numbers, so that a damaged one next to the highest value does not end the
+// counting when the next recovery adds to it.
 func (r *StoreRecoveries) Merge(item []byte) (bool, error) {
 	if len(item) != 8 {
 		return false, errItemLength
@@ -51,7 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	count := binary.BigEndian.Uint64(item)
-	if count <= r.count {
+	if int64(count-r.count) <= 0 {
 		return false, nil
 	}
 	r.increaseLocked(count)
--- a/internal/request/quarantine/event_set.go
+++ b/internal/request/quarantine/event_set.go
@@ -101,7 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if _, ok := s.events[event.ID]; ok || event.ExpiresUnix <= now.Unix() || len(event.Fingerprints) > maxFingerprints {
+	if _, ok := s.events[event.ID]; ok || event.ExpiresUnix <= now.Unix() || event.isOversized() {
 		return false
 	}
 	s.expire(now)
@@ -114,6 +114,11 @@
 	return true
 }
 
+// isOversized reports whether a list of the event is longer than any node makes it.
+func (e Event) isOversized() bool {
+	return len(e.Fingerprints) > maxFingerprints || len(e.RepeatSuspects) > maxFingerprints || len(e.ClearedCrashes) > maxEvents
+}
+
 // Expire drops expired events.
 func (s *EventSet) Expire() {
 	s.mu.Lock()
--- a/internal/version/traffic/traffic.go
+++ b/internal/version/traffic/traffic.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"sort"
 	"strings"
 	"time"
@@ -117,6 +118,8 @@
 		return errors.New("the host is missing or the path prefix does not start with a slash")
 	case total <= 0:
 		return errors.New("no service has a positive weight")
+	case math.IsInf(total, 0):
+		return errors.New("the sum of the weights is too large")
 	case r.TimeLimit <= 0:
 		return errors.New("the time limit must be positive")
 	case r.Kind != Idempotent && r.Kind != Once && r.Kind != Upload:
