Keep control traffic between data centres independent of the fleet's size

Change: - Only bridge rings, with one node of each data centre, cross data centres. - Counts stay in their data centre; a collector there publishes sums. - Configurations are pulled within the data centre and sent compressed. - A joiner dials a member of its own data centre first. - The running phase in the store is gossiped, late writers follow one another, and failed writes back off. - Metric daisytide_peer_bytes_total and a log line every ten seconds.

--- a/internal/conn/kvstore/rate_limited_store.go
+++ b/internal/conn/kvstore/rate_limited_store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -50,14 +51,15 @@
 	reachable    bool
 	// unreachableSince is when the store stopped responding.
 	unreachableSince time.Time
-	calls            uint64
+	// calls counts the calls sent to the store by operation.
+	calls map[string]uint64
 }
 
 const logPrefix = "store: "
 
 // NewRateLimitedStore limits calls to store to a rate in calls per second.
 func NewRateLimitedStore(store Store, perSecond float64) *RateLimitedStore {
-	return &RateLimitedStore{MaxBackoff: defaultMaxBackoff, store: store, limiter: rate.NewLimiter(rate.Limit(perSecond), maxBurst), sharedReads: map[string]*sharedRead{}}
+	return &RateLimitedStore{MaxBackoff: defaultMaxBackoff, store: store, limiter: rate.NewLimiter(rate.Limit(perSecond), maxBurst), sharedReads: map[string]*sharedRead{}, calls: map[string]uint64{}}
 }
 
 // Reachable reports whether the store processed the last finished call.
@@ -69,9 +71,18 @@
 
 // Calls returns the number of calls sent to the store.
 func (s *RateLimitedStore) Calls() uint64 {
+	n := uint64(0)
+	for _, calls := range s.CallsByOperation() {
+		n += calls
+	}
+	return n
+}
+
+// CallsByOperation returns the number of calls sent to the store by operation.
+func (s *RateLimitedStore) CallsByOperation() map[string]uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	return maps.Clone(s.calls)
 }
 
 // acquire waits for the end of the backoff and then for a token.
@@ -84,7 +95,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
+	s.calls[op]++
 	return nil
 }
 
--- a/internal/conn/link/message.go
+++ b/internal/conn/link/message.go
@@ -41,6 +41,30 @@
 	return err
 }
 
+// EncodedSize returns the size of the message's encoding after Preencode.
+func (m *Message) EncodedSize() int { return len(m.preencoded) }
+
+// Kind names what the message carries, for metrics: a kind of message, or the topic
+// of the items that it carries or is about.
+func (m *Message) Kind() string {
+	switch {
+	case m.Items != nil:
+		return m.Items.Topic
+	case m.ItemRequest != nil:
+		return m.ItemRequest.Topic + "-request"
+	case m.BucketChecksums != nil:
+		return m.BucketChecksums.Topic + "-checksums"
+	case m.Digest != nil:
+		return "digest"
+	case m.ConfigBody != nil:
+		return "configuration"
+	case m.ConfigAnnouncement != nil, m.ConfigRequest != nil:
+		return "configuration-request"
+	default:
+		return "hello"
+	}
+}
+
 // Hello is the first message in both directions of a link.
 type Hello struct {
 	Protocol int               `cbor:"1,keyasint"`
@@ -95,15 +119,19 @@
 type ConfigRequest struct {
 	Number uint64 `cbor:"1,keyasint"`
 	Base   uint64 `cbor:"2,keyasint,omitempty"`
+	// Compressed is set if the sender accepts a compressed configuration.
+	Compressed bool `cbor:"3,keyasint,omitempty"`
 }
 
-// ConfigBody carries a configuration, either in full or as a delta to Base.
+// ConfigBody carries a configuration in full, compressed, or as a delta to Base.
 type ConfigBody struct {
 	Number uint64        `cbor:"1,keyasint"`
 	Hash   document.Hash `cbor:"2,keyasint"`
 	Base   uint64        `cbor:"3,keyasint,omitempty"`
 	Full   []byte        `cbor:"4,keyasint,omitempty"`
 	Delta  []byte        `cbor:"5,keyasint,omitempty"`
+	// Compressed is the configuration in full, compressed with package delta.
+	Compressed []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // Refusal rejects a link with a result code. Alternatives lists the addresses
--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -57,6 +57,12 @@
 	FieldPhase    = "phase"
 	FieldNewRuns  = "new_runs"
 	FieldOldRuns  = "old_runs"
+	// FieldBytes lists kinds of traffic between data centres with their bytes since
+	// the start.
+	FieldBytes = "bytes"
+	// FieldStoreCalls lists the operations of the store with the number of calls
+	// since the start.
+	FieldStoreCalls = "store_calls"
 	// FieldMember is a node's address.
 	FieldMember = "member"
 	// FieldEjectedFor is the time for which a node is ejected, in milliseconds.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -76,6 +76,8 @@
 type NodeMetrics struct {
 	registry       *prometheus.Registry
 	requestSeconds *prometheus.HistogramVec
+	// Traffic counts the bytes exchanged with other nodes.
+	Traffic *Traffic
 
 	mu     sync.RWMutex
 	routes map[string]bool
@@ -85,13 +87,14 @@
 func New() *NodeMetrics {
 	m := &NodeMetrics{
 		registry: prometheus.NewRegistry(),
+		Traffic:  newTraffic(),
 		routes:   map[string]bool{},
 		requestSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "daisytide_request_seconds", Help: "Times of requests by hop, route and outcome.",
 			Buckets: prometheus.ExponentialBuckets(firstBucket, bucketFactor, bucketCount),
 		}, []string{"hop", "route", "outcome"}),
 	}
-	m.registry.MustRegister(m.requestSeconds)
+	m.registry.MustRegister(m.requestSeconds, m.Traffic)
 	return m
 }
 
--- a/internal/process/gossip/anti_entropy.go
+++ b/internal/process/gossip/anti_entropy.go
@@ -50,7 +50,9 @@
 	d := &link.Digest{Checksums: make(map[string]uint64, len(m.topics))}
 	d.ConfigNumber = m.cfg.Holder.Current().Number()
 	for name, t := range m.topics {
-		d.Checksums[name] = t.Checksum()
+		if _, local := t.(DataCentreTopic); !local {
+			d.Checksums[name] = t.Checksum()
+		}
 	}
 	return &link.Message{Digest: d}
 }
@@ -60,7 +62,7 @@
 	m.recordPeerNumber(p, d.ConfigNumber)
 	for name, sum := range d.Checksums {
 		t := m.topics[name]
-		if t == nil {
+		if _, local := t.(DataCentreTopic); t == nil || local {
 			continue
 		}
 		if t.Checksum() == sum {
--- a/internal/process/gossip/config_transfer.go
+++ b/internal/process/gossip/config_transfer.go
@@ -26,6 +26,12 @@
 	// after its document failed validation here, for example because a later
 	// release wrote it.
 	rejectionTime = time.Minute
+	// outsidePullDelay is how long a node waits before it pulls a configuration from
+	// a peer in another data centre while peers in its own hold an older one, and
+	// outsidePullJitter the maximum random part added. Nodes of each data centre
+	// read new configurations from the store, so that it seldom needs to cross.
+	outsidePullDelay  = 200 * time.Millisecond
+	outsidePullJitter = 300 * time.Millisecond
 	// minDeltaGain is the factor by which a delta must be smaller than the
 	// complete configuration to be sent in its place.
 	minDeltaGain = 2
@@ -35,8 +41,8 @@
 // bases for deltas.
 type configTransfer struct {
 	mu sync.Mutex
-	// offers maps each linked peer to the number that it last reported.
-	offers        map[string]uint64
+	// offers holds what each linked peer last reported.
+	offers        map[string]offer
 	excludedUntil map[string]time.Time
 	pending       pendingPull
 	// rejected is the number that failed validation; it is skipped until
@@ -45,9 +51,19 @@
 	rejectedUntil time.Time
 	// history holds the latest configurations, oldest first.
 	history []*snapshot.Snapshot
-	// cached is the last computed delta; several neighbours ask for the same
-	// one.
-	cached cachedDelta
+	// cached is the last computed delta, and compressed the last compressed
+	// configuration; several neighbours ask for the same ones.
+	cached     cachedDelta
+	compressed compressedConfig
+}
+
+// offer is a configuration that a peer holds.
+type offer struct {
+	number uint64
+	// outside is set if the peer is in another data centre.
+	outside bool
+	// pullFrom is the earliest time of a pull from a peer in another data centre.
+	pullFrom time.Time
 }
 
 // pendingPull is the pull in progress; the zero value means none.
@@ -62,17 +78,27 @@
 	delta        []byte
 }
 
+// compressedConfig is the compressed envelope of the configuration with a number.
+type compressedConfig struct {
+	number uint64
+	body   []byte
+}
+
 func newConfigTransfer() configTransfer {
-	return configTransfer{offers: map[string]uint64{}, excludedUntil: map[string]time.Time{}}
+	return configTransfer{offers: map[string]offer{}, excludedUntil: map[string]time.Time{}}
 }
 
 // recordOffer records the configuration number that a peer last reported. A lower
 // one replaces a higher one: a peer's number never decreases within a link, so the
-// higher one was damaged on the way.
-func (t *configTransfer) recordOffer(address string, number uint64) {
+// higher one was damaged on the way. outside is set for a peer in another data
+// centre, and wait is how long a pull from there waits.
+func (t *configTransfer) recordOffer(address string, number uint64, outside bool, wait time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.offers[address] = number
+	if old, ok := t.offers[address]; ok && old.number == number {
+		return
+	}
+	t.offers[address] = offer{number: number, outside: outside, pullFrom: now.Add(wait)}
 }
 
 // removePeer removes a peer whose link has closed.
@@ -113,13 +139,13 @@
 		t.excludedUntil[t.pending.peer] = now.Add(pullTimeout)
 		t.pending = pendingPull{}
 	}
-	best, peer := held, ""
-	for address, number := range t.offers {
-		if now.Before(t.excludedUntil[address]) || number == t.rejected && now.Before(t.rejectedUntil) {
+	best, peer, peerOutside := held, "", false
+	for address, o := range t.offers {
+		if now.Before(t.excludedUntil[address]) || o.number == t.rejected && now.Before(t.rejectedUntil) || t.mustWaitLocked(o, now) {
 			continue
 		}
-		if number > best || number == best && peer != "" && address < peer {
-			best, peer = number, address
+		if o.number > best || o.number == best && peer != "" && (peerOutside && !o.outside || peerOutside == o.outside && address < peer) {
+			best, peer, peerOutside = o.number, address, o.outside
 		}
 	}
 	if peer == "" || t.pending.number >= best {
@@ -129,6 +155,21 @@
 	return peer, best, true
 }
 
+// mustWaitLocked reports whether an offer from another data centre is to wait, because
+// a peer in this one holds a configuration and may have the offered one soon. The
+// caller holds mu.
+func (t *configTransfer) mustWaitLocked(o offer, now time.Time) bool {
+	if !o.outside || !now.Before(o.pullFrom) {
+		return false
+	}
+	for _, other := range t.offers {
+		if !other.outside {
+			return true
+		}
+	}
+	return false
+}
+
 // finishPull clears the pending pull if its number is at most number.
 func (t *configTransfer) finishPull(number uint64) {
 	t.mu.Lock()
@@ -161,13 +202,14 @@
 	return nil
 }
 
-// buildBody builds the response to a pull: a delta if base is in the history
-// and the delta is small enough, else the complete configuration.
-func (t *configTransfer) buildBody(s *snapshot.Snapshot, base uint64) *link.ConfigBody {
+// buildBody builds the response to a pull: a delta if the request's base is in the
+// history and the delta is small enough, else the complete configuration.
+func (t *configTransfer) buildBody(s *snapshot.Snapshot, in *link.ConfigRequest) *link.ConfigBody {
 	body := &link.ConfigBody{Number: s.Number(), Hash: s.Hash}
+	base := in.Base
 	previous := t.findBase(base)
 	if previous == nil || base == s.Number() {
-		body.Full = s.Envelope
+		t.setFull(body, s, in.Compressed)
 		return body
 	}
 	t.mu.Lock()
@@ -183,6 +225,26 @@
 	return body
 }
 
+// setFull sets the complete configuration, compressed if the peer accepts it.
+func (t *configTransfer) setFull(body *link.ConfigBody, s *snapshot.Snapshot, compressed bool) {
+	if !compressed {
+		body.Full = s.Envelope
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.compressed.number != s.Number() {
+		packed, err := delta.Compress(s.Envelope)
+		if err != nil {
+			klog.Errorf(logPrefix+"compress configuration %d: %v", s.Number(), err)
+			body.Full = s.Envelope
+			return
+		}
+		t.compressed = compressedConfig{number: s.Number(), body: packed}
+	}
+	body.Compressed = t.compressed.body
+}
+
 // ConfigChanged announces the configuration in force to the peers that are
 // not known to hold it.
 func (m *Manager) ConfigChanged(s *snapshot.Snapshot) {
@@ -200,8 +262,9 @@
 		return
 	}
 	p.configNumber.Store(number)
-	m.transfer.recordOffer(p.address, number)
-	m.startNextPull(time.Now())
+	now := time.Now()
+	m.transfer.recordOffer(p.address, number, p.dataCentre != m.cfg.Self().DataCentre, outsidePullDelay+m.jitter(outsidePullJitter), now)
+	m.startNextPull(now)
 }
 
 func (m *Manager) startNextPull(now time.Time) {
@@ -216,7 +279,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.links[peer]; p != nil {
-		m.enqueueLocked(p, &link.Message{ConfigRequest: &link.ConfigRequest{Number: number, Base: base}})
+		m.enqueueLocked(p, &link.Message{ConfigRequest: &link.ConfigRequest{Number: number, Base: base, Compressed: true}})
 	}
 }
 
@@ -225,7 +288,7 @@
 	if s == nil || s.Number() < in.Number {
 		return
 	}
-	body := m.transfer.buildBody(s, in.Base)
+	body := m.transfer.buildBody(s, in)
 	m.updateCounters(func(c *Counters) {
 		if body.Delta != nil {
 			c.Deltas++
@@ -270,6 +333,10 @@
 
 // decodeBody returns the envelope of a body and whether its hash matches.
 func (m *Manager) decodeBody(in *link.ConfigBody) ([]byte, bool) {
+	if in.Compressed != nil {
+		out, err := delta.Decompress(in.Compressed)
+		return out, err == nil && document.HashOf(out) == in.Hash
+	}
 	if in.Delta == nil {
 		return in.Full, document.HashOf(in.Full) == in.Hash
 	}
--- a/internal/process/gossip/forward.go
+++ b/internal/process/gossip/forward.go
@@ -64,7 +64,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.links {
-		if p != source && p.forwards.add(topic, items) {
+		if p != source && m.inScope(topic, p) && p.forwards.add(topic, items) {
 			time.AfterFunc(forwardDelay, func() { m.flushForwards(p) })
 		}
 	}
--- a/internal/process/gossip/handlers_test.go
+++ b/internal/process/gossip/handlers_test.go
@@ -111,8 +111,8 @@
 func TestDamagedNumberOfAPeerIsReplacedByItsNextOne(t *testing.T) {
 	transfer := newConfigTransfer()
 	now := time.Unix(1000, 0)
-	transfer.recordOffer("10.0.0.2:1", 1<<60)
-	transfer.recordOffer("10.0.0.2:1", 7)
+	transfer.recordOffer("10.0.0.2:1", 1<<60, false, 0, now)
+	transfer.recordOffer("10.0.0.2:1", 7, false, 0, now)
 	if peer, number, ok := transfer.startPull(6, now); !ok || number != 7 {
 		t.Errorf("pulls %d from %q, want 7", number, peer)
 	}
--- a/internal/process/gossip/links.go
+++ b/internal/process/gossip/links.go
@@ -114,7 +114,12 @@
 		if now.Before(m.nextBootstrap) {
 			return ""
 		}
-		address := m.pickLocked(append(m.knownAddressesLocked(), m.dials.hints...))
+		// A node learns the whole member table over its first link, so that one in
+		// its own data centre is dialled first.
+		address := m.pickLocked(m.ownDataCentreLocked())
+		if address == "" || m.dials.target(address).failures > 0 {
+			address = m.pickLocked(append(m.knownAddressesLocked(), m.dials.hints...))
+		}
 		if address != "" {
 			m.nextBootstrap = now.Add(m.jitterLocked(bootstrapInterval))
 		}
@@ -131,6 +136,19 @@
 	return m.pickLocked(m.lostAddressesLocked())
 }
 
+// ownDataCentreLocked returns the addresses of the members in this node's data
+// centre.
+func (m *Manager) ownDataCentreLocked() []string {
+	own := m.cfg.Self().DataCentre
+	var out []string
+	for _, r := range m.cfg.Members.Index().Members {
+		if r.DataCentre == own {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
+
 // knownAddressesLocked returns the addresses of all seeds and members.
 func (m *Manager) knownAddressesLocked() []string {
 	out := m.cfg.SeedAddresses()
--- a/internal/process/gossip/manager.go
+++ b/internal/process/gossip/manager.go
@@ -54,6 +54,9 @@
 	SeedAddresses func() []string
 	// IndirectProbe asks the node helper whether it reaches address.
 	IndirectProbe func(ctx context.Context, helper, address string) (bool, error)
+	// OnSent, if set, is called for each message sent, with its kind, the data
+	// centre of the peer and its size in bytes.
+	OnSent func(kind, dataCentre string, bytes int)
 	// RandomSeed seeds the random generator; 0 draws a seed.
 	RandomSeed uint64
 }
@@ -162,7 +165,13 @@
 
 // Publish implements Publisher.
 func (m *Manager) Publish(topic string, item []byte) {
-	m.broadcast(&link.Message{Items: &link.Items{Topic: topic, Encoded: [][]byte{item}}}, nil)
+	m.broadcast(&link.Message{Items: &link.Items{Topic: topic, Encoded: [][]byte{item}}}, func(p *peer) bool { return m.inScope(topic, p) })
+}
+
+// inScope reports whether items of a topic may be sent to a peer.
+func (m *Manager) inScope(topic string, p *peer) bool {
+	_, local := m.topics[topic].(DataCentreTopic)
+	return !local || p.dataCentre == m.cfg.Self().DataCentre
 }
 
 // broadcast queues a message for each peer for which include returns true; a nil
--- a/internal/process/gossip/peer.go
+++ b/internal/process/gossip/peer.go
@@ -30,6 +30,7 @@
 // peer is an established link.
 type peer struct {
 	address     string
+	dataCentre  string
 	incarnation uint64
 	// initiator is the address of the node that dialled.
 	initiator string
@@ -60,6 +61,7 @@
 func (m *Manager) newPeer(conn link.Conn, remote membership.Record, initiator string) *peer {
 	p := &peer{
 		address:     remote.Address,
+		dataCentre:  remote.DataCentre,
 		incarnation: remote.Incarnation,
 		initiator:   initiator,
 		since:       time.Now(),
@@ -180,7 +182,7 @@
 				close(next.flushed)
 				continue
 			}
-			if err := p.conn.Send(ctx, next.msg); err != nil {
+			if err := m.sendNow(ctx, p, next.msg); err != nil {
 				klog.V(2).Infof(logPrefix+"link with %s: %v", p.address, err)
 				return
 			}
@@ -188,6 +190,23 @@
 	}
 }
 
+// sendNow sends a message and counts its bytes. A message for several peers has
+// been encoded already.
+func (m *Manager) sendNow(ctx context.Context, p *peer, msg *link.Message) error {
+	if msg.EncodedSize() == 0 {
+		if err := msg.Preencode(); err != nil {
+			return err
+		}
+	}
+	if err := p.conn.Send(ctx, msg); err != nil {
+		return err
+	}
+	if m.cfg.OnSent != nil {
+		m.cfg.OnSent(msg.Kind(), p.dataCentre, msg.EncodedSize())
+	}
+	return nil
+}
+
 // addLink registers a link and reports whether to keep it. Of two links
 // between the same nodes both ends keep the one that the lower address
 // dialled. A link of a newer incarnation replaces the old one, and so does any
--- a/internal/process/gossip/topic.go
+++ b/internal/process/gossip/topic.go
@@ -30,6 +30,14 @@
 	Superseding(item []byte) []byte
 }
 
+// DataCentreTopic is a Topic whose items stay within a data centre. It is not
+// repaired: its items are published anew while they matter.
+type DataCentreTopic interface {
+	Topic
+	// StaysInDataCentre marks the topic; it does nothing.
+	StaysInDataCentre()
+}
+
 // Publisher publishes items of this node. Manager implements it.
 type Publisher interface {
 	// Publish sends an item that is already merged locally over all links.
--- a/internal/process/gossip/topology.go
+++ b/internal/process/gossip/topology.go
@@ -2,36 +2,48 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"math"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/daisytide/daisytide/internal/process/membership"
 )
 
-// The topology consists of three kinds of rings. Each node computes them from
+// The topology consists of four kinds of rings. Each node computes them from
 // the member list alone, so both ends of a link agree on it, and each ring
 // gives a node at most two links:
 //
-//   - The fleet ring links all nodes in hash order. It connects all members
-//     without the other rings, and its links cross data centres and regions.
-//   - The data centre ring does the same within each data centre, with another
-//     hash order.
+//   - The data centre ring links the nodes of each data centre in hash order.
 //   - The rack ring links each node to one in another rack of its data centre;
 //     without racks it is a second data centre ring.
+//   - Each bridge ring links one node of every data centre. These are the only
+//     links that cross data centres, so that an item crosses a bounded number of
+//     them whatever the number of nodes.
+//   - The inner ring links the nodes of each data centre that are on no bridge ring,
+//     so that they have as many links as the others.
 //
-// A node that joins or leaves changes only the links of its ring neighbours.
+// A node that joins or leaves changes only the links of its ring neighbours, and
+// those of a bridge ring if it is the node of its data centre there.
 const (
-	fleetSalt      = "fleet/"
 	dataCentreSalt = "data-centre/"
 	rackSalt       = "rack/"
+	bridgeSalt     = "bridge/"
+	innerSalt      = "inner/"
 )
 
 // Limits of the topology.
 const (
 	// MaxNeighbours is the maximum number of neighbours of a node: four in
-	// its data centre and two on the fleet ring.
+	// its data centre and two on a bridge ring or the inner ring.
 	MaxNeighbours = 6
+	// minBridges is the number of bridge rings, and nodesPerBridge the number of
+	// nodes of a data centre for each beyond them. A data centre is cut off for
+	// a moment if its node has failed on each ring that it is on.
+	minBridges     = 3
+	nodesPerBridge = 8
 	// rackSearchWindow is how many positions along the rack ring are searched
 	// for another rack.
 	rackSearchWindow = 16
@@ -50,28 +62,84 @@
 // NewTopology computes the topology of the whole fleet.
 func NewTopology(members []membership.Record) Topology {
 	t := make(Topology, len(members))
-	dataCentres := map[string][]*membership.Record{}
-	var all []*membership.Record
-	for i := range members {
-		r := &members[i]
-		if r.State > membership.Suspect {
-			continue
-		}
-		t[r.Address] = nil
-		all = append(all, r)
-		dataCentres[r.DataCentre] = append(dataCentres[r.DataCentre], r)
-	}
-	t.addRing(newRing(all, fleetSalt))
+	dataCentres := groupByDataCentre(members)
 	for _, nodes := range dataCentres {
+		for _, r := range nodes {
+			t[r.Address] = nil
+		}
 		t.addDataCentre(nodes)
 	}
+	for _, ring := range bridgeRings(dataCentres) {
+		t.addRing(ring)
+	}
 	return t
 }
 
-// addDataCentre adds the two rings of one data centre.
+// groupByDataCentre returns the members that are not Leaving or Gone by data centre.
+func groupByDataCentre(members []membership.Record) map[string][]*membership.Record {
+	out := map[string][]*membership.Record{}
+	for i := range members {
+		if r := &members[i]; r.State <= membership.Suspect {
+			out[r.DataCentre] = append(out[r.DataCentre], r)
+		}
+	}
+	return out
+}
+
+// bridgeRings returns the bridge rings. Each has its own order of the data centres.
+// A data centre without a free node for a ring is not on it; the first ring has all.
+func bridgeRings(dataCentres map[string][]*membership.Record) [][]ringPosition {
+	var rings [][]ringPosition
+	for name, nodes := range dataCentres {
+		for i, node := range bridgeNodes(nodes) {
+			if i == len(rings) {
+				rings = append(rings, nil)
+			}
+			rings[i] = append(rings[i], ringPosition{hash: xxhash.Sum64String(bridgeName(i) + name), node: node})
+		}
+	}
+	for _, ring := range rings {
+		slices.SortFunc(ring, ringPosition.compare)
+	}
+	return rings
+}
+
+// bridgeNodes returns the nodes of a data centre on the bridge rings, by the number
+// of the ring: the free one with the lowest hash for that ring.
+func bridgeNodes(nodes []*membership.Record) []*membership.Record {
+	free := newRing(nodes, bridgeSalt)
+	count := min(len(nodes), max(minBridges, len(nodes)/nodesPerBridge))
+	out := make([]*membership.Record, 0, count)
+	var key [9]byte
+	for i := range count {
+		key[8] = byte(i)
+		best, lowest := 0, uint64(math.MaxUint64)
+		for k, p := range free {
+			binary.LittleEndian.PutUint64(key[:8], p.hash)
+			if hash := xxhash.Sum64(key[:]); hash < lowest {
+				best, lowest = k, hash
+			}
+		}
+		out = append(out, free[best].node)
+		free = slices.Delete(free, best, best+1)
+	}
+	return out
+}
+
+func bridgeName(i int) string { return bridgeSalt + strconv.Itoa(i) + "/" }
+
+// addDataCentre adds the rings within one data centre.
 func (t Topology) addDataCentre(nodes []*membership.Record) {
 	t.addRing(newRing(nodes, dataCentreSalt))
 	t.addRackRing(newRing(nodes, rackSalt))
+	bridges := bridgeNodes(nodes)
+	inner := make([]*membership.Record, 0, len(nodes))
+	for _, r := range nodes {
+		if !slices.Contains(bridges, r) {
+			inner = append(inner, r)
+		}
+	}
+	t.addRing(newRing(inner, innerSalt))
 }
 
 // newRing orders nodes by a salted hash of their address.
@@ -131,62 +199,20 @@
 }
 
 // Neighbours returns the same neighbours as NewTopology for a single member,
-// at the cost of one scan of the fleet and the rings of its data centre.
+// at the cost of one scan of the fleet, its bridge rings and the rings of the
+// member's data centre.
 func Neighbours(members []membership.Record, self string) []string {
-	var own *membership.Record
-	for i := range members {
-		if members[i].Address == self && members[i].State <= membership.Suspect {
-			own = &members[i]
-		}
-	}
-	if own == nil {
-		return nil
-	}
-	var dataCentre []*membership.Record
-	for i := range members {
-		if r := &members[i]; r.State <= membership.Suspect && r.DataCentre == own.DataCentre {
-			dataCentre = append(dataCentre, r)
-		}
-	}
+	dataCentres := groupByDataCentre(members)
 	t := Topology{}
-	t.addDataCentre(dataCentre)
-	out := t[self]
-	for _, a := range fleetRingNeighbours(members, own) {
-		if a != self && !slices.Contains(out, a) {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
-// fleetRingNeighbours returns the previous and the next node on the fleet
-// ring.
-func fleetRingNeighbours(members []membership.Record, own *membership.Record) [2]string {
-	position := ringPosition{hash: xxhash.Sum64String(fleetSalt + own.Address), node: own}
-	before, after := position, position
-	for i := range members {
-		r := &members[i]
-		if r.State > membership.Suspect || r.Address == own.Address {
-			continue
-		}
-		p := ringPosition{hash: xxhash.Sum64String(fleetSalt + r.Address), node: r}
-		if isBetween(position, p, after) {
-			after = p
-		}
-		if isBetween(before, p, position) {
-			before = p
+	for _, nodes := range dataCentres {
+		if slices.ContainsFunc(nodes, func(r *membership.Record) bool { return r.Address == self }) {
+			t.addDataCentre(nodes)
+			for _, ring := range bridgeRings(dataCentres) {
+				t.addRing(ring)
+			}
 		}
 	}
-	return [2]string{before.node.Address, after.node.Address}
-}
-
-// isBetween reports whether p lies between from and to on a ring. If from and
-// to are the same position, the interval is the whole ring.
-func isBetween(from, p, to ringPosition) bool {
-	if from.compare(to) < 0 {
-		return from.compare(p) < 0 && p.compare(to) < 0
-	}
-	return from.compare(p) < 0 || p.compare(to) < 0
+	return t[self]
 }
 
 func (p ringPosition) compare(o ringPosition) int {
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -8,6 +8,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"github.com/daisytide/daisytide/internal/conn/link"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/ctxtime"
 	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/fleetstatus"
@@ -210,6 +212,7 @@
 		Self: n.self.Record, Members: n.members, Holder: n.holder, ConfigStore: n.provider,
 		Dialer:  &link.Dialer{PeerKey: n.cfg.Peers.Secret, Traffic: n.traffic},
 		Traffic: n.traffic, SeedAddresses: n.registry.Peers, IndirectProbe: n.requestProbe,
+		OnSent: n.requests.Traffic.Add,
 	})
 	n.registry.LinkCount, n.registry.OnList, n.registry.Publisher = n.gossip.LinkCount, n.gossip.Wake, n.gossip
 	n.store.OnRecovery = n.registry.StoreRecovered
@@ -225,13 +228,14 @@
 	}
 	n.self.Publisher = n.gossip
 	n.orders = orders.NewManager(orders.Config{
-		Self: n.cfg.Peers.Listen, Incarnation: incarnation, Members: n.members, Store: n.store,
+		Self: n.cfg.Peers.Listen, Incarnation: incarnation, DataCentre: n.cfg.Node.DataCentre, Members: n.members, Store: n.store,
 		StatusCodec: n.adapter, Publisher: n.gossip,
 	})
 	n.quarantineEvents = quarantine.NewEventSet(time.Now)
 	n.gossip.RegisterTopic(membership.Topic{Table: n.members})
 	n.gossip.RegisterTopic(orders.StateTopic{Manager: n.orders})
 	n.gossip.RegisterTopic(orders.CountsTopic{Manager: n.orders})
+	n.gossip.RegisterTopic(orders.SumsTopic{Manager: n.orders})
 	n.gossip.RegisterTopic(n.quarantineEvents)
 	n.gossip.RegisterTopic(n.registry.StoreRecoveries())
 	n.holder.OnSwap(n.gossip.ConfigChanged)
@@ -341,6 +345,20 @@
 	return reached, err
 }
 
+// trafficLogInterval is the time between two log lines on the traffic with other data
+// centres and the store.
+const trafficLogInterval = 10 * time.Second
+
+// logTraffic logs the bytes exchanged with other data centres by kind, and the calls to
+// the store by operation, until ctx ends.
+func (n *Node) logTraffic(ctx context.Context) {
+	for ctx.Err() == nil {
+		ctxtime.Sleep(ctx, trafficLogInterval)
+		slog.Info(logPrefix+"traffic with other data centres and the store",
+			logs.FieldBytes, n.requests.Traffic.Outside(n.cfg.Node.DataCentre), logs.FieldStoreCalls, fmt.Sprint(n.store.CallsByOperation()))
+	}
+}
+
 // Run serves until ctx ends, then stops without interrupting requests.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -364,6 +382,10 @@
 		n.quarantineEvents.Run(runnerCtx)
 		return nil
 	})
+	g.Go(func() error {
+		n.logTraffic(runnerCtx)
+		return nil
+	})
 	stopped := make(chan struct{})
 	g.Go(func() error {
 		<-ctx.Done()
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -27,10 +27,22 @@
 const (
 	activeTick = 100 * time.Millisecond
 	idleTick   = 500 * time.Millisecond
-	// publishInterval is the minimum time between two publications of a node's
-	// counts. It is short so that a bad version is found within a second of its
-	// first runs.
-	publishInterval = 250 * time.Millisecond
+	// minCountsInterval and maxCountsInterval bound the time between two
+	// publications of a node's counts, and maxCountsPerSecond is how many of them
+	// the nodes of a data centre make per second. They are so short that a bad
+	// version is found within two seconds of its first runs.
+	minCountsInterval  = 250 * time.Millisecond
+	maxCountsInterval  = time.Second
+	maxCountsPerSecond = 40
+	// sumsInterval is the minimum time between two publications of a data centre's
+	// sums.
+	sumsInterval = 300 * time.Millisecond
+	// refreshInterval is the time after which unchanged counts are published again.
+	refreshInterval = 3 * time.Second
+	// collectorTimeout is how long the first collector of a data centre may be
+	// silent before the second publishes the sums. It is shorter than
+	// refreshInterval: then both refresh them.
+	collectorTimeout = time.Second
 	// recentWindow is the span of recent runs that are evaluated separately, so
 	// that earlier good runs do not hide a fault that appears late.
 	recentWindow = 3 * time.Second
@@ -38,8 +50,15 @@
 	// store, so that normally only one node writes it. It is also the minimum time
 	// between two attempts of a node.
 	recordStagger = 800 * time.Millisecond
-	// maxRank bounds the ranks used for the delay.
-	maxRank = 4
+	// The nodes from maxRank on follow lateStagger after one another, at most
+	// maxLateStagger after the one with maxRank: they write only if the store is
+	// out of reach of all before them.
+	maxRank        = 4
+	lateStagger    = 200 * time.Millisecond
+	maxLateStagger = 4 * time.Second
+	// maxRecordBackoff bounds the time between two attempts of a node, which
+	// doubles from recordStagger with each one that fails.
+	maxRecordBackoff = 6 * time.Second
 	// recordTimeout bounds one writeStatus call with its read and write.
 	recordTimeout = 2 * time.Second
 )
@@ -64,6 +83,8 @@
 	// Self is this node's address; Incarnation distinguishes its restarts.
 	Self        string
 	Incarnation uint64
+	// DataCentre is this node's data centre.
+	DataCentre  string
 	Members     *membership.Table
 	Store       kvstore.Store
 	StatusCodec StatusCodec
@@ -93,16 +114,24 @@
 	// endedAt is when this node learned of the final phase; nextWrite is the
 	// earliest time of its next attempt to write the phase to the store.
 	endedAt, nextWrite time.Time
-	runningRecorded    bool
+	// failedWrites is the number of consecutive attempts that failed.
+	failedWrites    int
+	runningRecorded bool
 
-	// counts holds the latest published counts of every node. ownCounts holds this
+	// counts holds the latest published counts of every node in this data centre,
+	// and sums those of the collectors of all data centres. ownCounts holds this
 	// node's counts by version and route; dirty is set while it has unpublished
-	// changes.
-	counts      map[countsKey]nodeCounts
-	ownCounts   map[string]map[string]ramp.Tally
-	dirty       bool
-	publishedAt time.Time
-	sequence    uint64
+	// changes, and sumsDirty while counts has changes that are not in published
+	// sums.
+	counts          map[countsKey]nodeCounts
+	sums            map[sumsKey]dataCentreSums
+	ownDataCentre   string
+	ownCounts       map[string]map[string]ramp.Tally
+	dirty           bool
+	publishedAt     time.Time
+	sumsDirty       bool
+	sumsPublishedAt time.Time
+	sequence        uint64
 	// history holds earlier sums of the counts, oldest first.
 	history []countSample
 }
@@ -139,7 +168,10 @@
 	if ro != nil {
 		m.updateBaseline(ro)
 	}
-	ro = &rollout{order: o, startedAt: now, counts: map[countsKey]nodeCounts{}, ownCounts: map[string]map[string]ramp.Tally{}}
+	ro = &rollout{
+		order: o, startedAt: now, counts: map[countsKey]nodeCounts{}, sums: map[sumsKey]dataCentreSums{}, ownDataCentre: m.cfg.DataCentre,
+		ownCounts: map[string]map[string]ramp.Tally{},
+	}
 	m.rollouts[o.Service] = ro
 	slog.Info(logPrefix+"move ordered",
 		logs.FieldService, o.Service, logs.FieldTarget, o.Target, logs.FieldDuration, o.Duration.Milliseconds(), logs.FieldOrder, o.Revision)
@@ -167,7 +199,10 @@
 		return
 	}
 	if p == ramp.Running {
-		ro.runningRecorded = true
+		if !ro.runningRecorded {
+			ro.runningRecorded = true
+			m.publishState(ro, time.Now())
+		}
 		return
 	}
 	if ro.phase != p || !ro.recorded {
@@ -349,6 +384,7 @@
 		if ro.phase == ramp.Running {
 			wait = activeTick
 			m.publishCounts(ro, now)
+			m.publishSums(ro, now)
 			m.evaluate(ro, now)
 		}
 		if m.writeDue(ro, now) {
--- a/internal/process/orders/orders_test.go
+++ b/internal/process/orders/orders_test.go
@@ -40,10 +40,13 @@
 
 func (p *directPublisher) Publish(topic string, item []byte) {
 	for _, m := range p.others {
-		if topic == StateTopicName {
+		switch topic {
+		case StateTopicName:
 			_, _ = StateTopic{m}.Merge(item)
-		} else {
+		case CountsTopicName:
 			_, _ = CountsTopic{m}.Merge(item)
+		case SumsTopicName:
+			_, _ = SumsTopic{m}.Merge(item)
 		}
 	}
 }
@@ -56,7 +59,7 @@
 			Service: "s", Version: version, Upstream: api.UpstreamReady, Slots: 10,
 		})
 	}
-	return NewManager(Config{Self: self, Incarnation: 1, Members: members, Store: s, StatusCodec: textStatusCodec{}, Publisher: p})
+	return NewManager(Config{Self: self, Incarnation: 1, DataCentre: "a", Members: members, Store: s, StatusCodec: textStatusCodec{}, Publisher: p})
 }
 
 var testOrder = ramp.Order{Service: "s", Target: "v2", Revision: 9, Duration: 10 * time.Second}
--- a/internal/process/orders/outcome.go
+++ b/internal/process/orders/outcome.go
@@ -13,6 +13,9 @@
 	"github.com/daisytide/daisytide/internal/version/ramp"
 )
 
+// maxRecordShift bounds the doublings of the backoff of writes.
+const maxRecordShift = 8
+
 // evaluate ends a rollout that is complete or whose new version is bad. The caller
 // holds mu.
 func (m *Manager) evaluate(ro *rollout, now time.Time) {
@@ -79,7 +82,14 @@
 	if ro.phase != ramp.Running {
 		dueFrom = ro.endedAt
 	}
-	return now.Sub(dueFrom) >= time.Duration(m.writerRank(ro))*recordStagger
+	return now.Sub(dueFrom) >= writeDelay(m.writerRank(ro))
+}
+
+// writeDelay returns how long the node of a rank waits for those before it to write a
+// phase.
+func writeDelay(rank int) time.Duration {
+	late := min(time.Duration(max(0, rank-maxRank))*lateStagger, maxLateStagger)
+	return time.Duration(min(rank, maxRank))*recordStagger + late
 }
 
 // writerRank returns this node's rank among the live members for writing a
@@ -92,7 +102,7 @@
 			n++
 		}
 	}
-	return min(n, maxRank)
+	return n
 }
 
 func rendezvousHash(ro *rollout, address string) uint64 {
@@ -107,7 +117,9 @@
 	defer cancel()
 	m.mu.Lock()
 	order, phase := ro.order, ro.phase
-	ro.nextWrite = now.Add(recordStagger)
+	ro.nextWrite = now.Add(min(recordStagger<<min(ro.failedWrites, maxRecordShift), maxRecordBackoff))
+	// The attempt counts as failed until it has succeeded.
+	ro.failedWrites++
 	m.mu.Unlock()
 	key := m.cfg.StatusCodec.StatusKey(order.Service)
 	e, err := m.cfg.Store.Get(ctx, key)
@@ -118,6 +130,7 @@
 	if e.Revision > order.Revision {
 		target, p, err := m.cfg.StatusCodec.DecodeStatus(key, e.Value)
 		if err == nil && target == order.Target && (p != ramp.Running || phase == ramp.Running) {
+			m.recordWritten(ro)
 			m.ApplyStoredStatus(order.Service, target, p, e.Revision)
 			return
 		}
@@ -130,5 +143,13 @@
 		klog.Warningf(logPrefix+"write the status of %s: %v", order.Service, err)
 		return
 	}
+	m.recordWritten(ro)
 	m.ApplyStoredStatus(order.Service, order.Target, phase, e.Revision)
 }
+
+// recordWritten ends the backoff of a rollout's writes.
+func (m *Manager) recordWritten(ro *rollout) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ro.failedWrites = 0
+}
--- a/internal/request/ingress/attempts.go
+++ b/internal/request/ingress/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/request/balancer"
 	"github.com/daisytide/daisytide/internal/request/egress"
@@ -130,6 +131,21 @@
 	}
 }
 
+// countTraffic counts the bytes of an exchange with another node.
+func (d *dispatch) countTraffic(dataCentre string, sent *h1.ClientRequest, resp *h1.Response, err error) {
+	if d.ingress.Metrics == nil {
+		return
+	}
+	t := d.ingress.Metrics.Traffic
+	var e *h1.Error
+	if !errors.As(err, &e) || e.FullySent {
+		t.Add(metrics.KindRequest, dataCentre, len(sent.Body))
+	}
+	if resp != nil {
+		t.Add(metrics.KindResponse, dataCentre, len(resp.Body))
+	}
+}
+
 // finalResult ends the request with res, unless an earlier attempt takes
 // precedence: a request that may have run must not be reported as refused.
 func (d *dispatch) finalResult(res hop.Result) hop.Result {
@@ -234,6 +250,7 @@
 		ExpectContinue: true, FirstByteTimeout: min(max(ackTimeout, minAckTimeout), maxAckTimeout), OnFirstByte: selection.ConfirmReachable,
 	}
 	resp, err := d.ingress.Client.Do(ctx, node.Gate, exchange)
+	d.countTraffic(node.DataCentre, exchange, resp, err)
 	if err == nil {
 		return egress.ParseResponse(resp)
 	}
