Ask the store less at restarts and for the status of rollouts

Change: a node that starts in a running fleet waits 250 ms for a configuration from its peers before it lists, and 300 ms for a rollout's status before it reads it.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -287,7 +287,7 @@
 
 // handleOrder adds an order that was read from the store. An order from a list
 // of all keys may have ended long ago, so that its status is read from the store
-// as well.
+// as well, unless the peers have told it.
 func (n *Node) handleOrder(e kvstore.Entry, listed bool) error {
 	o, err := n.adapter.DecodeOrder(e.Key, e.Revision, e.Value)
 	if err != nil {
@@ -300,12 +300,20 @@
 	return nil
 }
 
-// statusReadTimeout is the time limit for reading the status of one rollout.
-const statusReadTimeout = 2 * time.Second
+const (
+	// statusReadTimeout is the time limit for reading the status of one rollout.
+	statusReadTimeout = 2 * time.Second
+	// statusGossipWait is how long a node waits for its peers to tell a rollout's
+	// status before it reads it.
+	statusGossipWait = 300 * time.Millisecond
+)
 
 func (n *Node) readStatus(o ramp.Order) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusReadTimeout)
 	defer cancel()
+	if ctxtime.Sleep(ctx, statusGossipWait); n.orders.StatusKnown(o) {
+		return
+	}
 	key := n.adapter.StatusKey(o.Service)
 	e, err := n.store.Get(ctx, key)
 	if err != nil || e.Revision == 0 {
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -212,6 +212,15 @@
 	}
 }
 
+// StatusKnown reports whether this node knows what the store holds as the status of an
+// order's rollout, or that a newer order has replaced it.
+func (m *Manager) StatusKnown(o ramp.Order) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ro := m.rollouts[o.Service]
+	return ro != nil && (ro.order.Revision > o.Revision || ro.recorded || ro.runningRecorded)
+}
+
 // VersionAllowed reports whether requests may go to a version; a withdrawn version
 // gets none.
 func (m *Manager) VersionAllowed(service, version string) bool {
--- a/internal/process/orders/orders_test.go
+++ b/internal/process/orders/orders_test.go
@@ -196,3 +196,64 @@
 		t.Errorf("share %v of the first rollout's target, want 1", share)
 	}
 }
+
+// The running phase in the store must be written once, and only by the first writers:
+// every other node learns of it from its peers.
+func TestRunningPhaseIsReadByTheFirstWriterOnly(t *testing.T) {
+	s := store.New(1)
+	if _, err := s.CompareAndSwap(context.Background(), "x", 0, []byte("x"), ""); err != nil {
+		t.Fatal(err)
+	}
+	publisher := &directPublisher{}
+	var nodes []*Manager
+	for i := range 12 {
+		m := newTestManager(fmt.Sprint("n", i), s, publisher)
+		for k := range 12 {
+			m.cfg.Members.Merge(membership.Record{Address: fmt.Sprint("n", k), DataCentre: "a", Incarnation: 1, State: membership.Alive})
+		}
+		nodes = append(nodes, m)
+	}
+	publisher.others = nodes
+	now := time.Now()
+	o := ramp.Order{Service: "s", Target: "v2", Revision: 1, Duration: time.Minute}
+	for _, m := range nodes {
+		m.AddOrder(o, now)
+	}
+	before := s.Counts()
+	for step := range 120 {
+		for _, m := range nodes {
+			m.tick(context.Background(), now.Add(time.Duration(step)*activeTick))
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if after := s.Counts(); after.Reads-before.Reads > 1 || after.Writes-before.Writes != 1 {
+		t.Errorf("%d reads and %d writes of the status, want one each", after.Reads-before.Reads, after.Writes-before.Writes)
+	}
+	for i, m := range nodes {
+		if !m.StatusKnown(o) {
+			t.Errorf("node %d does not know the status in the store", i)
+		}
+	}
+}
+
+// While the store is out of reach of a node, its attempts to write a phase back off.
+func TestWritesOfAPhaseBackOff(t *testing.T) {
+	s := store.New(1)
+	m := newTestManager("n0", s, &directPublisher{})
+	now := time.Now()
+	m.AddOrder(ramp.Order{Service: "s", Target: "v2", Revision: 1, Duration: time.Minute}, now)
+	s.SetFaults(store.Faults{Down: true})
+	before := s.Counts().Total()
+	for step := range 300 {
+		m.tick(context.Background(), now.Add(time.Duration(step)*activeTick))
+	}
+	// Without a backoff there would be 37 attempts in these 30 s.
+	if calls := s.Counts().Total() - before; calls > 9 {
+		t.Errorf("%d calls to a store that is out of reach for 30 s, want at most 9", calls)
+	}
+	s.SetFaults(store.Faults{})
+	m.tick(context.Background(), now.Add(37*time.Second))
+	if e, err := s.Get(context.Background(), "status/s"); err != nil || string(e.Value) != "v2 running" {
+		t.Errorf("the store has %q after its return, error %v", e.Value, err)
+	}
+}
--- a/internal/process/provider/follower.go
+++ b/internal/process/provider/follower.go
@@ -42,6 +42,12 @@
 	// configuration from peers.
 	joinJitter  = 1500 * time.Millisecond
 	joinTimeout = 3 * time.Second
+	// restartWait is how long a node that starts in a running fleet waits for a
+	// configuration from its peers, which is as new as what they have in force and
+	// costs the store no call.
+	restartWait = 250 * time.Millisecond
+	// restartPoll is the time between two checks during restartWait.
+	restartPoll = 10 * time.Millisecond
 	// listTimeout bounds one list of all keys.
 	listTimeout = 3 * time.Second
 )
@@ -97,7 +103,7 @@
 
 // Run follows the operator's keys until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	if f.FirstStart && f.waitForPeers(ctx) {
+	if f.FirstStart && f.waitForPeers(ctx) || !f.FirstStart && f.suppliedAtRestart(ctx) {
 		f.waitUntilWatcher(ctx)
 	}
 	for ctx.Err() == nil {
@@ -141,6 +147,18 @@
 	return false
 }
 
+// suppliedAtRestart waits up to restartWait for peers to supply the configuration, and
+// reports whether they did and other nodes watch the store.
+func (f *Follower) suppliedAtRestart(ctx context.Context) bool {
+	for end := time.Now().Add(restartWait); time.Now().Before(end) && ctx.Err() == nil; {
+		if f.HighestNumber() > 0 && !f.shouldWatch() {
+			return true
+		}
+		ctxtime.Sleep(ctx, restartPoll)
+	}
+	return false
+}
+
 // list reads all keys, since a watch may have missed a change.
 func (f *Follower) list(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
