Play the unreachable service on a passed clock

Cause: the test bounded wall time (300 ms, and a retry delay of 900 ms that is a third of the time left). The refused callers wait for nothing in the code: on the bubble's clock they take no time at all, and their delay is exactly a third of the three seconds left. What the two of ten waited for was the machine, between two statements of the test.

Change: the h1 client takes a Dial, and the test runs in a synctest bubble with a peer that never responds. It is stricter: no time may pass, the delay is exact and the probes are counted.

--- a/internal/conn/h1/client.go
+++ b/internal/conn/h1/client.go
@@ -100,6 +100,8 @@
 type Client struct {
 	// DialTimeout bounds opening a connection.
 	DialTimeout time.Duration
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxIdleConns bounds the idle connections kept per address.
 	MaxIdleConns int
 	// MaxBufferedBytes bounds the bytes of all bodies that are being read; a
@@ -170,7 +172,11 @@
 		}
 		_ = conn.Close()
 	}
-	conn, err := Dialer(c.DialTimeout).DialContext(ctx, "tcp", address)
+	dial := c.Dial
+	if dial == nil {
+		dial = Dialer(c.DialTimeout).DialContext
+	}
+	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		f := Unreachable
 		switch {
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
@@ -295,37 +297,56 @@
 
 // The host of a service's only upstream is gone. Callers are refused at once
 // with the longest possible retry delay, and only one request probes the host.
+// The clock is that of the bubble: on the machine's own, a pause of the process
+// between two statements of a caller counted as waiting.
 func TestRequestsForAnUnreachableServiceAreRefusedAtOnce(t *testing.T) {
-	r := newHarness(t, 0)
-	for i := range r.ingress.Holder.Current().Traffic.Config.Routes {
-		r.ingress.Holder.Current().Traffic.Config.Routes[i].TimeLimit = 3 * time.Second
-	}
-	r.ingress.Members.Merge(membership.Record{
-		Address: "self", DataCentre: "a", Incarnation: 2, State: membership.Alive, Service: "other", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
-	})
-	r.ingress.Members.Merge(membership.Record{
-		Address: "gone", Gate: silentGate(t), DataCentre: "a", Incarnation: 1, State: membership.Alive,
-		Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
-	})
-	if resp := r.get("/read/1"); resp.Status == http.StatusOK {
-		t.Fatalf("status %d from a silent gate", resp.Status)
-	}
-	const callers, soon = 10, 300 * time.Millisecond
-	var atOnce atomic.Int64
-	var all sync.WaitGroup
-	for range callers {
-		all.Go(func() {
-			began := time.Now()
-			resp := r.get("/read/1")
-			back, _ := strconv.Atoi(resp.Header.Get("Back"))
-			if resp.Status == http.StatusServiceUnavailable && time.Since(began) < soon && back >= 900 && back <= 1000 {
-				atOnce.Add(1)
-			}
+	synctest.Test(t, func(t *testing.T) {
+		r := newHarness(t, 0)
+		for i := range r.ingress.Holder.Current().Traffic.Config.Routes {
+			r.ingress.Holder.Current().Traffic.Config.Routes[i].TimeLimit = 3 * time.Second
+		}
+		r.ingress.Members.Merge(membership.Record{
+			Address: "self", DataCentre: "a", Incarnation: 2, State: membership.Alive, Service: "other", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
 		})
-	}
-	all.Wait()
-	if n := atOnce.Load(); n != callers-1 {
-		t.Errorf("%d of %d requests were refused at once with the longest retry delay, want all but one", n, callers)
+		r.ingress.Members.Merge(membership.Record{
+			Address: "gone", Gate: "gone:1", DataCentre: "a", Incarnation: 1, State: membership.Alive,
+			Service: "s", Version: "v1", Upstream: api.UpstreamReady, Slots: 10,
+		})
+		var dials atomic.Int64
+		r.ingress.Client.Dial = silentConn(t, &dials)
+		if resp := r.get("/read/1"); resp.Status == http.StatusOK {
+			t.Fatalf("status %d from a silent gate", resp.Status)
+		}
+		const callers = 10
+		dials.Store(0)
+		var atOnce atomic.Int64
+		var all sync.WaitGroup
+		for range callers {
+			all.Go(func() {
+				began := time.Now()
+				resp := r.get("/read/1")
+				back, _ := strconv.Atoi(resp.Header.Get("Back"))
+				if resp.Status == http.StatusServiceUnavailable && time.Since(began) == 0 && back == 990 {
+					atOnce.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		if n := atOnce.Load(); n != callers-1 || dials.Load() != 1 {
+			t.Errorf("%d of %d requests were refused at once with the longest retry delay and %d probed, want all but one and one", n, callers, dials.Load())
+		}
+	})
+}
+
+// silentConn returns a Dial that opens connections to a peer that reads and never
+// responds, and counts them.
+func silentConn(t *testing.T, dials *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		dials.Add(1)
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		return near, nil
 	}
 }
 
