--- a/internal/conn/h1/client.go
+++ b/internal/conn/h1/client.go
@@ -398,7 +398,7 @@
 // connection: it is complete if the server closed the connection, and cut short
 // if the connection was reset.
 func (x *exchange) readResponseBody(resp *http.Response) (*Response, error) {
-	in := &budgetReader{r: resp.Body, client: x.client}
+	in := &countingReader{r: resp.Body, total: &x.client.buffered, limit: x.client.MaxBufferedBytes}
 	defer in.release()
 	body, err := io.ReadAll(io.LimitReader(in, MaxResponseBytes+1))
 	if err != nil {
@@ -412,26 +412,6 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
-// budgetReader counts the bytes that it reads against the client's
-// MaxBufferedBytes.
-type budgetReader struct {
-	r      io.Reader
-	client *Client
-	read   int64
-}
-
-// Read implements io.Reader.
-func (b *budgetReader) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	b.read += int64(n)
-	if total := b.client.buffered.Add(int64(n)); b.client.MaxBufferedBytes > 0 && total > b.client.MaxBufferedBytes {
-		return n, fmt.Errorf("the bodies of all responses exceed %d bytes", b.client.MaxBufferedBytes)
-	}
-	return n, err
-}
-
-func (b *budgetReader) release() { b.client.buffered.Add(-b.read) }
-
 // keepAliveTimeOf returns how long a connection may be kept for reuse after a
 // response with the given headers.
 func keepAliveTimeOf(h http.Header) time.Duration {
--- a/internal/conn/h1/endless_test.go
+++ b/internal/conn/h1/endless_test.go
@@ -194,7 +194,13 @@
 	if resp, exchangeErr := doRequest(c, l.Addr().String(), newGet("2")); exchangeErr != nil || resp.Status != http.StatusOK {
 		t.Errorf("the next request: %+v, %v", resp, exchangeErr)
 	}
-	if s.Panics() != 1 || s.ActiveRequests() != 0 {
-		t.Errorf("%d panics counted, %d requests active", s.Panics(), s.ActiveRequests())
+	if s.Panics() != 1 {
+		t.Errorf("%d panics counted, want 1", s.Panics())
+	}
+	// A request counts as active until after its response is written.
+	for end := time.Now().Add(testTimeout); s.ActiveRequests() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests stay active", s.ActiveRequests())
+		}
 	}
 }
--- a/internal/conn/h1/server_conn.go
+++ b/internal/conn/h1/server_conn.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,30 @@
 	return n, err
 }
 
+var errTooManyBytes = errors.New("the bodies in memory exceed their limit")
+
+// countingReader counts the bytes that it reads in a total with a limit.
+type countingReader struct {
+	r     io.Reader
+	total *atomic.Int64
+	// limit bounds the total; 0 sets no bound.
+	limit int64
+	read  int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.read += int64(n)
+	if total := c.total.Add(int64(n)); c.limit > 0 && total > c.limit {
+		return n, errTooManyBytes
+	}
+	return n, err
+}
+
+// release subtracts what was read from the total.
+func (c *countingReader) release() { c.total.Add(-c.read) }
+
 // serverConn is one connection. Its requests run concurrently; their responses
 // are written in the order of the requests.
 type serverConn struct {
@@ -122,7 +147,7 @@
 	case r.ContentLength > limits.BodyBytes:
 		return c.refuse(http.StatusRequestEntityTooLarge, "the request body exceeds the size limit")
 	case c.server.DeferContinue && expectsContinue:
-		c.writeInterim(http.StatusProcessing)
+		c.writeInterim(http.StatusProcessing, 0)
 	}
 	switch {
 	case r.Body == http.NoBody || r.ContentLength == 0:
@@ -130,7 +155,7 @@
 	case c.server.DeferContinue && expectsContinue:
 		return c.startDeferred(req, r, limits)
 	case expectsContinue:
-		c.writeInterim(http.StatusContinue)
+		c.writeInterim(http.StatusContinue, 0)
 	}
 	body, release, status := c.readBody(r, limits)
 	if status != 0 {
@@ -189,33 +214,41 @@
 // example because the caller disconnected. release subtracts the body from the
 // server's BufferedBytes.
 func (c *serverConn) readBody(r *http.Request, limits Limits) (body []byte, release func(), status int) {
-	size := r.ContentLength
-	if size < 0 {
-		size = 0
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	if r.ContentLength < 0 {
+		return c.readChunkedBody(r.Body, limits)
 	}
+	size := r.ContentLength
+	release = func() { c.server.BufferedBytes.Add(-size) }
 	if c.server.BufferedBytes.Add(size) > c.server.MaxBufferedBytes {
-		c.server.BufferedBytes.Add(-size)
+		release()
 		return nil, nil, http.StatusServiceUnavailable
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
-	var err error
-	if r.ContentLength >= 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(r.Body, min(limits.BodyBytes, c.server.MaxBufferedBytes)+1))
-		size = int64(len(body))
-		c.server.BufferedBytes.Add(size)
-		if err == nil && size > limits.BodyBytes {
-			status = http.StatusRequestEntityTooLarge
-		}
+	body = make([]byte, size)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		release()
+		return nil, nil, 0
+	}
+	return body, release, 0
+}
+
+// readChunkedBody is readBody for a body whose size is known only at its end. Its
+// bytes count as they arrive.
+func (c *serverConn) readChunkedBody(r io.Reader, limits Limits) (body []byte, release func(), status int) {
+	in := &countingReader{r: r, total: &c.server.BufferedBytes, limit: c.server.MaxBufferedBytes}
+	body, err := io.ReadAll(io.LimitReader(in, limits.BodyBytes+1))
+	switch {
+	case errors.Is(err, errTooManyBytes):
+		status = http.StatusServiceUnavailable
+	case err == nil && int64(len(body)) > limits.BodyBytes:
+		status = http.StatusRequestEntityTooLarge
 	}
 	if err != nil || status != 0 {
-		c.server.BufferedBytes.Add(-size)
+		in.release()
 		return nil, nil, status
 	}
-	return body, func() { c.server.BufferedBytes.Add(-size) }, 0
+	return body, in.release, 0
 }
 
 // startDeferred starts a request whose sender waits for 100 Continue before it
@@ -230,7 +263,8 @@
 	result := make(chan bodyResult, 1)
 	req.deferredBodySize = r.ContentLength
 	req.readDeferredBody = func() ([]byte, error) {
-		c.writeInterim(http.StatusContinue)
+		// The request itself is in the queue by now.
+		c.writeInterim(http.StatusContinue, 1)
 		close(requested)
 		out := <-result
 		return out.body, out.err
@@ -238,8 +272,7 @@
 	if !c.start(req, r.Close, nil, finished) {
 		return false
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	if _, err := c.br.Peek(1); err != nil {
+	if err := c.awaitDeferredBody(limits, finished); err != nil {
 		c.cancel()
 		result <- bodyResult{err: err}
 		return false
@@ -262,6 +295,24 @@
 	return c.watchDisconnect(finished)
 }
 
+// awaitDeferredBody waits for the first byte of a deferred body or of the next
+// request, at most for the idle timeout after the handler has finished or has asked
+// for the body. The handler itself has a deadline.
+func (c *serverConn) awaitDeferredBody(limits Limits, finished <-chan struct{}) error {
+	for ended := false; ; {
+		_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		_, err := c.br.Peek(1)
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || ended {
+			return err
+		}
+		select {
+		case <-finished:
+			ended = true
+		default:
+		}
+	}
+}
+
 // watchDisconnect waits until the only request is finished, and cancels it if
 // the caller disconnects. It returns false if the caller did.
 func (c *serverConn) watchDisconnect(finished chan struct{}) bool {
@@ -329,12 +380,13 @@
 }
 
 // writeInterim writes an interim response: 102 confirms that the request was
-// received, 100 asks for its body. If earlier requests are pending, it is
-// omitted, since it could precede the response to one of them.
-func (c *serverConn) writeInterim(status int) {
+// received, 100 asks for its body. queued is the number of requests in the queue
+// up to this one. If more are, earlier ones are pending, and it is omitted, since
+// it could precede the response to one of them.
+func (c *serverConn) writeInterim(status, queued int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) > 1 {
+	if len(c.queue) > queued {
 		return
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/conn/kvstore/rate_limited_store.go
+++ b/internal/conn/kvstore/rate_limited_store.go
@@ -135,11 +135,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reachable {
+	// A store that refuses calls beyond its rate is there: when it takes them again,
+	// no lease has lapsed and nobody has to hurry.
+	limited := OutcomeOf(err) == OutcomeRateLimited
+	if s.reachable && !limited {
 		slog.Warn(logPrefix+"lost", logs.FieldError, err.Error())
 		s.unreachableSince = time.Now()
 	}
-	s.reachable = false
+	s.reachable = s.reachable && limited
 	wait := min(s.MaxBackoff, initialBackoff<<min(s.failures, 16))
 	s.failures++
 	s.backoffUntil = time.Now().Add(rand.N(wait))
@@ -236,6 +239,13 @@
 		return
 	}
 	r.cancel()
+	if s.sharedReads[readKey] == r {
+		s.forgetReadLocked(readKey)
+	}
+}
+
+// forgetReadLocked makes later reads start anew. The caller holds mu.
+func (s *RateLimitedStore) forgetReadLocked(readKey string) {
 	s.readGroup.Forget(readKey)
 	delete(s.sharedReads, readKey)
 }
@@ -263,7 +273,11 @@
 // CompareAndSwap implements Store. A Get that starts after it returns does not
 // share the call of a Get that started before.
 func (s *RateLimitedStore) CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte, lease string) (Entry, error) {
-	defer s.readGroup.Forget("get " + key)
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.forgetReadLocked("get " + key)
+	}()
 	return limitedCall(ctx, s, "cas", key, func() (Entry, error) {
 		return s.store.CompareAndSwap(ctx, key, revision, value, lease)
 	})
--- a/internal/conn/kvstore/rate_limited_store_test.go
+++ b/internal/conn/kvstore/rate_limited_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,3 +90,81 @@
 		}
 	})
 }
+
+// A store that refuses calls beyond its rate has not been away: the nodes must not
+// renew their leases together when it takes calls again.
+func TestRateLimitOfTheStoreIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(1)
+		limited := kvstore.NewRateLimitedStore(s, 100)
+		limited.MaxBackoff = 50 * time.Millisecond
+		recoveries := 0
+		limited.OnRecovery = func(time.Duration) { recoveries++ }
+		get := func() error {
+			_, err := limited.Get(context.Background(), "k")
+			return err
+		}
+		if err := get(); err != nil {
+			t.Fatal(err)
+		}
+		s.SetFaults(store.Faults{ReadsPerSecond: 1})
+		for range 5 {
+			_ = get()
+		}
+		if err := get(); kvstore.OutcomeOf(err) != kvstore.OutcomeRateLimited {
+			t.Fatalf("error %v, want the rate limit", err)
+		}
+		if !limited.Reachable() {
+			t.Error("the store counts as out of reach")
+		}
+		time.Sleep(3 * time.Second)
+		s.SetFaults(store.Faults{})
+		if err := get(); err != nil || recoveries != 0 {
+			t.Errorf("error %v, %d recoveries reported, want none", err, recoveries)
+		}
+	})
+}
+
+// slowStore never answers its first read, and takes two seconds for later ones.
+type slowStore struct {
+	*store.Store
+	reads atomic.Int64
+}
+
+func (s *slowStore) Get(ctx context.Context, key string) (kvstore.Entry, error) {
+	if s.reads.Add(1) == 1 {
+		<-ctx.Done()
+		return kvstore.Entry{}, &kvstore.Error{Outcome: kvstore.OutcomeUnknown, Err: ctx.Err()}
+	}
+	select {
+	case <-ctx.Done():
+		return kvstore.Entry{}, &kvstore.Error{Outcome: kvstore.OutcomeUnknown, Err: ctx.Err()}
+	case <-time.After(2 * time.Second):
+		return s.Store.Get(ctx, key)
+	}
+}
+
+// A read that starts after a write must not end with the deadline of a read that
+// started before it.
+func TestReadAfterAWriteHasItsOwnDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := kvstore.NewRateLimitedStore(&slowStore{Store: store.New(1)}, 100)
+		early, cancelEarly := context.WithTimeout(context.Background(), time.Second)
+		defer cancelEarly()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = limited.Get(early, "k")
+		}()
+		time.Sleep(500 * time.Millisecond)
+		if _, err := limited.CompareAndSwap(context.Background(), "k", 0, []byte("v"), ""); err != nil {
+			t.Fatal(err)
+		}
+		late, cancelLate := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancelLate()
+		if e, err := limited.Get(late, "k"); err != nil || string(e.Value) != "v" {
+			t.Errorf("%q, %v", e.Value, err)
+		}
+		<-done
+	})
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -36,8 +36,11 @@
 // Log is a queue of lines in front of an output. It is an io.Writer for slog
 // handlers; each Write is one line.
 type Log struct {
-	out     io.Writer
-	lines   chan []byte
+	out   io.Writer
+	lines chan []byte
+	// closing is closed by Close. lines stays open, since other goroutines may
+	// still write while the process ends.
+	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
 	limiter *rate.Limiter
@@ -50,7 +53,7 @@
 // New returns a Log that writes to out in its own goroutine until Close.
 func New(out io.Writer) *Log {
 	l := &Log{
-		out: out, lines: make(chan []byte, queueLines), done: make(chan struct{}),
+		out: out, lines: make(chan []byte, queueLines), closing: make(chan struct{}), done: make(chan struct{}),
 		limiter: rate.NewLimiter(requestLinesPerSecond, requestLineBurst),
 	}
 	go l.drain()
@@ -81,7 +84,7 @@
 
 // Close writes the queued lines, for at most flushTimeout.
 func (l *Log) Close() {
-	l.once.Do(func() { close(l.lines) })
+	l.once.Do(func() { close(l.closing) })
 	select {
 	case <-l.done:
 	case <-time.After(flushTimeout):
@@ -90,9 +93,27 @@
 
 func (l *Log) drain() {
 	defer close(l.done)
-	for line := range l.lines {
-		// A failed write cannot be reported, since this is the log's output.
-		_, _ = l.out.Write(line)
+	for {
+		select {
+		case line := <-l.lines:
+			// A failed write cannot be reported, since this is the log's output.
+			_, _ = l.out.Write(line)
+		case <-l.closing:
+			l.flush()
+			return
+		}
+	}
+}
+
+// flush writes the lines that are queued.
+func (l *Log) flush() {
+	for {
+		select {
+		case line := <-l.lines:
+			_, _ = l.out.Write(line)
+		default:
+			return
+		}
 	}
 }
 
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -132,3 +132,21 @@
 		return true
 	})
 }
+
+// Goroutines that outlive Close may still write; that must not end the process with a
+// panic in the midst of its shutdown.
+func TestWriteAfterCloseIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out)
+	if _, err := l.Write([]byte("before\n")); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if _, err := l.Write([]byte("after\n")); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if out.String() != "before\n" {
+		t.Errorf("written: %q", out.String())
+	}
+}
