--- a/internal/process/orders/borders_test.go
+++ b/internal/process/orders/borders_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/internal/version/ramp"
@@ -192,3 +193,32 @@
 		t.Error("the second node does not take over")
 	}
 }
+
+// While two collectors of a data centre publish, around a hand-over, its runs must be
+// counted once.
+func TestSumsOfTwoCollectorsCountOnce(t *testing.T) {
+	f := newCountingFleet(30)
+	m := f.managers[0]
+	m.AddOrder(ramp.Order{Service: "s", Target: "v2", Revision: 9, Duration: 20 * time.Second}, time.Now())
+	f.deliver()
+	for i, collector := range []string{"10.1.0.1:7600", "10.1.0.6:7600"} {
+		var counts ramp.Tally
+		counts.Failed = uint32(5 + i)
+		counts.Latencies[3] = uint32(10 + i)
+		item, err := wire.Marshal(dataCentreSums{
+			Collector: collector, Incarnation: 1, Sequence: 1, DataCentre: "dc-1", Service: "s", Revision: 9,
+			Versions: map[string]map[string]ramp.Tally{"v2": {"r": counts}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if changed, err := (SumsTopic{m}).Merge(item); err != nil || !changed {
+			t.Fatal(changed, err)
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, newer := m.rollouts["s"].totals(); newer["r"].Failed != 6 || newer["r"].Runs() != 11 {
+		t.Errorf("%d of %d runs failed, want 6 of 11, those of the collector that counted most", newer["r"].Failed, newer["r"].Runs())
+	}
+}
--- a/internal/request/gate/limit.go
+++ b/internal/request/gate/limit.go
@@ -138,10 +138,7 @@
 func (l *ConcurrencyLimit) compareToBaseline(route string, runTime float64) float64 {
 	baseline, ok := l.baseline[route]
 	if !ok {
-		if l.baseline == nil || len(l.baseline) >= maxRoutes {
-			l.baseline = map[string]float64{}
-		}
-		l.baseline[route] = runTime
+		l.addBaseline(route, runTime)
 		return 1
 	}
 	weight := baselineRiseWeight
@@ -155,6 +152,21 @@
 	return runTime / baseline
 }
 
+// addBaseline adds a route. If there are too many, another one, whichever comes first
+// in the map's order, makes room: all others keep their evidence.
+func (l *ConcurrencyLimit) addBaseline(route string, runTime float64) {
+	if l.baseline == nil {
+		l.baseline = map[string]float64{}
+	}
+	if len(l.baseline) >= maxRoutes {
+		for other := range l.baseline {
+			delete(l.baseline, other)
+			break
+		}
+	}
+	l.baseline[route] = runTime
+}
+
 // adjust changes the limit at the end of a window.
 func (l *ConcurrencyLimit) adjust() {
 	ceiling := float64(l.ceiling)
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,8 @@
 	proxy    *Proxy
 	listener net.Listener
 	starts   int
+	// endless makes responses bytes without end.
+	endless atomic.Bool
 
 	mu sync.Mutex
 	// running is the current incarnation; nil between two of them.
@@ -179,6 +182,9 @@
 		b.checker.addLateRequest(b, id, arrived.Sub(time.Unix(0, acked)))
 	}
 	b.checker.addRun(id, r.URL.Path, b)
+	if b.endless.Load() {
+		writeEndlessly(w, rand.IntN(2) == 0)
+	}
 	time.Sleep(time.Duration(rand.Int64N(int64(maxWorkTime))))
 	if b.current() != up {
 		panic(http.ErrAbortHandler)
@@ -187,6 +193,25 @@
 	_, _ = io.WriteString(w, expectedBody(id))
 }
 
+// writeEndlessly writes a body, or a header if inHeader is set, that ends only with the
+// connection.
+func writeEndlessly(w http.ResponseWriter, inHeader bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	part := "X-Line: " + strings.Repeat("a", 1<<12) + "\r\n"
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	if !inHeader && err == nil {
+		_, err = io.WriteString(conn, "Connection: close\r\n\r\n")
+	}
+	for err == nil {
+		_, err = io.WriteString(conn, part)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // expectedBody is the complete response body to a request. With the id in it, a
 // caller notices a response that belongs to another request.
 func expectedBody(id string) string { return "whole answer to " + id }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/daisytide/daisytide/internal/conn/kvstore"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/internal/version/traffic"
 	"github.com/daisytide/daisytide/platform"
@@ -219,6 +221,36 @@
 	s.latestConfig.Store(int64(s.configNumber))
 }
 
+// oddEntries are keys and values that another writer may leave in the store.
+var oddEntries = []struct{ key, value string }{
+	{kvstore.PrefixNodes + "10.255.0.1:65536", "\xa5\x01\x70" + "10.255.0.1:65536" + "\x03\x62c0\x05\x01\x06\x00\x07\x01"},
+	{kvstore.PrefixNodes + "deep", strings.Repeat("\x81", 100_000)},
+	{kvstore.PrefixNodes + "json", `{"address":"10.255.0.2:7600","state":1e400}`},
+	{kvstore.PrefixNodes + "empty", ""},
+	{platform.PrefixRolloutOrder + "s0", `{"service":"s0","target_version":"v1","ramp_s":-1}`},
+	{platform.PrefixRolloutOrder + "s1", strings.Repeat(`{"service":`, 100_000)},
+}
+
+// putOddEntry writes an odd entry to the store and deletes it after d.
+func (s *soak) putOddEntry(ctx context.Context, d time.Duration) {
+	odd := oddEntries[s.rng.IntN(len(oddEntries))]
+	e, err := s.store.CompareAndSwap(ctx, odd.key, 0, []byte(odd.value), "")
+	if err != nil {
+		s.options.Logf("the odd entry %s is not written: %v", odd.key, err)
+		return
+	}
+	s.faultEnds.Go(func() {
+		sleep(ctx, d)
+		for ctx.Err() == nil {
+			_, err := s.store.CompareAndSwap(ctx, odd.key, e.Revision, nil, "")
+			if err == nil || kvstore.OutcomeOf(err) == kvstore.OutcomeConflict {
+				return
+			}
+			sleep(ctx, 50*time.Millisecond)
+		}
+	})
+}
+
 // injectFault starts one random fault; it ends in the background.
 func (s *soak) injectFault(ctx context.Context) {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
@@ -283,8 +315,11 @@
 		"backend silent":  disturbAndDelay(func() { h.backend.proxy.Blackhole(true, true) }, noop),
 		"backend one way": disturbAndDelay(func() { h.backend.proxy.Blackhole(false, true) }, noop),
 		"backend crashes": disturb(h.backend.crash, h.backend.start),
-		"backend leaves":  func() { s.faultEnds.Go(func() { h.backend.drainAndRestart(ctx, false) }) },
-		"backend goes":    func() { s.faultEnds.Go(func() { h.backend.drainAndRestart(ctx, true) }) },
-		"configuration":   func() { s.applyNextConfig(ctx) },
+		"backend endless": disturbAndDelay(func() { h.backend.endless.Store(true) }, func() { h.backend.endless.Store(false) }),
+		// Entries of another writer are no disturbance: the guarantees hold throughout.
+		"odd entry":      func() { s.putOddEntry(ctx, d) },
+		"backend leaves": func() { s.faultEnds.Go(func() { h.backend.drainAndRestart(ctx, false) }) },
+		"backend goes":   func() { s.faultEnds.Go(func() { h.backend.drainAndRestart(ctx, true) }) },
+		"configuration":  func() { s.applyNextConfig(ctx) },
 	}
 }
