--- a/internal/process/operated/fuzz_peers_test.go
+++ b/internal/process/operated/fuzz_peers_test.go
@@ -17,6 +17,7 @@
 	"github.com/daisytide/daisytide/internal/process/settings"
 	"github.com/daisytide/daisytide/internal/request/quarantine"
 	"github.com/daisytide/daisytide/internal/standin/store"
+	"github.com/daisytide/daisytide/internal/version/delta"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/ramp"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
@@ -171,13 +172,19 @@
 	first, second := fuzzSnapshot(f, 7), fuzzSnapshot(f, 8)
 	serving.holder.StoreIfNewer(first)
 	serving.holder.StoreIfNewer(second)
+	compressed, err := delta.Compress(second.Envelope)
+	if err != nil {
+		f.Fatal(err)
+	}
 	messages := []*link.Message{
 		{Hello: &link.Hello{Protocol: link.ProtocolVersion, Self: membership.Record{Address: "10.0.0.4:7600", State: membership.Alive}}},
 		{Digest: &link.Digest{ConfigNumber: 9, Checksums: map[string]uint64{membership.TopicName: 1, orders.CountsTopicName: 2, orders.StateTopicName: 3}}},
 		{ConfigAnnouncement: &link.ConfigAnnouncement{Number: 9, Hash: second.Hash, Size: len(second.Envelope)}},
 		{ConfigRequest: &link.ConfigRequest{}},
 		{ConfigRequest: &link.ConfigRequest{Number: 8, Base: 7}},
+		{ConfigRequest: &link.ConfigRequest{Number: 8, Compressed: true}},
 		{ConfigBody: &link.ConfigBody{Number: 8, Hash: second.Hash, Full: second.Envelope}},
+		{ConfigBody: &link.ConfigBody{Number: 9, Hash: second.Hash, Compressed: compressed}},
 		{ConfigBody: &link.ConfigBody{Number: 9, Hash: second.Hash, Base: 8, Delta: []byte{1, 'a', 0, 5}}},
 		{Refusal: &link.Refusal{Code: api.PeerBusy, Alternatives: []string{"10.0.0.5:7600"}}},
 		{BucketChecksums: &link.BucketChecksums{Topic: membership.TopicName, Checksums: []uint64{1, 2, 3}}},
