--- a/internal/process/gossip/handlers_test.go
+++ b/internal/process/gossip/handlers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -131,3 +132,56 @@
 		}
 	}
 }
+
+// The watchers of each data centre read a new configuration from the store, so that a
+// node must not fetch it across a border while its own data centre is about to have it.
+func TestConfigurationIsPulledWithinTheDataCentre(t *testing.T) {
+	const inside, outside, wait = "10.0.0.2:1", "10.1.0.2:1", 200 * time.Millisecond
+	now := time.Unix(1000, 0)
+	transfer := newConfigTransfer()
+	transfer.recordOffer(inside, 6, false, 0, now)
+	transfer.recordOffer(outside, 7, true, wait, now)
+	if peer, _, ok := transfer.startPull(6, now); ok {
+		t.Errorf("pulls from %s at once, want a wait for the own data centre", peer)
+	}
+	transfer.recordOffer(outside, 7, true, wait, now.Add(wait/2))
+	if peer, number, ok := transfer.startPull(6, now.Add(wait)); !ok || peer != outside || number != 7 {
+		t.Errorf("pulls %d from %q after the wait, want 7 from the other data centre", number, peer)
+	}
+
+	transfer = newConfigTransfer()
+	transfer.recordOffer(outside, 7, true, wait, now)
+	if peer, _, ok := transfer.startPull(0, now); !ok || peer != outside {
+		t.Errorf("pulls from %q, want the other data centre at once: nobody in the own one holds a configuration", peer)
+	}
+
+	transfer = newConfigTransfer()
+	transfer.recordOffer(outside, 7, true, 0, now)
+	transfer.recordOffer(inside, 7, false, 0, now)
+	if peer, _, _ := transfer.startPull(6, now.Add(wait)); peer != inside {
+		t.Errorf("pulls from %q, want the own data centre when both hold the number", peer)
+	}
+}
+
+// A joiner receives the whole member table over its first link; that must not cross a
+// border if a member of the own data centre is known.
+func TestJoinerDialsItsOwnDataCentreFirst(t *testing.T) {
+	for seed := range uint64(20) {
+		members := membership.NewTable()
+		for i, dc := range []string{"a", "b", "b", "b", "b", "c", "c"} {
+			members.Merge(membership.Record{Address: fmt.Sprintf("10.0.0.%d:1", i+1), DataCentre: dc, Incarnation: 1, State: membership.Alive})
+		}
+		m := NewManager(Config{
+			Self:    func() membership.Record { return membership.Record{Address: "10.0.0.99:1", DataCentre: "a"} },
+			Members: members, SeedAddresses: func() []string { return []string{"10.0.0.2:1", "10.0.0.6:1"} }, RandomSeed: seed + 1,
+		})
+		now := time.Unix(1000, 0)
+		if a := m.extraDialLocked(now); a != "10.0.0.1:1" {
+			t.Errorf("seed %d: dials %s first, want the member of its data centre", seed, a)
+		}
+		m.dials.recordFailure("10.0.0.1:1", 1, 0, now)
+		if a := m.extraDialLocked(now.Add(bootstrapInterval)); a == "" {
+			t.Errorf("seed %d: dials nobody after the member of its data centre failed", seed)
+		}
+	}
+}
