End the wait for a deferred body that never comes

Cause: had the wait for a deferred body go on past the idle timeout until the handler has finished, and overlooked that the handler itself waits for the body: a sender that was asked for it and fell silent, without closing, held the handler and its share of the link for ever.

Change: once the body is requested the wait ends with the idle timeout.

--- a/internal/conn/h1/body_test.go
+++ b/internal/conn/h1/body_test.go
@@ -108,3 +108,28 @@
 		t.Errorf("%+v, %v", resp, err)
 	}
 }
+
+// A sender that was asked for its body and stays silent, on a connection that is never
+// closed, must not keep the handler waiting beyond the idle timeout.
+func TestDeferredBodyThatNeverComesEndsTheWait(t *testing.T) {
+	limits := testLimits
+	limits.IdleTimeout = 50 * time.Millisecond
+	read := make(chan error, 1)
+	address := startServer(t, &Server{DeferContinue: true, Limits: func() Limits { return limits }, Handler: func(_ context.Context, r *Request) *Response {
+		_, err := r.ReadBody()
+		read <- err
+		return textResponse(http.StatusOK, "")
+	}})
+	conn, _ := dialServer(t, address)
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-read:
+		if err == nil {
+			t.Error("a body was read that was never sent")
+		}
+	case <-time.After(testTimeout / 2):
+		t.Error("the handler still waits for the body")
+	}
+}
--- a/internal/conn/h1/server_conn.go
+++ b/internal/conn/h1/server_conn.go
@@ -272,7 +272,7 @@
 	if !c.start(req, r.Close, nil, finished) {
 		return false
 	}
-	if err := c.awaitDeferredBody(limits, finished); err != nil {
+	if err := c.awaitDeferredBody(limits, requested, finished); err != nil {
 		c.cancel()
 		result <- bodyResult{err: err}
 		return false
@@ -298,7 +298,7 @@
 // awaitDeferredBody waits for the first byte of a deferred body or of the next
 // request, at most for the idle timeout after the handler has finished or has asked
 // for the body. The handler itself has a deadline.
-func (c *serverConn) awaitDeferredBody(limits Limits, finished <-chan struct{}) error {
+func (c *serverConn) awaitDeferredBody(limits Limits, requested, finished <-chan struct{}) error {
 	for ended := false; ; {
 		_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 		_, err := c.br.Peek(1)
@@ -306,6 +306,8 @@
 			return err
 		}
 		select {
+		case <-requested:
+			ended = true
 		case <-finished:
 			ended = true
 		default:
