--- a/review/standin/extra_answer.go
+++ b/review/standin/extra_answer.go
@@ -22,11 +22,21 @@
 	extraEvery = 2
 	// extraTime is how long that lasts, as in the site file.
 	extraTime = 5 * time.Second
+	// strayEvery: one in so many answers is followed by stray bytes.
+	strayEvery = 40
+	// strayBytes are bytes that belong to no request.
+	strayBytes = "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\nthis belongs to nobody"
 )
 
-// extraAnswer: one of two backends sends some of its answers a second time, late, at the
+// extraAnswer: one of two backends sends some of the answers with which it sheds a
+// second time, late, at the point where the next answer is expected.
+func extraAnswer(recordFile string) error { return answerCase(recordFile, false) }
+
+// strayAnswer: one of two backends sends stray bytes after some of its answers, at the
 // point where the next answer is expected.
-func extraAnswer(recordFile string) error {
+func strayAnswer(recordFile string) error { return answerCase(recordFile, true) }
+
+func answerCase(recordFile string, stray bool) error {
 	w, err := newWorld(recordFile, 2)
 	if err != nil {
 		return err
@@ -49,6 +59,7 @@
 		if err != nil {
 			return err
 		}
+		b.stray = stray
 		backends = append(backends, b)
 	}
 	if err := w.awaitReady(); err != nil {
@@ -58,6 +69,7 @@
 
 	var mu sync.Mutex
 	answers := map[string]answer{}
+	unsigned := &unsignedLog{record: w.record}
 	var clients sync.WaitGroup
 	traffic, stop := context.WithCancel(ctx)
 	for _, m := range w.machines {
@@ -66,9 +78,11 @@
 				for n := worker; traffic.Err() == nil; n++ {
 					id := newID()
 					if n%2 == 0 {
-						m.request(http.MethodGet, "ledger.example", fmt.Sprintf("/price/%d", n), id, nil)
+						a := m.request(http.MethodGet, "ledger.example", fmt.Sprintf("/price/%d", n), id, nil)
+						unsigned.check(a, id)
 					} else {
 						a := m.request(http.MethodPost, "ledger.example", fmt.Sprintf("/refund/%d", n), id, []byte("post this refund once"))
+						unsigned.check(a, id)
 						mu.Lock()
 						answers[id] = a
 						mu.Unlock()
@@ -105,12 +119,29 @@
 	}
 	w.record.add("requests that are not idempotent: %d; run more than once: %d; answered 503 or 429 though they have run: %d; answers of i-1: %d, extra ones: %d",
 		len(answers), twice, refused, backends[0].answers.Load(), backends[0].extras.Load())
+	w.record.add("successes without a Response-Signature: %d", unsigned.count.Load())
+	if n := unsigned.count.Load(); n > 0 {
+		return broken{fmt.Sprintf("MIXED: clients got %d successes without a Response-Signature", n)}
+	}
 	if twice+refused > 0 {
 		return broken{fmt.Sprintf("TWICE: %d of %d requests that are not idempotent ran more than once; REFUSED: %d were answered 503 though they had run", twice, len(answers), refused)}
 	}
 	return nil
 }
 
+// unsignedLog counts the successes that bear no backend's signature.
+type unsignedLog struct {
+	record *record
+	count  atomic.Int64
+}
+
+func (l *unsignedLog) check(a answer, id string) {
+	if a.err == nil && a.status/100 == 2 && a.signature == "" {
+		l.count.Add(1)
+		l.record.add("request %s got a success without a signature: %s", id, a)
+	}
+}
+
 // runLog counts the runs of each request.
 type runLog struct {
 	record *record
@@ -137,7 +168,9 @@
 	machine  *machine
 	reporter *reporter
 	runs     *runLog
-	// extra makes it send some answers a second time.
+	// extra makes it send some answers a second time or, with stray, stray bytes after
+	// some answers.
+	stray                            bool
 	extra                            atomic.Bool
 	requests, sheds, answers, extras atomic.Int64
 }
@@ -175,7 +208,7 @@
 			return
 		}
 		if again != nil {
-			b.runs.record.add("backend %s: sends its last answer on this connection again, before that to request %s", b.reporter.id, r.Header.Get("Request-Id"))
+			b.runs.record.add("backend %s: sends %.12q before its answer to request %s", b.reporter.id, again, r.Header.Get("Request-Id"))
 			b.extras.Add(1)
 			_, _ = conn.Write(again)
 			again = nil
@@ -185,7 +218,11 @@
 		if _, err := conn.Write(text); err != nil {
 			return
 		}
-		if shed && b.extra.Load() && b.sheds.Add(1)%extraEvery == 0 {
+		switch {
+		case !b.extra.Load():
+		case b.stray && b.answers.Load()%strayEvery == 0:
+			again = []byte(strayBytes)
+		case !b.stray && shed && b.sheds.Add(1)%extraEvery == 0:
 			again = text
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 
 var cases = map[string]func(record string) error{
 	"extra-answer":   extraAnswer,
+	"stray-answer":   strayAnswer,
 	"late-heartbeat": lateHeartbeat,
 }
 
