--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 	"extra-answer":   extraAnswer,
 	"stray-answer":   strayAnswer,
 	"late-heartbeat": lateHeartbeat,
+	"odd-heartbeat":  oddHeartbeat,
 }
 
 func main() {
