--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # module has no dependencies.
 set -euo pipefail
 cd "$(dirname "$0")"
-GOFLAGS="${GOFLAGS:-} -mod=mod" go build -o ../target/review-standin ./standin
+go build -buildvcs=false -o ../target/review-standin ./standin
--- a/review/standin/extra_answer.go
+++ b/review/standin/extra_answer.go
@@ -36,6 +36,8 @@
 // point where the next answer is expected.
 func strayAnswer(recordFile string) error { return answerCase(recordFile, true) }
 
+// answerCase is the run of both cases. Clients of two machines send requests that are
+// idempotent and such that aren't.
 func answerCase(recordFile string, stray bool) error {
 	w, err := newWorld(recordFile, 2)
 	if err != nil {
@@ -55,11 +57,10 @@
 		if err != nil {
 			return err
 		}
-		b, err := startWireBackend(ctx, m, fmt.Sprintf("i-%d", n), runs)
+		b, err := startWireBackend(ctx, m, fmt.Sprintf("i-%d", n), runs, stray)
 		if err != nil {
 			return err
 		}
-		b.stray = stray
 		backends = append(backends, b)
 	}
 	if err := w.awaitReady(); err != nil {
@@ -175,12 +176,12 @@
 	requests, sheds, answers, extras atomic.Int64
 }
 
-func startWireBackend(ctx context.Context, m *machine, id string, runs *runLog) (*wireBackend, error) {
+func startWireBackend(ctx context.Context, m *machine, id string, runs *runLog, stray bool) (*wireBackend, error) {
 	l, err := net.Listen("tcp", m.at(portApp))
 	if err != nil {
 		return nil, err
 	}
-	b := &wireBackend{machine: m, reporter: newReporter(m, id, 12), runs: runs}
+	b := &wireBackend{machine: m, reporter: newReporter(m, id, 12), runs: runs, stray: stray}
 	go func() {
 		for {
 			conn, err := l.Accept()
