--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -126,8 +126,8 @@
 	attempts                          int
 }
 
-// configure writes a configuration as the operator.
-func (w *world) configure(version int, services []string, routes []route) {
+// configure writes a configuration as the operator and returns its size.
+func (w *world) configure(version int, services []string, routes []route) int {
 	out := map[string]any{"version": fmt.Sprintf("%08x", version), "limits": map[string]any{
 		"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15,
 	}}
@@ -144,7 +144,8 @@
 	out["services"], out["routes"] = s, r
 	text, _ := json.Marshal(out)
 	w.store.write("op/config", text)
-	w.record.add("operator: configuration %08x acknowledged", version)
+	w.record.add("operator: configuration %08x of %d bytes acknowledged", version, len(text))
+	return len(text)
 }
 
 // machine is one machine of the platform: the node's process and the backend beside
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,10 +13,11 @@
 )
 
 var cases = map[string]func(record string) error{
-	"extra-answer":   extraAnswer,
-	"stray-answer":   strayAnswer,
-	"late-heartbeat": lateHeartbeat,
-	"odd-heartbeat":  oddHeartbeat,
+	"extra-answer":        extraAnswer,
+	"stray-answer":        strayAnswer,
+	"large-configuration": largeConfiguration,
+	"late-heartbeat":      lateHeartbeat,
+	"odd-heartbeat":       oddHeartbeat,
 }
 
 func main() {
