Keep the departure of an upstream across restarts of its node

A request that runs there when the upstream exits is lost.

Cause: the departure was kept in the memory of the node's process only. The next process knew no instance and took a heartbeat that was sent before the departure and arrived after the restart for news. The lines "instance changed" show it: down with start 5 and sequence 1 before the restart, ready with start 5 and sequence 100 after.

Change: package departures. A departure is written to the store under a lease and spread to all nodes, and is acknowledged when the store has it or, if the store does not answer within 0.5 s, when a peer has it. A node that starts reads it back from the store and from peers before it uses an upstream; ready reports wait meanwhile.

Why it works: whatever acknowledged the departure outlives the process, and both places are asked before any report can make an instance ready. A departure bars its own start and earlier ones, so a new start under the same id is used at once.

--- a/internal/conn/kvstore/store.go
+++ b/internal/conn/kvstore/store.go
@@ -147,6 +147,9 @@
 	PrefixRollouts = "daisytide/moves/"
 	// PrefixNodes holds one leased entry per live node.
 	PrefixNodes = "daisytide/nodes/"
+	// PrefixDepartures holds, per node, one leased entry with the latest departure of
+	// the upstream beside it.
+	PrefixDepartures = "daisytide/departures/"
 	// PrefixGates holds, per service, the roster of gates that may run calls with
 	// an idempotency key.
 	PrefixGates = "daisytide/gates/"
--- /dev/null
+++ b/internal/process/departures/keeper.go
@@ -0,0 +1,248 @@
+package departures
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/kvstore"
+	"github.com/daisytide/daisytide/internal/conn/rpc"
+	"github.com/daisytide/daisytide/internal/conn/wire"
+	"github.com/daisytide/daisytide/internal/ctxtime"
+)
+
+const logPrefix = "departures: "
+
+// RPC methods between nodes.
+const (
+	// MethodHold asks a peer to hold a departure.
+	MethodHold = "departure-hold"
+	// MethodRecall asks a peer for the departure beside the calling node.
+	MethodRecall = "departure-recall"
+)
+
+// Timeouts and limits of recording a departure. The first two together are less
+// than the second that an upstream waits for an acknowledgement.
+const (
+	// storeWriteTimeout is how long an acknowledgement waits for the store before
+	// peers are asked to hold the departure. The write goes on meanwhile.
+	storeWriteTimeout = 500 * time.Millisecond
+	// peerHoldTimeout is how long it then waits for a peer.
+	peerHoldTimeout = 300 * time.Millisecond
+	// storeCallTimeout bounds one attempt to write a departure.
+	storeCallTimeout = 2 * time.Second
+	// maxPeersAsked is the number of peers that are asked at a time.
+	maxPeersAsked = 3
+	// storeRetryInterval is the mean time between two calls to a store that is away.
+	storeRetryInterval = 1200 * time.Millisecond
+)
+
+// Publisher publishes an item to the other nodes; gossip.Manager implements it.
+type Publisher interface {
+	Publish(topic string, item []byte)
+}
+
+// Keeper records the departures beside this node and reads back those of earlier
+// processes of the node.
+type Keeper struct {
+	// Self is this node's peer address.
+	Self      string
+	Store     kvstore.Store
+	Set       *Set
+	Publisher Publisher
+	RPC       rpc.Invoker
+	// Peers returns the known addresses of other nodes.
+	Peers func() []string
+	// FirstStart is set when the whole fleet starts for the first time, so that nothing
+	// has left before.
+	FirstStart bool
+	// OnRecalled is called once, when the departures of earlier processes are known.
+	OnRecalled func()
+
+	startedAt time.Time
+	// complete is set when this process can't have missed a departure of the fleet.
+	complete atomic.Bool
+	// ctx is the lifetime of the writes to the store.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// held is the latest departure that the store or a peer is known to hold.
+	held Departure
+	// pending is the write in progress, nil if there is none.
+	pending *storeWrite
+	// revision is the revision of this node's key in the store as known here.
+	revision uint64
+}
+
+// storeWrite is the write of one departure to the store; done is closed when the
+// store has it.
+type storeWrite struct {
+	departure Departure
+	done      chan struct{}
+}
+
+// Start prepares a keeper whose exported fields are set.
+func (k *Keeper) Start() {
+	k.startedAt = time.Now()
+	k.complete.Store(k.FirstStart)
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+}
+
+// Run reads back the departures of earlier processes and ends with ctx.
+func (k *Keeper) Run(ctx context.Context) error {
+	defer k.cancel()
+	k.recall(ctx)
+	<-ctx.Done()
+	return nil
+}
+
+// Record makes a departure outlive this process. It returns nil when the store holds
+// the departure, or a peer does if the store does not answer in time; the write to
+// the store goes on in that case. After an error the departure must not be
+// acknowledged, since nothing but this process may know of it.
+func (k *Keeper) Record(ctx context.Context, d Departure) error {
+	if k.holds(d) {
+		return nil
+	}
+	k.Set.add(d)
+	k.publish(d)
+	timer := time.NewTimer(storeWriteTimeout)
+	defer timer.Stop()
+	select {
+	case <-k.startWrite(d).done:
+	case <-timer.C:
+		if err := k.holdAtPeers(ctx, d); err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return api.Errorf(api.StoreNotReached, "record the departure of %q: %w", d.Instance, ctx.Err())
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if d.compare(k.held) > 0 {
+		k.held = d
+	}
+	return nil
+}
+
+// holds reports whether the store or a peer is known to hold d or a later departure.
+func (k *Keeper) holds(d Departure) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// Each report of an instance of unknown start would be a later departure.
+	repeated := d.StartedMillis == 0 && k.held.StartedMillis == 0 && d.Instance == k.held.Instance
+	return repeated || d.compare(k.held) <= 0
+}
+
+func (k *Keeper) publish(d Departure) {
+	item, err := wire.Marshal(d)
+	if err != nil {
+		klog.Errorf(logPrefix+"encode the departure of %q: %v", d.Instance, err)
+		return
+	}
+	k.Publisher.Publish(TopicName, item)
+}
+
+// startWrite starts writing a departure to the store, unless a write of it or of a
+// later one is in progress.
+func (k *Keeper) startWrite(d Departure) *storeWrite {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.pending == nil || d.compare(k.pending.departure) > 0 {
+		k.pending = &storeWrite{departure: d, done: make(chan struct{})}
+		go k.writeUntilStored(k.pending)
+	}
+	return k.pending
+}
+
+// writeUntilStored tries to write a departure until the store has it, a later one
+// takes its place, it expires or the node stops.
+func (k *Keeper) writeUntilStored(w *storeWrite) {
+	lease := kvstore.Lease{}
+	for k.ctx.Err() == nil && k.isPending(w) && time.Now().Unix() < w.departure.ExpiresUnix {
+		var err error
+		if lease, err = k.write(w.departure, lease); err == nil {
+			close(w.done)
+			return
+		}
+		if kvstore.OutcomeOf(err) == kvstore.OutcomeConflict {
+			continue
+		}
+		klog.V(1).Infof(logPrefix+"write the departure of %q: %v", w.departure.Instance, err)
+		ctxtime.Sleep(k.ctx, jittered(storeRetryInterval))
+	}
+}
+
+func (k *Keeper) isPending(w *storeWrite) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pending == w
+}
+
+// write makes one attempt to write a departure under a lease, which is granted unless
+// an earlier attempt left one. After a conflict the next attempt uses the revision
+// that the store holds; an entry that is as late, such as one whose reply was lost,
+// counts as written.
+func (k *Keeper) write(d Departure, lease kvstore.Lease) (kvstore.Lease, error) {
+	ctx, cancel := context.WithTimeout(k.ctx, storeCallTimeout)
+	defer cancel()
+	if lease.ID == "" {
+		var err error
+		if lease, err = k.Store.Grant(ctx, TTL); err != nil {
+			return kvstore.Lease{}, err
+		}
+	}
+	value, err := wire.Marshal(d)
+	if err != nil {
+		return lease, err
+	}
+	k.mu.Lock()
+	revision := k.revision
+	k.mu.Unlock()
+	e, err := k.Store.CompareAndSwap(ctx, k.key(k.Self), revision, value, lease.ID)
+	var conflict *kvstore.Error
+	switch {
+	case errors.As(err, &conflict) && conflict.Outcome == kvstore.OutcomeConflict:
+		e = conflict.Current
+		if current, decodeErr := decodeEntry(e, d.Node); decodeErr == nil && d.compare(current) <= 0 {
+			err = nil
+		}
+	case kvstore.OutcomeOf(err) == kvstore.OutcomeRefused:
+		// The lease has ended.
+		return kvstore.Lease{}, err
+	}
+	if err != nil && conflict == nil {
+		return lease, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision = e.Revision
+	return lease, err
+}
+
+func (k *Keeper) key(node string) string { return kvstore.PrefixDepartures + node }
+
+// decodeEntry decodes the entry of a node. An absent entry gives an error.
+func decodeEntry(e kvstore.Entry, node string) (Departure, error) {
+	var d Departure
+	if err := wire.Unmarshal(e.Value, &d); err != nil {
+		return d, err
+	}
+	if err := d.validate(); err != nil {
+		return d, err
+	}
+	if d.Node != node {
+		return d, api.Errorf(api.StoreCorrupt, "the entry of %s names the node %.40q", node, d.Node)
+	}
+	return d, nil
+}
+
+// jittered returns a random duration that differs from d by at most a quarter.
+func jittered(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2) }
--- a/internal/process/localupstream/tracker.go
+++ b/internal/process/localupstream/tracker.go
@@ -45,6 +45,62 @@
 
 	mu      sync.Mutex
 	current *egress.Instance
+	// holding is set while reports of a ready instance are held back, and heldReport
+	// is the latest of them, if any.
+	holding    bool
+	heldReport *heldReport
+}
+
+// heldReport is a report that waits for Release.
+type heldReport struct {
+	report     Report
+	receivedAt time.Time
+}
+
+// HoldReady holds back reports of a ready instance until Release: a node that has
+// just started may not know yet that the instance has left. All other reports take
+// effect.
+func (t *Tracker) HoldReady() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holding = true
+}
+
+// Release ends HoldReady and applies the latest report that was held back.
+func (t *Tracker) Release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := t.heldReport
+	t.holding, t.heldReport = false, nil
+	if held != nil {
+		t.mergeLocked(held.report, held.receivedAt)
+	}
+}
+
+// RestoreDeparture applies the departure of an instance, which another process of
+// this node acknowledged at the given time. startedMillis is 0 if unknown.
+func (t *Tracker) RestoreDeparture(id string, startedMillis int64, leftAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := egress.Instance{ID: id, StartedMillis: startedMillis, Service: t.Service, Address: t.Address, State: api.UpstreamDown, ReportedAt: leftAt}
+	if c := t.current; c != nil {
+		latestStart := startedMillis
+		if startedMillis == 0 {
+			latestStart = leftAt.UnixMilli()
+		}
+		same := c.ID == id && (c.StartedMillis == startedMillis || startedMillis == 0 && c.StartedMillis <= latestStart)
+		switch {
+		case same && (c.State == api.UpstreamDown || c.State == api.UpstreamDraining):
+			return
+		case same:
+			next = *c
+			next.State = api.UpstreamDown
+		case c.StartedMillis >= latestStart:
+			// The current instance was started later.
+			return
+		}
+	}
+	t.setLocked(next)
 }
 
 // Current implements egress.Upstream.
@@ -71,9 +127,29 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.holding && r.State == api.UpstreamReady {
+		if held := t.heldReport; held == nil || r.supersedes(held.report) {
+			t.heldReport = &heldReport{report: r, receivedAt: now}
+		}
+		return nil
+	}
+	t.mergeLocked(r, now)
+	return nil
+}
+
+// supersedes reports whether r is of a later start than o, or later of the same.
+func (r Report) supersedes(o Report) bool {
+	if r.StartedMillis != o.StartedMillis {
+		return r.StartedMillis > o.StartedMillis
+	}
+	return r.Sequence > o.Sequence
+}
+
+// mergeLocked applies a report unless it is outdated; the caller holds mu.
+func (t *Tracker) mergeLocked(r Report, now time.Time) {
 	if !t.isNewerLocked(r) {
 		klog.V(1).Infof(logPrefix+"old report of %q (born %d, sequence %d, %s)", r.ID, r.StartedMillis, r.Sequence, r.State)
-		return nil
+		return
 	}
 	next := egress.Instance{
 		ID: r.ID, StartedMillis: r.StartedMillis, Sequence: r.Sequence, Service: r.Service, Version: r.Version, Address: r.Address,
@@ -88,7 +164,6 @@
 		}
 	}
 	t.setLocked(next)
-	return nil
 }
 
 // isNewerLocked reports whether a report is of a later start than the current
--- a/internal/process/localupstream/tracker_test.go
+++ b/internal/process/localupstream/tracker_test.go
@@ -86,3 +86,73 @@
 		t.Error("the next report did not make the instance ready")
 	}
 }
+
+// A node that has just started may not know that the instance has left: no report
+// makes it ready before Release, while a draining one takes effect at once.
+func TestReadyReportsTakeEffectOnRelease(t *testing.T) {
+	tracker := &Tracker{Service: "s", Address: "h:1"}
+	tracker.HoldReady()
+	for _, r := range []Report{report("a", 5, 3, api.UpstreamReady), report("a", 5, 5, api.UpstreamReady), report("a", 5, 4, api.UpstreamReady), report("b", 4, 9, api.UpstreamReady)} {
+		if err := tracker.Apply(r, now); err != nil || tracker.Current() != nil {
+			t.Fatalf("%+v: %v, instance %+v", r, err, tracker.Current())
+		}
+	}
+	tracker.Release()
+	if c := tracker.Current(); !c.Ready() || c.ID != "a" || c.Sequence != 5 || !c.ReportedAt.Equal(now) {
+		t.Errorf("after the release: %+v", c)
+	}
+	tracker.HoldReady()
+	if err := tracker.Apply(report("a", 5, 6, api.UpstreamDraining), now); err != nil || tracker.Current().Ready() {
+		t.Errorf("a draining report was held back: %v", err)
+	}
+	tracker.Release()
+	if tracker.Current().Ready() {
+		t.Error("the release made a draining instance ready")
+	}
+}
+
+func TestRestoredDepartureEndsItsStartAndEarlierOnes(t *testing.T) {
+	ready, draining, down := api.UpstreamReady, api.UpstreamDraining, api.UpstreamDown
+	left := now.UnixMilli()
+	for _, tc := range []struct {
+		name string
+		// before and after are the reports before and after the departure, of
+		// instance "a" started at started.
+		before  []Report
+		started int64
+		after   []Report
+		id      string
+		start   int64
+		state   api.UpstreamState
+	}{
+		{"nothing else known", nil, 5, nil, "a", 5, down},
+		{"late report", nil, 5, []Report{report("a", 5, 9, ready)}, "a", 5, down},
+		{"report of an earlier instance", nil, 5, []Report{report("b", 4, 9, ready)}, "a", 5, down},
+		{"new start under the same id", nil, 5, []Report{report("a", 6, 1, ready)}, "a", 6, ready},
+		{"next instance", nil, 5, []Report{report("b", 6, 1, ready)}, "b", 6, ready},
+		{"start unknown, late report", nil, 0, []Report{report("a", left-1, 9, ready)}, "a", 0, down},
+		{"start unknown, new start", nil, 0, []Report{report("a", left+1, 1, ready)}, "a", left + 1, ready},
+		{"heard late, same start ready", []Report{report("a", 5, 3, ready)}, 5, nil, "a", 5, down},
+		{"heard late, same start draining", []Report{report("a", 5, 3, draining)}, 5, nil, "a", 5, draining},
+		{"heard late, start unknown", []Report{report("a", 5, 3, ready)}, 0, nil, "a", 5, down},
+		{"heard late, later start ready", []Report{report("a", 6, 1, ready)}, 5, nil, "a", 6, ready},
+		{"heard late, later start in spite of an unknown one", []Report{report("a", left+1, 1, ready)}, 0, nil, "a", left + 1, ready},
+		{"heard late, next instance ready", []Report{report("b", 6, 1, ready)}, 5, nil, "b", 6, ready},
+		{"heard late, earlier start draining", []Report{report("a", 4, 3, draining)}, 5, []Report{report("a", 5, 9, ready)}, "a", 5, down},
+		{"heard late, earlier instance ready", []Report{report("b", 4, 3, ready)}, 5, []Report{report("a", 5, 9, ready)}, "a", 5, down},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tracker := &Tracker{Service: "s", Address: "h:1"}
+			for _, r := range tc.before {
+				_ = tracker.Apply(r, now)
+			}
+			tracker.RestoreDeparture("a", tc.started, now)
+			for _, r := range tc.after {
+				_ = tracker.Apply(r, now)
+			}
+			if c := tracker.Current(); c.ID != tc.id || c.StartedMillis != tc.start || c.State != tc.state {
+				t.Errorf("instance %s started %d %s, want %s started %d %s", c.ID, c.StartedMillis, c.State, tc.id, tc.start, tc.state)
+			}
+		})
+	}
+}
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -27,6 +27,7 @@
 	"github.com/daisytide/daisytide/internal/ctxtime"
 	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/metrics"
+	"github.com/daisytide/daisytide/internal/process/departures"
 	"github.com/daisytide/daisytide/internal/process/fleetstatus"
 	"github.com/daisytide/daisytide/internal/process/gossip"
 	"github.com/daisytide/daisytide/internal/process/localupstream"
@@ -99,8 +100,9 @@
 	// DecodeOrder decodes an order that was read from the store.
 	DecodeOrder(key string, revision uint64, value []byte) (ramp.Order, error)
 	// RegisterReportHandlers registers the handlers for the upstream's
-	// heartbeats and deregistrations, which pass each report to take.
-	RegisterReportHandlers(mux *http.ServeMux, take func(localupstream.Report) error)
+	// heartbeats and deregistrations, which pass each report to take. A report is
+	// acknowledged only if take returns nil.
+	RegisterReportHandlers(mux *http.ServeMux, take func(context.Context, localupstream.Report) error)
 	// ReadyPath returns the path of the platform's readiness probe.
 	ReadyPath() string
 }
@@ -122,6 +124,7 @@
 	orders           *orders.Manager
 	quarantineEvents *quarantine.EventSet
 	localUpstream    *localupstream.Tracker
+	departures       *departures.Keeper
 	gate             *egress.Gate
 	ingress          *ingress.Ingress
 	store            *kvstore.RateLimitedStore
@@ -160,6 +163,7 @@
 	}
 	n.wireMembership()
 	n.wireRequests()
+	n.wireDepartures()
 	n.wireServers()
 	return n, nil
 }
@@ -383,7 +387,7 @@
 			return nil
 		})
 	}
-	for _, run := range []func(context.Context) error{n.gossip.Run, n.provider.Run, n.registry.Run, n.orders.Run} {
+	for _, run := range []func(context.Context) error{n.gossip.Run, n.provider.Run, n.registry.Run, n.orders.Run, n.departures.Run} {
 		g.Go(func() error { return run(runnerCtx) })
 	}
 	g.Go(func() error {
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -77,8 +77,13 @@
 // heartbeat reports a state and returns the status of the response.
 func (b *backend) heartbeat(state string) int {
 	b.seq++
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","capacity":8,"state":%q,"warmup_left_s":0,"sequence":%d,"born":5}`,
-		b.service, b.address, state, b.seq)
+	return b.heartbeatOf(5, b.seq, state)
+}
+
+// heartbeatOf reports a state of the start at born.
+func (b *backend) heartbeatOf(born, sequence int, state string) int {
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","capacity":8,"state":%q,"warmup_left_s":0,"sequence":%d,"born":%d}`,
+		b.service, b.address, state, sequence, born)
 	return b.call(platform.PathHeartbeat+b.id, body)
 }
 
@@ -94,9 +99,10 @@
 // host is a node and its upstream.
 type host struct {
 	*backend
-	cfg  *settings.Settings
-	stop func()
-	done chan struct{}
+	store *store.Store
+	cfg   *settings.Settings
+	stop  func()
+	done  chan struct{}
 }
 
 func (h *host) url(path string) string { return "http://" + h.cfg.Callers.Listen + path }
@@ -127,10 +133,6 @@
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
-	n, err := operated.New(cfg, s, platform.Adapter{}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
 	b := &backend{t: t, service: service, id: id, address: a[5], reportAddress: a[2], runsByID: map[string]int{}}
 	l, err := net.Listen("tcp", a[5])
 	if err != nil {
@@ -138,16 +140,10 @@
 	}
 	server := &http.Server{Handler: b}
 	go func() { _ = server.Serve(l) }()
-	ctx, cancel := context.WithCancel(context.Background())
-	h := &host{backend: b, cfg: cfg, stop: cancel, done: make(chan struct{})}
-	go func() {
-		defer close(h.done)
-		if err := n.Run(ctx); err != nil {
-			t.Error(err)
-		}
-	}()
+	h := &host{backend: b, store: s, cfg: cfg}
+	h.startNode()
 	t.Cleanup(func() {
-		cancel()
+		h.stop()
 		<-h.done
 		_ = server.Close()
 	})
@@ -157,6 +153,32 @@
 	return h
 }
 
+// startNode starts a process of the host's node.
+func (h *host) startNode() {
+	h.t.Helper()
+	n, err := operated.New(h.cfg, h.store, platform.Adapter{}, nil)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	h.stop, h.done = cancel, done
+	go func() {
+		defer close(done)
+		if err := n.Run(ctx); err != nil {
+			h.t.Error(err)
+		}
+	}()
+}
+
+// restartNode stops the node as planned and starts it again, while the upstream beside
+// it goes on running.
+func (h *host) restartNode() {
+	h.stop()
+	<-h.done
+	h.startNode()
+}
+
 func writeConfig(t testing.TB, s *store.Store, version int) {
 	t.Helper()
 	ctx := context.Background()
@@ -281,6 +303,68 @@
 	}
 }
 
+// An upstream whose departure was acknowledged was used again by the next process of
+// its node, when a heartbeat arrived that it had sent before. A later start of it, even
+// under the same ID, is used.
+func TestUpstreamThatLeftIsNotUsedAfterItsNodeRestarted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		leave func(b *backend) int
+		// awayAtDeparture and awayAtStart say when the store is away.
+		awayAtDeparture, awayAtStart bool
+	}{
+		"draining":                            {leave: func(b *backend) int { return b.heartbeat("draining") }},
+		"deregistered":                        {leave: func(b *backend) int { return b.call(platform.PathDeregister+b.id, `{"born":5}`) }},
+		"deregistered, start unknown":         {leave: func(b *backend) int { return b.call(platform.PathDeregister+b.id, "") }},
+		"store away at the departure":         {leave: func(b *backend) int { return b.heartbeat("draining") }, awayAtDeparture: true},
+		"store away when the node is started": {leave: func(b *backend) int { return b.heartbeat("draining") }, awayAtStart: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := store.New(1)
+			near, far := startHost(t, s, "near", "i-near"), startHost(t, s, "far", "i-far")
+			writeConfig(t, s, 3)
+			served := func() bool { status, _, _ := send("GET", near.url("/far/1"), nil); return status == http.StatusOK }
+			waitFor(t, "a response", served)
+			s.SetFaults(store.Faults{Down: tc.awayAtDeparture})
+			if status := tc.leave(far.backend); status != http.StatusOK {
+				t.Fatalf("status of the acknowledgement: %d", status)
+			}
+			s.SetFaults(store.Faults{})
+			before := far.totalRuns()
+			far.stop()
+			<-far.done
+			s.SetFaults(store.Faults{Down: tc.awayAtStart})
+			far.startNode()
+			if status := far.heartbeatOf(5, 100, "ready"); status != http.StatusOK {
+				t.Errorf("status of the late heartbeat: %d", status)
+			}
+			waitFor(t, "readiness", func() bool { return far.readiness() == http.StatusOK })
+			for range 40 {
+				served()
+				time.Sleep(20 * time.Millisecond)
+			}
+			if far.totalRuns() != before {
+				t.Errorf("%d requests reached the upstream that had left", far.totalRuns()-before)
+			}
+			s.SetFaults(store.Faults{})
+			far.heartbeatOf(int(time.Now().UnixMilli()), 1, "ready")
+			waitFor(t, "a response of the next start", served)
+		})
+	}
+}
+
+// An upstream that has not left is used again as soon as its node is back.
+func TestUpstreamIsUsedAgainAfterItsNodeRestarted(t *testing.T) {
+	s := store.New(1)
+	near, far := startHost(t, s, "near", "i-near"), startHost(t, s, "far", "i-far")
+	writeConfig(t, s, 3)
+	served := func() bool { status, _, _ := send("GET", near.url("/far/1"), nil); return status == http.StatusOK }
+	waitFor(t, "a response", served)
+	far.restartNode()
+	far.heartbeat("ready")
+	waitFor(t, "a response after the restart", served)
+}
+
 func TestPlannedStopInterruptsNoRequest(t *testing.T) {
 	s := store.New(1)
 	near, far := startHost(t, s, "near", "i-near"), startHost(t, s, "far", "i-far")
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -11,7 +11,7 @@
 	"github.com/daisytide/daisytide/internal/conn/link"
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/metrics"
-	"github.com/daisytide/daisytide/internal/process/localupstream"
+	"github.com/daisytide/daisytide/internal/process/departures"
 )
 
 // wireServers builds the servers of the listeners.
@@ -26,9 +26,11 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(link.Path, n.gossip)
 	peerMux.Handle(rpc.PathPrefix+probeMethod, rpc.Handle(n.handleProbe))
+	peerMux.Handle(rpc.PathPrefix+departures.MethodHold, rpc.Handle(n.departures.HandleHold))
+	peerMux.Handle(rpc.PathPrefix+departures.MethodRecall, rpc.Handle(n.departures.HandleRecall))
 	n.peerServer = newServer(n.requirePeerKey(peerMux))
 	operatorMux := http.NewServeMux()
-	n.adapter.RegisterReportHandlers(operatorMux, func(r localupstream.Report) error { return n.localUpstream.Apply(r, time.Now()) })
+	n.adapter.RegisterReportHandlers(operatorMux, n.applyReport)
 	operatorMux.Handle("GET /metrics", n.requests.Handler())
 	operatorMux.Handle("/", n.operatorHandler(peerMux))
 	n.operatorServer = newServer(operatorMux)
