Refuse requests that the end of a planned stop would cut

What callers would see: a connection that ends without an answer at the end of the grace, for a request that an upstream was running.

Cause: after the listener and the idle connections were closed, a stopping node still started requests behind one in progress, on a connection accepted meanwhile, and from nodes that had not heard of the stop; and nothing compared a route's run time with the time left.

Change: CloseIdle lets each connection end after its requests in progress and starts no more. StopWindow refuses what arrives after the listener was closed, and at any time what is not expected to finish; a request that waits for a slot is sent while it can.

Why it works: every way by which a request reaches an upstream passes the window before a byte is sent, so the refusal "not run" is true and another node can run the request.

Measured: TestNoRequestIsStartedAfterCloseIdle fails on (the late requests are started, neither connection ends) and passes.

--- a/internal/conn/h1/server.go
+++ b/internal/conn/h1/server.go
@@ -64,12 +64,14 @@
 	BufferedBytes    atomic.Int64
 	MaxBufferedBytes int64
 
-	mu               sync.Mutex
-	conns            map[*serverConn]struct{}
-	closing          atomic.Bool
-	active           atomic.Int64
-	lastRequestNanos atomic.Int64
-	panics           atomic.Uint64
+	mu    sync.Mutex
+	conns map[*serverConn]struct{}
+	// closing ends each connection after its responses in progress, and refusing
+	// starts no further requests.
+	closing, refusing atomic.Bool
+	active            atomic.Int64
+	lastRequestNanos  atomic.Int64
+	panics            atomic.Uint64
 }
 
 // Serve accepts connections until the listener is closed.
@@ -85,6 +87,10 @@
 			continue
 		}
 		c := s.addConn(conn)
+		if s.refusing.Load() {
+			// CloseIdle may have missed it.
+			c.startNoMore()
+		}
 		go c.readRequests()
 	}
 }
@@ -116,8 +122,11 @@
 // requests in progress. An idle connection ends after its next response.
 func (s *Server) CloseAfterResponses() { s.closing.Store(true) }
 
-// CloseIdle closes the connections without a request in progress.
+// CloseIdle closes the connections without a request in progress, and the others
+// after the responses to those. No request that arrives later is started, even on a
+// connection that is still open.
 func (s *Server) CloseIdle() {
+	s.refusing.Store(true)
 	s.mu.Lock()
 	conns := make([]*serverConn, 0, len(s.conns))
 	for c := range s.conns {
@@ -125,7 +134,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		c.closeIfIdle()
+		c.startNoMore()
 	}
 }
 
--- a/internal/conn/h1/server_conn.go
+++ b/internal/conn/h1/server_conn.go
@@ -441,11 +441,15 @@
 	}
 }
 
-// closeIfIdle closes the connection if no request is in progress.
-func (c *serverConn) closeIfIdle() {
+// startNoMore closes the connection if no request is in progress, or else after the
+// response to the last request that was started.
+func (c *serverConn) startNoMore() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) == 0 && !c.writeEnded {
+	switch {
+	case len(c.queue) > 0:
+		c.queue[len(c.queue)-1].closeAfter = true
+	case !c.writeEnded:
 		c.writeEnded = true
 		go c.lingeringClose()
 	}
--- a/internal/conn/h1/server_test.go
+++ b/internal/conn/h1/server_test.go
@@ -201,6 +201,40 @@
 	}
 }
 
+// Requests that arrived late in a planned stop were started and cut by its end: one
+// behind a request in progress, or the first of a connection that was just accepted.
+func TestNoRequestIsStartedAfterCloseIdle(t *testing.T) {
+	var ran atomic.Int64
+	release := make(chan struct{})
+	s := &Server{Handler: func(_ context.Context, r *Request) *Response {
+		ran.Add(1)
+		<-release
+		return textResponse(200, r.Target)
+	}}
+	address := startServer(t, s)
+	conn, br := dialServer(t, address)
+	fmt.Fprint(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	waitFor(t, func() bool { return ran.Load() == 1 })
+	s.CloseAfterResponses()
+	s.CloseIdle()
+	fmt.Fprint(conn, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	late, lateReader := dialServer(t, address)
+	fmt.Fprint(late, "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+	if _, err := lateReader.ReadByte(); err != io.EOF {
+		t.Errorf("read from a connection accepted later: %v, want EOF without a reset", err)
+	}
+	close(release)
+	if resp, body := readTestResponse(t, br); !resp.Close || body != "/1" {
+		t.Errorf("the request in progress got %q, closes: %v", body, resp.Close)
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("read after the last response: %v, want EOF", err)
+	}
+	if ran.Load() != 1 {
+		t.Errorf("%d requests were handled, want 1", ran.Load())
+	}
+}
+
 func TestHopByHopHeadersAreNotForwarded(t *testing.T) {
 	h := ForwardableHeaders(http.Header{
 		"Connection": {"X-Mine, keep-alive"}, "X-Mine": {"1"}, "Keep-Alive": {"timeout=1"}, "Content-Length": {"1"},
--- a/internal/process/operated/stop.go
+++ b/internal/process/operated/stop.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/process/membership"
+	"github.com/daisytide/daisytide/internal/request/egress"
 )
 
 // Times used while a node stops.
@@ -43,8 +44,9 @@
 // stop stops the node without interrupting requests. First it reports that it
 // is not ready, and serves callers that still come on connections that close
 // after the response. Then it notifies other nodes to send no more requests.
-// Then it closes the callers' listener and idle connections, and requests in
-// progress finish. The upstream's slots serve the fleet until nearly the end,
+// Then it closes the callers' listener and idle connections, refuses what other nodes
+// still send, and requests in progress finish. A request that is not expected to
+// finish by the end is refused before it is sent. The upstream's slots serve the fleet until nearly the end,
 // because in a rolling restart of all nodes their capacity is missing for as
 // long as each node takes to stop.
 func (n *Node) stop(stopRunners func()) {
@@ -52,6 +54,10 @@
 	began := time.Now()
 	grace := n.cfg.Upstream.StopGrace
 	serve, listen := stopSchedule(grace)
+	end := began.Add(time.Duration(graceFraction * float64(grace)))
+	window := egress.StopWindow{RefuseFrom: began.Add(listen), End: end}
+	n.gate.Stopping.Begin(window)
+	n.ingress.Stopping.Begin(window)
 	n.stopping.Store(true)
 	n.callerServer.CloseAfterResponses()
 	waitUntil(began.Add(serve), func() bool { return false })
@@ -59,7 +65,7 @@
 	waitUntil(began.Add(listen), func() bool { return false })
 	_ = n.listeners[callerListener].Close()
 	n.callerServer.CloseIdle()
-	waitUntil(began.Add(time.Duration(graceFraction*float64(grace))), n.isIdle)
+	waitUntil(end, n.isIdle)
 	n.gateServer.CloseAfterResponses()
 	n.gateServer.CloseIdle()
 	stopRunners()
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -64,6 +64,9 @@
 	// Metrics may be nil.
 	Metrics *metrics.NodeMetrics
 
+	// Stopping refuses requests that a planned stop would cut.
+	Stopping Stopping
+
 	// LinkBytesPerSecond is the rate of the host's link; 0 disables the limit
 	// on bodies in transfer.
 	LinkBytesPerSecond int64
@@ -143,6 +146,9 @@
 func (g *Gate) process(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	if g.Stopping.Refuses(time.Now(), g.meanRunTime(r.Route)) {
+		return hop.Refuse(api.CallLeaving, defaultRetryAfter, nil)
+	}
 	body, refusal := g.receiveBody(ctx, r, in)
 	if refusal != nil {
 		return *refusal
@@ -162,6 +168,9 @@
 	if instance == nil {
 		return res
 	}
+	if g.Stopping.EndsBefore(began, g.meanRunTime(r.Route)) {
+		return hop.Refuse(api.CallLeaving, defaultRetryAfter, nil)
+	}
 	fingerprint := quarantine.FingerprintOf(in.Method, in.Target, r.CallerService, int64(len(body)), body)
 	if verdict, _ := g.QuarantineEvents.Lookup(r.Service, fingerprint); verdict == quarantine.Quarantined {
 		return hop.Refuse(api.CallQuarantined, 0, nil)
@@ -191,6 +200,12 @@
 // about the upstream.
 func overranDeadline(r *hop.Request, now time.Time) bool { return now.Sub(r.Deadline) > maxOverrun }
 
+func (g *Gate) meanRunTime(route string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.MeanRunTime(route)
+}
+
 // instanceFor returns the instance that may run a request, or nil and the
 // refusal.
 func (g *Gate) instanceFor(r *hop.Request) (*Instance, hop.Result) {
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -87,6 +87,9 @@
 	Client       *h1.Client
 	Dialect      hop.HeaderDialect
 
+	// Stopping refuses requests that a planned stop would cut.
+	Stopping egress.Stopping
+
 	Counters Counters
 	// Log records requests that failed, were refused or needed more than one
 	// attempt; nil disables it.
@@ -131,8 +134,11 @@
 		return hop.Refuse(api.CallNoRoute, 0, nil)
 	}
 	d.req = d.ingress.newRequest(d.in, d.route, snap)
-	if d.req.TimeLeft(time.Now()) <= 0 {
+	switch now := time.Now(); {
+	case d.req.TimeLeft(now) <= 0:
 		return hop.Refuse(api.CallNoTime, defaultRetryAfter, nil)
+	case d.ingress.Stopping.Refuses(now, d.ingress.meanRunTime(d.req.Route)):
+		return hop.Refuse(api.CallLeaving, defaultRetryAfter, nil)
 	}
 	ctx, cancel := context.WithDeadline(ctx, d.req.Deadline)
 	defer cancel()
