Believe an upstream's answer only if it is the request's own

Cause: the h1 client discarded answers with another request's ID and took one without any for the request that waited. Refusals have no ID, so a second copy of one, and stray bytes in the form of an answer, were believed.

Change: without the ID only a refusal is believed, and its connection is not used again; anything else without it is discarded and the request's own answer awaited. A success with the ID but no signature counts as cut. The upstreams of the gate's tests echo the ID now, as real ones do; two cases for answers that don't are added.

Why it works: on a connection in use every earlier answer had its ID, so each copy of one is told by it.

--- a/internal/conn/h1/client.go
+++ b/internal/conn/h1/client.go
@@ -27,6 +27,9 @@
 	maxResponseHeaderBytes = 64 << 10
 	// maxInterimResponses bounds the interim responses before a response.
 	maxInterimResponses = 32
+	// maxForeignResponses bounds the responses to other requests that are discarded
+	// while one is awaited.
+	maxForeignResponses = 2
 	readBufferSize      = 4 << 10
 	// defaultKeepAlive is how long an idle connection is kept for reuse if the
 	// server sends no Keep-Alive timeout. If it does, keepAliveFraction of that is
@@ -71,6 +74,10 @@
 	return fmt.Sprintf("HTTP exchange failed (request sent: %v, completely: %v): %v", e.Sent, e.FullySent, e.Err)
 }
 
+// ErrForeignResponse is returned by ClientRequest.Judge for a response that does not
+// belong to the request.
+var ErrForeignResponse = errors.New("the response does not belong to the request")
+
 // Unwrap returns the wrapped error.
 func (e *Error) Unwrap() error { return e.Err }
 
@@ -91,6 +98,10 @@
 	// IDHeader is the name of a header in which the server echoes ID. A response
 	// with another value is discarded. If IDHeader is empty, nothing is checked.
 	IDHeader, ID string
+	// Judge, if set, is called for each response that does not echo another ID; echoed
+	// is set if it echoes ID. With ErrForeignResponse the response is discarded as
+	// well; any other error ends the exchange.
+	Judge func(resp *Response, echoed bool) error
 	// MaxIdleTime limits reuse to connections that were used within this time;
 	// with 0 any kept connection may be reused.
 	MaxIdleTime time.Duration
@@ -364,18 +375,41 @@
 		if err != nil {
 			return nil, err
 		}
-		if x.echoesOtherID(resp) {
-			if mismatches++; mismatches > 2 {
+		echoed, err := x.attribute(out, mismatches > 0)
+		if errors.Is(err, ErrForeignResponse) {
+			if mismatches++; mismatches > maxForeignResponses {
 				return nil, errors.New("received responses to other requests")
 			}
 			continue
 		}
-		x.reusable = !resp.Close && mismatches == 0
+		if err != nil {
+			return nil, err
+		}
+		x.reusable = !resp.Close && mismatches == 0 && echoed
 		x.keepAliveTime = keepAliveTimeOf(resp.Header)
 		return out, nil
 	}
 }
 
+// attribute decides whether a response belongs to the request; ErrForeignResponse
+// means that it does not. echoed is set unless the response lacks the ID. Nothing
+// tells such a response from a copy of it that comes later, so its connection is not
+// reused; and one that comes after a foreign response is taken for foreign, too.
+func (x *exchange) attribute(resp *Response, foreignBefore bool) (echoed bool, err error) {
+	echoed = true
+	if x.req.IDHeader != "" && x.req.ID != "" {
+		id := resp.Header.Get(x.req.IDHeader)
+		echoed = id == x.req.ID
+		if id != "" && !echoed || id == "" && foreignBefore {
+			return echoed, ErrForeignResponse
+		}
+	}
+	if x.req.Judge == nil {
+		return echoed, nil
+	}
+	return echoed, x.req.Judge(resp, echoed)
+}
+
 // readHeader reads the status line and the headers of a response.
 func (x *exchange) readHeader(req *http.Request) (*http.Response, error) {
 	l := x.conn.limiter
@@ -385,15 +419,6 @@
 	return resp, err
 }
 
-// echoesOtherID reports whether a response echoes another request's ID.
-func (x *exchange) echoesOtherID(resp *http.Response) bool {
-	if x.req.IDHeader == "" {
-		return false
-	}
-	id := resp.Header.Get(x.req.IDHeader)
-	return id != "" && id != x.req.ID
-}
-
 // readResponseBody reads a response's body. A body without a length ends with the
 // connection: it is complete if the server closed the connection, and cut short
 // if the connection was reset.
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -291,7 +292,7 @@
 	idHeader, id := g.Dialect.RequestID(header)
 	c := &h1.ClientRequest{
 		Method: in.Method, Target: in.Target, Host: in.Host, Header: header, Body: body,
-		IDHeader: idHeader, ID: id,
+		IDHeader: idHeader, ID: id, Judge: g.judgeResponse,
 	}
 	if r.Kind != traffic.Idempotent {
 		c.MaxIdleTime = maxIdleForOnce
@@ -313,6 +314,24 @@
 	return hop.Result{Code: api.OK, Ran: api.RanYes, Response: resp}
 }
 
+var errUnsigned = errors.New("a success without the upstream's signature")
+
+// judgeResponse implements h1.ClientRequest.Judge. An upstream echoes the ID in all
+// responses but those by which it refuses a request. A faulty one sends bytes that
+// belong to no request; a success among them has neither ID nor signature.
+func (g *Gate) judgeResponse(resp *h1.Response, echoed bool) error {
+	notExecuted, _ := g.Dialect.NotExecuted(resp)
+	switch {
+	case notExecuted:
+		return nil
+	case !echoed:
+		return h1.ErrForeignResponse
+	case resp.Status < http.StatusMultipleChoices && !g.Dialect.Signed(resp):
+		return errUnsigned
+	}
+	return nil
+}
+
 // resultOfError derives the result of an exchange that got no response.
 func (g *Gate) resultOfError(ctx context.Context, instance *Instance, err error) hop.Result {
 	var exchange *h1.Error
--- a/internal/request/egress/gate_test.go
+++ b/internal/request/egress/gate_test.go
@@ -30,6 +30,8 @@
 	h.Set("Caller", caller)
 }
 
+func (plainHeaders) Signed(resp *h1.Response) bool { return resp.Header.Get("Unsigned") == "" }
+
 func (plainHeaders) NotExecuted(resp *h1.Response) (bool, bool) {
 	return resp.Header.Get("Not-Run") != "" || resp.Status == 421, resp.Status == 421
 }
@@ -98,7 +100,7 @@
 			}
 			defer conn.Close()
 			if g.respond(conn, r) {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 			}
 			return
 		}
@@ -148,10 +150,12 @@
 		{"other version", "v2", nil, api.CallNoUpstream, api.RanNo, false},
 		{"refused by the upstream", "v1", respond("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), api.CallShed, api.RanNo, true},
 		{"other instance", "v1", respond("HTTP/1.1 421 Other\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), api.CallNoUpstream, api.RanNo, false},
-		{"failed by the upstream", "v1", respond("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), api.OK, api.RanYes, false},
+		{"failed by the upstream", "v1", respond("HTTP/1.1 500 Failed\r\nId: 7\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), api.OK, api.RanYes, false},
+		{"failed by the upstream, in bytes without the request's id", "v1", respond("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), api.CallCut, api.RanUnknown, false},
+		{"unsigned success", "v1", respond("HTTP/1.1 200 OK\r\nId: 7\r\nUnsigned: 1\r\nContent-Length: 0\r\n\r\n"), api.CallCut, api.RanUnknown, false},
 		{"connection cut", "v1", respond(""), api.CallCut, api.RanUnknown, false},
 		{"malformed response", "v1", respond("what is this\r\n\r\n"), api.CallCut, api.RanUnknown, false},
-		{"truncated body", "v1", respond("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"), api.CallCut, api.RanUnknown, false},
+		{"truncated body", "v1", respond("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 5\r\n\r\nab"), api.CallCut, api.RanUnknown, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g, _ := newGate(t, quarantine.NewEventSet(time.Now))
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -32,6 +32,9 @@
 	// run the request, and whether the reason is that another instance has its
 	// address.
 	NotExecuted(resp *h1.Response) (notExecuted, otherInstance bool)
+	// Signed reports whether a response bears the mark of the upstream that made it.
+	// A success without it is not the upstream's response.
+	Signed(resp *h1.Response) bool
 	// SetRetryAfter sets the header with the time after which the caller should
 	// retry.
 	SetRetryAfter(h http.Header, after time.Duration)
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -39,6 +39,7 @@
 
 func (plainHeaders) SetUpstreamHeaders(http.Header, time.Duration, string, string) {}
 func (plainHeaders) NotExecuted(*h1.Response) (bool, bool)                         { return false, false }
+func (plainHeaders) Signed(*h1.Response) bool                                      { return true }
 func (plainHeaders) SetRetryAfter(h http.Header, after time.Duration) {
 	h.Set("Back", strconv.FormatInt(after.Milliseconds(), 10))
 }
