Refuse reports of an impossible start, and acknowledge no departure that is ignored

Cause: a heartbeat of another writer with its start in microseconds was taken for a new start, and the upstream's own reports then for old ones, dropped and acknowledged.

Change: a start over a minute ahead of the clock, and a sequence that no instance has reached, are refused. Draining applies whatever its sequence, a deregistration of a later start applies. The bounds hold for departures in the store and of peers as well.

--- a/internal/process/departures/departure.go
+++ b/internal/process/departures/departure.go
@@ -25,6 +25,9 @@
 
 // Bounds of a valid departure.
 const (
+	// maxClockSkew bounds what the clocks of two hosts may differ by. A departure
+	// beyond it would take precedence over all later ones.
+	maxClockSkew     = time.Minute
 	maxAddressBytes  = 256
 	maxInstanceBytes = 256
 )
@@ -69,9 +72,13 @@
 }
 
 // validate returns an error for a departure that no node records.
-func (d Departure) validate() error {
-	if d.Node == "" || len(d.Node) > maxAddressBytes || d.Instance == "" || len(d.Instance) > maxInstanceBytes || d.StartedMillis < 0 || d.LeftMillis <= 0 {
-		return api.Errorf(api.PeerFrame, "departure of %.40q beside %.40q, started at %d, left at %d", d.Instance, d.Node, d.StartedMillis, d.LeftMillis)
+func (d Departure) validate(now time.Time) error {
+	if d.Node == "" || len(d.Node) > maxAddressBytes || d.Instance == "" || len(d.Instance) > maxInstanceBytes {
+		return api.Errorf(api.PeerFrame, "departure of %.40q beside %.40q", d.Instance, d.Node)
+	}
+	latest := now.Add(maxClockSkew).UnixMilli()
+	if d.StartedMillis < 0 || d.StartedMillis > latest || d.LeftMillis <= 0 || d.LeftMillis > latest {
+		return api.Errorf(api.PeerFrame, "departure of %.40q, started at %d, left at %d", d.Instance, d.StartedMillis, d.LeftMillis)
 	}
 	return nil
 }
--- a/internal/process/departures/keeper.go
+++ b/internal/process/departures/keeper.go
@@ -235,7 +235,7 @@
 	if err := wire.Unmarshal(e.Value, &d); err != nil {
 		return d, err
 	}
-	if err := d.validate(); err != nil {
+	if err := d.validate(time.Now()); err != nil {
 		return d, err
 	}
 	if d.Node != node {
--- a/internal/process/departures/set.go
+++ b/internal/process/departures/set.go
@@ -85,7 +85,7 @@
 
 // receive adds a departure that another node or the store told of.
 func (s *Set) receive(d Departure) (bool, error) {
-	if err := d.validate(); err != nil {
+	if err := d.validate(s.now()); err != nil {
 		return false, err
 	}
 	changed := s.add(d)
--- a/internal/process/localupstream/tracker.go
+++ b/internal/process/localupstream/tracker.go
@@ -17,6 +17,15 @@
 
 const logPrefix = "upstreams: "
 
+// MaxStartAhead is how far ahead of this host's clock an instance's start may be, as
+// the clock may be behind or set back by seconds. A start beyond it, which no
+// instance has, would make all of the instance's own reports look old.
+const MaxStartAhead = time.Minute
+
+// maxReportsPerSecond bounds the sequence of a report by the time since the start. A
+// sequence beyond it would make all later reports look old.
+const maxReportsPerSecond = 100
+
 // Report is a status report of one upstream instance.
 type Report struct {
 	// ID identifies the instance; a new start may reuse an earlier ID.
@@ -114,9 +123,27 @@
 	return &i
 }
 
-// Apply merges a report. It returns an error if the report is for another
-// upstream; an outdated report is ignored without an error.
+// checkPlausible returns an error for a start or a sequence that no instance has
+// reached by now.
+func (r Report) checkPlausible(now time.Time) error {
+	age := now.Add(MaxStartAhead).Sub(time.UnixMilli(r.StartedMillis))
+	switch {
+	case r.StartedMillis == 0:
+		return nil
+	case age < 0:
+		return api.Errorf(api.OperatorBody, "instance %q was started at %d, which is after %d, the time now", r.ID, r.StartedMillis, now.UnixMilli())
+	case float64(r.Sequence) > maxReportsPerSecond*age.Seconds():
+		return api.Errorf(api.OperatorBody, "instance %q, started at %d, sends its report number %d", r.ID, r.StartedMillis, r.Sequence)
+	}
+	return nil
+}
+
+// Apply merges a report. It returns an error if the report is for another upstream
+// or is not plausible; an outdated report is ignored without an error.
 func (t *Tracker) Apply(r Report, now time.Time) error {
+	if err := r.checkPlausible(now); err != nil {
+		return err
+	}
 	if r.State != api.UpstreamDown {
 		if r.Service != t.Service {
 			return api.Errorf(api.OperatorBody, "instance %q is of service %q, the upstream here of %q", r.ID, r.Service, t.Service)
@@ -158,7 +185,7 @@
 	if r.State == api.UpstreamDown {
 		// A deregistration contains only the instance's ID and start.
 		next.Service, next.Address = t.Service, t.Address
-		if t.current != nil {
+		if t.isCurrentLocked(r) {
 			next = *t.current
 			next.State = r.State
 		}
@@ -166,16 +193,21 @@
 	t.setLocked(next)
 }
 
+// isCurrentLocked reports whether a report is of the current start; the caller holds
+// mu.
+func (t *Tracker) isCurrentLocked(r Report) bool {
+	return t.current != nil && t.current.ID == r.ID && (r.StartedMillis == t.current.StartedMillis || r.StartedMillis == 0)
+}
+
 // isNewerLocked reports whether a report is of a later start than the current
 // one, or a later report of the same start; the caller holds mu.
 func (t *Tracker) isNewerLocked(r Report) bool {
-	current := t.current
-	same := current != nil && current.ID == r.ID && (r.StartedMillis == current.StartedMillis || r.StartedMillis == 0)
+	current, same := t.current, t.isCurrentLocked(r)
 	switch {
 	case r.State == api.UpstreamDown:
 		// A deregistration has no sequence. It is final for its instance, even
 		// if this process has not received any report of it.
-		return same || current == nil
+		return same || current == nil || r.StartedMillis > current.StartedMillis
 	case current == nil:
 		return true
 	case current.State == api.UpstreamDown && current.StartedMillis == 0:
@@ -189,6 +221,10 @@
 		// Another instance with the same start time. If the time is unknown, the
 		// report does not replace a ready instance.
 		return r.StartedMillis != 0 || current.State != api.UpstreamReady
+	case r.State == api.UpstreamDraining:
+		// A draining instance is never ready again, so whatever its sequence, the
+		// report is not outdated by a ready one.
+		return current.State != api.UpstreamDown && (current.State != api.UpstreamDraining || r.Sequence > current.Sequence)
 	default:
 		return r.Sequence > current.Sequence && !revivesStopped(current, r)
 	}
