Let peers send configurations of every size that the store takes

Cause: the store takes a value of 1,048,576 bytes. Nodes that don't watch it get the configuration from peers, encoded anew and 1.2 to 1.9 times as long, and the limits on what peers accept were 1,100,000 bytes. The receiver saw a wrong hash and asked on.

Change: one limit of 4 MiB for an envelope, from which that of a message derives; a complete configuration in place of a large delta is compressed; the stand-in of the store takes 1 MiB, as the platform's does.

Why it works: the limits follow from the store's with the growth of the encoding.

--- a/internal/conn/kvstore/store.go
+++ b/internal/conn/kvstore/store.go
@@ -11,7 +11,7 @@
 )
 
 // MaxValueBytes is the size of the largest value that the store accepts.
-const MaxValueBytes = 1_000_000
+const MaxValueBytes = 1 << 20
 
 // MaxWatchWait is the longest wait that the store allows for one watch.
 const MaxWatchWait = 30 * time.Second
--- a/internal/conn/link/message.go
+++ b/internal/conn/link/message.go
@@ -7,6 +7,7 @@
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/process/membership"
+	"github.com/daisytide/daisytide/internal/version/delta"
 	"github.com/daisytide/daisytide/internal/version/document"
 )
 
@@ -15,7 +16,7 @@
 
 // MaxMessageBytes bounds one encoded message: a full configuration envelope and
 // the fields around it.
-const MaxMessageBytes = 1_100_000
+const MaxMessageBytes = delta.MaxBytes + 64<<10
 
 // Message is the content of one frame. Exactly one field is set.
 type Message struct {
--- a/internal/process/gossip/config_transfer.go
+++ b/internal/process/gossip/config_transfer.go
@@ -206,23 +206,31 @@
 // history and the delta is small enough, else the complete configuration.
 func (t *configTransfer) buildBody(s *snapshot.Snapshot, in *link.ConfigRequest) *link.ConfigBody {
 	body := &link.ConfigBody{Number: s.Number(), Hash: s.Hash}
-	base := in.Base
-	previous := t.findBase(base)
-	if previous == nil || base == s.Number() {
+	d := t.deltaFrom(in.Base, s)
+	if d == nil {
 		t.setFull(body, s, in.Compressed)
 		return body
 	}
+	body.Base, body.Delta = in.Base, d
+	return body
+}
+
+// deltaFrom returns the delta from the configuration with the number base, or nil if
+// that is not in the history or the delta is not small enough.
+func (t *configTransfer) deltaFrom(base uint64, s *snapshot.Snapshot) []byte {
+	previous := t.findBase(base)
+	if previous == nil || base == s.Number() {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.cached.base != base || t.cached.number != s.Number() {
 		t.cached = cachedDelta{base: base, number: s.Number(), delta: delta.Encode(previous.Envelope, s.Envelope)}
 	}
 	if len(t.cached.delta)*minDeltaGain > len(s.Envelope) {
-		body.Full = s.Envelope
-		return body
+		return nil
 	}
-	body.Base, body.Delta = base, t.cached.delta
-	return body
+	return t.cached.delta
 }
 
 // setFull sets the complete configuration, compressed if the peer accepts it.
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -464,6 +464,55 @@
 	_ = far
 }
 
+// Beyond some 940,000 bytes in the store, nodes that do not watch it stayed on an older
+// configuration for good: encoded for peers, the newer ones exceeded the size limit of
+// what peers accept.
+func TestNodesThatDoNotWatchTakeAConfigurationOfTheStoresMaximumSize(t *testing.T) {
+	const hosts = 10 // of which eight watch
+	s := store.New(1)
+	var fleet []*host
+	for n := range hosts {
+		fleet = append(fleet, startHost(t, s, "near", fmt.Sprint("i-", n)))
+	}
+	writeConfig(t, s, 3)
+	awaitNumber := func(number uint64) {
+		t.Helper()
+		waitFor(t, fmt.Sprint("configuration ", number, " on all hosts"), func() bool {
+			c := &client.Client{BaseURL: "http://" + fleet[0].cfg.Operators.Listen, Token: fleet[0].cfg.Operators.Token, Operator: "ann", HTTP: http.DefaultClient}
+			var out api.HostsResponse
+			if err := c.Get(context.Background(), api.PathHosts, &out); err != nil || len(out.Hosts) != hosts {
+				return false
+			}
+			for _, h := range out.Hosts {
+				if h.Number != number {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	awaitNumber(3)
+	// Routes with few fields grow most when they are encoded for peers.
+	var routes strings.Builder
+	const limit = 1<<20 - 300
+	for n := 0; routes.Len() < limit-100; n++ {
+		fmt.Fprintf(&routes, `"%x":{"host":"h","path_prefix":"/%x/","route_type":"upload","timeout_s":1,"service":"near"},`, n, n)
+	}
+	// A node decides anew whether it watches when its watch has ended.
+	for number := uint64(4); number <= 6; number++ {
+		value := fmt.Sprintf(`{"version":"%x","routes":{%s"last":{"host":"a.example","path_prefix":"/%d/","route_type":"idempotent","timeout_s":2,"service":"near"}},"services":{"near":{}},"limits":{}}`,
+			number, routes.String(), number)
+		e, err := s.Get(context.Background(), platform.KeyConfig)
+		if err == nil {
+			_, err = s.CompareAndSwap(context.Background(), platform.KeyConfig, e.Revision, []byte(value), "")
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		awaitNumber(number)
+	}
+}
+
 func TestOperatorsSeeTheFleetButCannotWrite(t *testing.T) {
 	s := store.New(1)
 	near, far := startHost(t, s, "near", "i-near"), startHost(t, s, "far", "i-far")
--- a/internal/version/delta/delta.go
+++ b/internal/version/delta/delta.go
@@ -12,8 +12,10 @@
 // blockBytes is the length of the blocks of the base that are indexed.
 const blockBytes = 32
 
-// MaxBytes is the size limit of a text that Apply returns.
-const MaxBytes = 1_100_000
+// MaxBytes is the size limit of a text that Apply returns. A configuration in the
+// store has up to 1 MiB there; encoded anew for peers, with each field written out and
+// escaped, it can take several times as many bytes.
+const MaxBytes = 4 << 20
 
 // A delta is a list of steps. Each step holds the number of literal bytes, these
 // bytes, the offset in the base to copy from, and the number of bytes to copy.
