Let one caller only probe a node that is gone

Up to five of ten callers waited for a node that is gone while no node of a service was reachable; all but one should be refused at once.

Cause: the picker copied the statistics, decided, and marked the probe under another lock; callers in between decided on copies without a probe.

Change: an attempt begins only if no other has become the probe since the copy, else the policy decides again. Why it works: check and mark are under the node's own lock.

--- a/internal/request/balancer/expected_time_test.go
+++ b/internal/request/balancer/expected_time_test.go
@@ -284,3 +284,32 @@
 		t.Error("never selected again")
 	}
 }
+
+// Callers between the copy of the statistics and the mark of the probe all became
+// probes of a node that is gone, and each waited for it in vain.
+func TestOnlyOneOfConcurrentCallersProbesAnUnreachableNode(t *testing.T) {
+	p := newPickerFixture("a")
+	first, ok := p.pick(t, nil, Requirements{})
+	if !ok {
+		t.Fatal("no node selected")
+	}
+	first.Done(p.now, Unreachable, gate.Load{}, false)
+	index, decisions, probes := p.table.Index(), 0, 0
+	choose := func(groups *[distanceCount][]Candidate) (Distance, int, bool) {
+		return fastest(groups, p.now, p.rng, Requirements{})
+	}
+	_, ok = p.picker.selectWith(index, fixtureKey, nil, func(groups *[distanceCount][]Candidate) (Distance, int, bool) {
+		decisions++
+		distance, position, found := choose(groups)
+		if decisions == 1 {
+			// Another caller decides on the same statistics, and is first to begin.
+			if other, ok := p.picker.selectWith(index, fixtureKey, nil, choose); ok && other.isProbe {
+				probes++
+			}
+		}
+		return distance, position, found
+	})
+	if ok || probes != 1 || decisions != 2 {
+		t.Errorf("the second caller selects the node: %v, %d probes, %d decisions", ok, probes, decisions)
+	}
+}
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -60,6 +60,19 @@
 	s.stats.failures, s.stats.ejections, s.stats.ejectedUntil = 0, 0, time.Time{}
 }
 
+// begin counts an attempt that was decided on a copy of the statistics, and reports
+// whether it is the probe of an unreachable node. ok is false, and nothing is counted,
+// if another attempt has become the probe since the copy.
+func (s *sharedStats) begin(decidedOn *UpstreamStats) (isProbe, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stats.awaitingProbe() && !decidedOn.awaitingProbe() {
+		return false, false
+	}
+	s.stats.BeginAttempt()
+	return s.stats.startProbe(), true
+}
+
 // Selection is the upstream selected for one attempt. Done must be called when
 // the attempt has ended.
 type Selection struct {
@@ -80,6 +93,10 @@
 
 // selectWith applies a selection policy to the nodes of key and counts the
 // attempt at the selected one.
+//
+// The policy reads copies of the statistics, so another caller may have become the
+// probe of the selected node meanwhile. The policy is then applied again: of the
+// callers that find a node gone, only one may wait for it.
 func (p *Picker) selectWith(index *membership.Index, key membership.UpstreamKey, tried []string, policy func(*[distanceCount][]Candidate) (Distance, int, bool)) (Selection, bool) {
 	groups := p.poolFor(index).groups[key]
 	if groups == nil {
@@ -87,16 +104,17 @@
 	}
 	buffer := scratchPool.Get().(*scratch)
 	defer scratchPool.Put(buffer)
-	buffer.fill(groups, tried)
-	distance, position, ok := policy(&buffer.groups)
-	if !ok {
-		return Selection{}, false
+	for {
+		buffer.fill(groups, tried)
+		distance, position, ok := policy(&buffer.groups)
+		if !ok {
+			return Selection{}, false
+		}
+		upstream := groups[distance][position]
+		if isProbe, ok := upstream.shared.begin(buffer.groups[distance][position].Stats); ok {
+			return Selection{Record: upstream.record, shared: upstream.shared, isProbe: isProbe}, true
+		}
 	}
-	upstream := groups[distance][position]
-	upstream.shared.mu.Lock()
-	defer upstream.shared.mu.Unlock()
-	upstream.shared.stats.BeginAttempt()
-	return Selection{Record: upstream.record, shared: upstream.shared, isProbe: upstream.shared.stats.startProbe()}, true
 }
 
 // ConfirmReachable records that the node acknowledged the attempt.
