Kill and stop nodes in the soak just after their upstream left

The soak had both faults, but none with a report that arrives late at the next process, so that it could not find a departure that is forgotten at a restart. Two faults play this; the backend serves on meanwhile and counts late requests as before.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
@@ -50,6 +51,8 @@
 	id            string
 	startedMillis int64
 	sequence      atomic.Uint64
+	// lastReady is the body of the latest ready heartbeat.
+	lastReady atomic.Pointer[[]byte]
 	// drainAckedAt is when the node acknowledged the drain, in Unix nanoseconds;
 	// -1 while the acknowledgement is outstanding, 0 before the drain.
 	drainAckedAt atomic.Int64
@@ -113,6 +116,9 @@
 		b.checker.addViolation("encode a heartbeat: %v", err)
 		return false
 	}
+	if state == api.UpstreamReady {
+		up.lastReady.Store(&body)
+	}
 	return b.post(ctx, platform.PathHeartbeat+up.id, body)
 }
 
@@ -132,9 +138,27 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// drainAndRestart announces the drain of the current incarnation, serves for a
-// while longer and starts the next one. With skipDrain it deregisters at once.
-func (b *backend) drainAndRestart(ctx context.Context, skipDrain bool) {
+// departure describes how an incarnation leaves.
+type departure struct {
+	// skipDrain deregisters at once, without draining.
+	skipDrain bool
+	// nodeSignal, if set, is sent to the node after the acknowledgement. The latest
+	// ready heartbeat then arrives again and again, as if it had been delayed, and the
+	// backend serves for longer.
+	nodeSignal syscall.Signal
+}
+
+const (
+	// lateHeartbeatInterval is the time between two arrivals of a late heartbeat.
+	lateHeartbeatInterval = 200 * time.Millisecond
+	// lateHeartbeatTime is how long they arrive: until the node has stopped, is back
+	// and has had time to use the backend again.
+	lateHeartbeatTime = stopGrace + drainGrace
+)
+
+// drainAndRestart announces the departure of the current incarnation, serves for a
+// while longer and starts the next one.
+func (b *backend) drainAndRestart(ctx context.Context, d departure) {
 	up := b.current()
 	if up == nil || !up.drainAckedAt.CompareAndSwap(0, -1) {
 		return
@@ -143,7 +167,7 @@
 		return b.post(ctx, platform.PathDeregister+up.id, fmt.Appendf(nil, `{"born":%d}`, up.startedMillis))
 	}
 	announce := func() bool { return b.sendHeartbeat(ctx, up, api.UpstreamDraining) }
-	if skipDrain {
+	if d.skipDrain {
 		announce = deregister
 	}
 	for tries := 0; tries < 8 && ctx.Err() == nil; tries++ {
@@ -153,8 +177,15 @@
 		}
 		sleep(ctx, heartbeatInterval)
 	}
+	if d.nodeSignal != 0 && up.drainAckedAt.Load() > 0 {
+		if d.nodeSignal == syscall.SIGKILL {
+			b.host.markDisturbed(time.Now(), recoveryTime)
+		}
+		b.host.signal(d.nodeSignal)
+		b.repeatLateHeartbeat(ctx, up)
+	}
 	sleep(ctx, drainServeTime)
-	if !skipDrain {
+	if !d.skipDrain {
 		deregister()
 	}
 	b.crash()
@@ -162,6 +193,15 @@
 	b.start()
 }
 
+// repeatLateHeartbeat sends the latest ready heartbeat of an incarnation that has left.
+func (b *backend) repeatLateHeartbeat(ctx context.Context, up *incarnation) {
+	late := up.lastReady.Load()
+	for end := time.Now().Add(lateHeartbeatTime); late != nil && time.Now().Before(end) && ctx.Err() == nil; {
+		b.post(ctx, platform.PathHeartbeat+up.id, *late)
+		sleep(ctx, lateHeartbeatInterval)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	up := b.current()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -295,6 +295,9 @@
 			s.injectFor(ctx, d, s.hosts, func() { s.store.SetFaults(f) }, func() { s.store.SetFaults(store.Faults{}) })
 		}
 	}
+	leave := func(d departure) func() {
+		return func() { s.faultEnds.Go(func() { h.backend.drainAndRestart(ctx, d) }) }
+	}
 	signal := func(sig syscall.Signal) func() { return func() { h.signal(sig) } }
 	return map[string]func(){
 		// A planned stop is no disturbance: the guarantees hold throughout.
@@ -318,8 +321,11 @@
 		"backend endless": disturbAndDelay(func() { h.backend.endless.Store(true) }, func() { h.backend.endless.Store(false) }),
 		// Entries of another writer are no disturbance: the guarantees hold throughout.
 		"odd entry":      func() { s.putOddEntry(ctx, d) },
-		"backend leaves": func() { s.faultEnds.Go(func() { h.backend.drainAndRestart(ctx, false) }) },
-		"backend goes":   func() { s.faultEnds.Go(func() { h.backend.drainAndRestart(ctx, true) }) },
-		"configuration":  func() { s.applyNextConfig(ctx) },
+		"backend leaves": leave(departure{}),
+		"backend goes":   leave(departure{skipDrain: true}),
+		// Their late heartbeats reach the next process of the node.
+		"backend leaves, node stopped": leave(departure{nodeSignal: syscall.SIGTERM}),
+		"backend goes, node killed":    leave(departure{skipDrain: true, nodeSignal: syscall.SIGKILL}),
+		"configuration":                func() { s.applyNextConfig(ctx) },
 	}
 }
