Acknowledge no departure that does not apply to the instance in use

Cause: the state of the current instance was compared with ready in place of leaving. Change: a departure is recorded only when the instance with its ID is draining or down; otherwise the report is refused.

--- a/internal/process/departures/keeper.go
+++ b/internal/process/departures/keeper.go
@@ -57,7 +57,7 @@
 	Set       *Set
 	Publisher Publisher
 	RPC       rpc.Invoker
-	// Peers returns the known addresses of other nodes.
+	// Peers returns the known addresses of other nodes, those to ask first.
 	Peers func() []string
 	// FirstStart is set when the whole fleet starts for the first time, so that nothing
 	// has left before.
@@ -207,19 +207,21 @@
 	revision := k.revision
 	k.mu.Unlock()
 	e, err := k.Store.CompareAndSwap(ctx, k.key(k.Self), revision, value, lease.ID)
-	var conflict *kvstore.Error
-	switch {
-	case errors.As(err, &conflict) && conflict.Outcome == kvstore.OutcomeConflict:
+	switch kvstore.OutcomeOf(err) {
+	case kvstore.OutcomeConflict:
+		var conflict *kvstore.Error
+		errors.As(err, &conflict)
 		e = conflict.Current
 		if current, decodeErr := decodeEntry(e, d.Node); decodeErr == nil && d.compare(current) <= 0 {
 			err = nil
 		}
-	case kvstore.OutcomeOf(err) == kvstore.OutcomeRefused:
+	case kvstore.OutcomeRefused:
 		// The lease has ended.
 		return kvstore.Lease{}, err
-	}
-	if err != nil && conflict == nil {
-		return lease, err
+	default:
+		if err != nil {
+			return lease, err
+		}
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/process/departures/keeper_test.go
+++ b/internal/process/departures/keeper_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,21 +21,54 @@
 type fleet struct {
 	t        *testing.T
 	store    *store.Store
-	nodes    map[string]*node
 	noGossip bool
+	// firstStart is whether a process of TestRecallWithoutADepartureIsShort is started
+	// as one of a new fleet.
+	firstStart bool
+
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+// node returns the running process of a node, or nil.
+func (f *fleet) node(address string) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[address]
+}
+
+// addresses returns the nodes that run.
+func (f *fleet) addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.nodes))
 }
 
 // node is one process.
 type node struct {
 	*Keeper
-	// recalled is closed by OnRecalled; left holds the departures that the process
-	// learned of its own upstream.
+	// recalled is closed by OnRecalled.
 	recalled chan struct{}
-	left     []Departure
 	stop     context.CancelFunc
 	done     chan struct{}
 	// storeRefused makes every call to the store fail.
 	storeRefused bool
+
+	mu sync.Mutex
+	// left holds the departures that the process learned of its own upstream.
+	left []Departure
+}
+
+func (n *node) addLeft(d Departure) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.left = append(n.left, d)
+}
+
+func (n *node) learned() []Departure {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.left)
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -43,7 +79,7 @@
 
 // Call implements rpc.Invoker.
 func (f *fleet) Call(ctx context.Context, address, method string, in, out any) error {
-	n := f.nodes[address]
+	n := f.node(address)
 	if n == nil {
 		return errUnreachable
 	}
@@ -64,9 +100,11 @@
 	if f.noGossip {
 		return
 	}
-	for _, n := range f.nodes {
-		if _, err := n.Set.Merge(item); err != nil {
-			f.t.Error(err)
+	for _, address := range f.addresses() {
+		if n := f.node(address); n != nil {
+			if _, err := n.Set.Merge(item); err != nil {
+				f.t.Error(err)
+			}
 		}
 	}
 }
@@ -102,20 +140,15 @@
 func (f *fleet) start(address string, firstStart, refused bool) *node {
 	n := &node{recalled: make(chan struct{}), done: make(chan struct{}), storeRefused: refused}
 	set := NewSet(time.Now)
-	set.NotifyOwn(address, func(d Departure) { n.left = append(n.left, d) })
+	set.NotifyOwn(address, n.addLeft)
 	n.Keeper = &Keeper{
 		Self: address, Store: refusableStore{f.store, n}, Set: set, Publisher: f, RPC: f, FirstStart: firstStart,
-		Peers: func() []string {
-			var out []string
-			for other := range f.nodes {
-				out = append(out, other)
-			}
-			return out
-		},
-		OnRecalled: func() { close(n.recalled) },
+		Peers: f.addresses, OnRecalled: func() { close(n.recalled) },
 	}
 	n.Start()
+	f.mu.Lock()
 	f.nodes[address] = n
+	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(f.t.Context())
 	n.stop = cancel
 	go func() {
@@ -128,9 +161,12 @@
 // kill ends processes at once.
 func (f *fleet) kill(addresses ...string) {
 	for _, address := range addresses {
-		f.nodes[address].stop()
-		<-f.nodes[address].done
+		n := f.node(address)
+		f.mu.Lock()
 		delete(f.nodes, address)
+		f.mu.Unlock()
+		n.stop()
+		<-n.done
 	}
 }
 
@@ -184,7 +220,7 @@
 					f.start(address, true, false)
 				}
 				d := New("a", "i-1", 5, time.Now())
-				if err := f.nodes["a"].Record(t.Context(), d); err != nil {
+				if err := f.node("a").Record(t.Context(), d); err != nil {
 					t.Fatal(err)
 				}
 				checkRecalled(t, play(f), d)
@@ -206,7 +242,7 @@
 		f.store.SetFaults(store.Faults{Down: true})
 		d := New("a", "i-1", 5, time.Now())
 		began := time.Now()
-		if err := f.nodes["a"].Record(t.Context(), d); err != nil {
+		if err := f.node("a").Record(t.Context(), d); err != nil {
 			t.Fatal(err)
 		}
 		if took := time.Since(began); took >= time.Second {
@@ -218,7 +254,7 @@
 
 		f.store.SetFaults(store.Faults{Down: true})
 		d = New("a", "i-2", 6, time.Now())
-		if err := f.nodes["a"].Record(t.Context(), d); err != nil {
+		if err := f.node("a").Record(t.Context(), d); err != nil {
 			t.Fatal(err)
 		}
 		f.store.SetFaults(store.Faults{})
@@ -229,6 +265,22 @@
 	})
 }
 
+// The settings of a process that was killed may still say that the fleet starts for the
+// first time.
+func TestFirstStartReadsTheStoreAllTheSame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		a := f.start("a", true, false)
+		d := New("a", "i-1", 5, time.Now())
+		if err := a.Record(t.Context(), d); err != nil {
+			t.Fatal(err)
+		}
+		f.kill("a")
+		checkRecalled(t, f.start("a", true, false), d)
+		f.stopAll()
+	})
+}
+
 // What nobody else knows is not acknowledged, and is once the store is back.
 func TestDepartureThatNobodyHoldsIsNotAcknowledged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -297,6 +349,7 @@
 		play  func(f *fleet)
 		limit time.Duration
 	}{
+		"first start":                 {func(f *fleet) { f.kill("b", "c"); f.store.SetFaults(store.Faults{Down: true}); f.firstStart = true }, 0},
 		"peers and store":             {func(*fleet) {}, recallInterval},
 		"no peers":                    {func(f *fleet) { f.kill("b", "c") }, peerSearchTime + 2*recallInterval},
 		"store away, a complete peer": {func(f *fleet) { f.store.SetFaults(store.Faults{Down: true}) }, 2 * recallInterval},
@@ -315,13 +368,13 @@
 				f.kill("a")
 				tc.play(f)
 				began := time.Now()
-				a := f.start("a", false, false)
+				a := f.start("a", f.firstStart, false)
 				<-a.recalled
 				if took := time.Since(began); took > tc.limit {
 					t.Errorf("recalled after %v, want at most %v", took, tc.limit)
 				}
-				if len(a.left) != 0 {
-					t.Errorf("learned of %+v", a.left)
+				if len(a.learned()) != 0 {
+					t.Errorf("learned of %+v", a.learned())
 				}
 				f.stopAll()
 			})
@@ -339,8 +392,8 @@
 			}
 			a := f.start("a", false, false)
 			<-a.recalled
-			if err := a.Record(t.Context(), New("a", "i-1", 5, time.Now())); err != nil || len(a.left) != 0 {
-				t.Errorf("%x: %v, learned of %+v", value, err, a.left)
+			if err := a.Record(t.Context(), New("a", "i-1", 5, time.Now())); err != nil || len(a.learned()) != 0 {
+				t.Errorf("%x: %v, learned of %+v", value, err, a.learned())
 			}
 			f.stopAll()
 		}
@@ -352,14 +405,12 @@
 func checkRecalled(t *testing.T, n *node, d Departure) {
 	t.Helper()
 	<-n.recalled
-	if !n.isRecalled() || len(n.left) == 0 || n.left[len(n.left)-1].compare(d) != 0 {
-		t.Errorf("recalled %+v, want %+v", n.left, d)
+	if left := n.learned(); !n.isRecalled() || len(left) == 0 || left[len(left)-1].compare(d) != 0 {
+		t.Errorf("recalled %+v, want %+v", left, d)
 	}
 }
 
 func (f *fleet) stopAll() {
-	for address := range f.nodes {
-		f.kill(address)
-	}
+	f.kill(f.addresses()...)
 	synctest.Wait()
 }
--- a/internal/process/departures/recall.go
+++ b/internal/process/departures/recall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -83,6 +82,12 @@
 // OnRecalled, and goes on until the store was read as well.
 func (k *Keeper) recall(ctx context.Context) {
 	began, storeRead, recalled := time.Now(), false, false
+	if k.FirstStart {
+		// Nothing has left before. The store is read all the same, since the settings
+		// of a process that was killed may still say so.
+		recalled = true
+		k.OnRecalled()
+	}
 	for ctx.Err() == nil {
 		if !storeRead {
 			storeRead = k.readStore(ctx, k.Self) == nil
@@ -199,10 +204,14 @@
 // HandleHold holds a departure for another node.
 func (k *Keeper) HandleHold(_ context.Context, d Departure) (bool, error) {
 	changed, err := k.Set.receive(d)
+	if err != nil {
+		return false, err
+	}
 	if changed {
 		k.publish(d)
 	}
-	return err == nil, err
+	held, ok := k.Set.Get(d.Node)
+	return ok && d.compare(held) <= 0, nil
 }
 
 // holdAtPeers returns nil when a peer holds a departure.
@@ -215,11 +224,10 @@
 	return api.Errorf(api.StoreNotReached, "neither the store nor a peer has taken the departure of %q", d.Instance)
 }
 
-// callPeers calls a method of up to maxPeersAsked peers, drawn at random, and returns
-// the replies as they arrive.
+// callPeers calls a method of the first maxPeersAsked peers and returns the replies as
+// they arrive.
 func callPeers[Out any](ctx context.Context, k *Keeper, method string, in any, timeout time.Duration) <-chan Out {
 	peers := slices.DeleteFunc(k.Peers(), func(address string) bool { return address == k.Self })
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	peers = peers[:min(len(peers), maxPeersAsked)]
 	replies := make(chan Out, len(peers))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/process/operated/departures.go
+++ b/internal/process/operated/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
@@ -25,19 +26,26 @@
 	n.localUpstream.HoldReady()
 }
 
-// knownPeers returns the addresses of the members, or those found for bootstrapping
-// if there are no members yet.
+// knownPeers returns the addresses of the other members in random order, those of the
+// own data centre first, or those found for bootstrapping if there are no members yet.
 func (n *Node) knownPeers() []string {
-	var out []string
+	var near, far []string
 	for _, r := range n.members.Index().Members {
-		if r.Address != n.cfg.Peers.Listen {
-			out = append(out, r.Address)
+		switch {
+		case r.Address == n.cfg.Peers.Listen:
+		case r.DataCentre == n.cfg.Node.DataCentre:
+			near = append(near, r.Address)
+		default:
+			far = append(far, r.Address)
 		}
 	}
-	if len(out) == 0 {
-		return n.registry.Peers()
+	if len(near)+len(far) == 0 {
+		near = n.registry.Peers()
 	}
-	return out
+	for _, peers := range [][]string{near, far} {
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	}
+	return append(near, far...)
 }
 
 // applyReport applies a report of the upstream here. The acknowledgement of a
@@ -54,7 +62,8 @@
 		// reaches it.
 		return nil
 	}
-	if current.Ready() {
+	if current.State != api.UpstreamDraining && current.State != api.UpstreamDown {
+		// The report is of an earlier start. What does not apply is not acknowledged.
 		return api.Errorf(api.OperatorBody, "%q was started at %d, the report of state %s is of a start at %d", r.ID, current.StartedMillis, r.State, r.StartedMillis)
 	}
 	return n.departures.Record(ctx, departures.New(n.cfg.Peers.Listen, current.ID, current.StartedMillis, now))
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -353,6 +353,31 @@
 	}
 }
 
+// A report that does not apply binds nobody, so it must not be acknowledged; least of
+// all may it end a later start under the same ID.
+func TestLateDepartureOfAnEarlierStartIsNotAcknowledged(t *testing.T) {
+	s := store.New(1)
+	near, far := startHost(t, s, "near", "i-near"), startHost(t, s, "far", "i-far")
+	writeConfig(t, s, 3)
+	served := func() bool { status, _, _ := send("GET", near.url("/far/1"), nil); return status == http.StatusOK }
+	waitFor(t, "a response", served)
+	if status := far.heartbeatOf(6, 1, "ready"); status != http.StatusOK {
+		t.Fatalf("the later start: %d", status)
+	}
+	if status := far.heartbeatOf(5, 9, "draining"); status == http.StatusOK {
+		t.Error("the draining of the earlier start was acknowledged")
+	}
+	if status := far.call(platform.PathDeregister+"i-far", `{"born":5}`); status == http.StatusOK {
+		t.Error("the deregistration of the earlier start was acknowledged")
+	}
+	if !served() {
+		t.Error("the later start is not used")
+	}
+	if status := far.heartbeatOf(6, 2, "draining"); status != http.StatusOK {
+		t.Errorf("its own draining: %d", status)
+	}
+}
+
 // An upstream that has not left is used again as soon as its node is back.
 func TestUpstreamIsUsedAgainAfterItsNodeRestarted(t *testing.T) {
 	s := store.New(1)
