Bound the buffers of answers that are being read, not only their bytes

What callers would see: the node beside them is killed at its memory limit, and all their requests end.

Cause: the budget counted bytes read, while io.ReadAll holds the old buffer beside the grown one, and buffers given up stay until the next collection.

Change: bodyBuffer counts what it allocates before it does; the budget for answers is an eighth of the process memory in place of a fifth. Request bodies are read as before.

Why it works: live buffers never exceed the budget, so the collector's lag is bounded by a multiple of an eighth.

--- a/internal/conn/h1/client.go
+++ b/internal/conn/h1/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -115,11 +114,11 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxIdleConns bounds the idle connections kept per address.
 	MaxIdleConns int
-	// MaxBufferedBytes bounds the bytes of all bodies that are being read; a
+	// MaxBufferedBytes bounds the buffers of all bodies that are being read; a
 	// response that exceeds it fails. 0 sets no bound beyond MaxResponseBytes.
 	MaxBufferedBytes int64
 
-	// buffered is the number of bytes read of the bodies that are being read.
+	// buffered is the size of the buffers of the bodies that are being read.
 	buffered atomic.Int64
 
 	mu   sync.Mutex
@@ -423,17 +422,14 @@
 // connection: it is complete if the server closed the connection, and cut short
 // if the connection was reset.
 func (x *exchange) readResponseBody(resp *http.Response) (*Response, error) {
-	in := &countingReader{r: resp.Body, total: &x.client.buffered, limit: x.client.MaxBufferedBytes}
+	in := &bodyBuffer{total: &x.client.buffered, limit: x.client.MaxBufferedBytes}
 	defer in.release()
-	body, err := io.ReadAll(io.LimitReader(in, MaxResponseBytes+1))
+	body, err := in.readAll(resp.Body, resp.ContentLength, MaxResponseBytes)
 	if err != nil {
 		// The connection will be closed. Closing the body would first read it to
 		// its end, which may never come.
 		return nil, err
 	}
-	if len(body) > MaxResponseBytes {
-		return nil, fmt.Errorf("the response body exceeds %d bytes", MaxResponseBytes)
-	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
--- a/internal/conn/h1/endless_test.go
+++ b/internal/conn/h1/endless_test.go
@@ -104,6 +104,45 @@
 	}
 }
 
+// The budget bounded the bytes that were read, and not the buffers that held them and
+// their predecessors: bodies without end took several times the budget, and a node of
+// 134 MB exceeded its memory.
+func TestEndlessBodyAllocatesNoMoreThanItsBudget(t *testing.T) {
+	const (
+		budget = 8 << 20
+		// connectionBytes is ample for the two ends of a connection.
+		connectionBytes = 1 << 20
+	)
+	for name, head := range map[string]string{
+		"without length": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"of huge length": "HTTP/1.1 200 OK\r\nContent-Length: 33000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s scriptedServer
+			part := []byte(strings.Repeat("a", 64<<10))
+			address := s.serve(t, func(conn net.Conn, br *bufio.Reader) {
+				s.readRequest(br)
+				_, err := io.WriteString(conn, head)
+				// Nothing is allocated for each write, which would count.
+				for err == nil {
+					_, err = conn.Write(part)
+				}
+			})
+			c := newTestClient()
+			c.MaxBufferedBytes = budget
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			if _, err := doRequest(c, address, newGet("1")); err == nil {
+				t.Error("an endless body was read to its end")
+			}
+			runtime.ReadMemStats(&after)
+			if n := after.TotalAlloc - before.TotalAlloc; n > budget+connectionBytes {
+				t.Errorf("%d bytes were allocated, want at most %d", n, budget+connectionBytes)
+			}
+		})
+	}
+}
+
 // A body of a byte now and then is ended by the deadline of the request.
 func TestSlowEndlessBodyEndsAtTheDeadline(t *testing.T) {
 	var s scriptedServer
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -65,10 +65,13 @@
 	// bytesPerSecondPerMbps converts a link rate from Mbit/s to bytes per
 	// second.
 	bytesPerSecondPerMbps = 1e6 / 8
-	// bodyMemoryDivisor is the divisor of the process memory that gives the
-	// maximum memory for the bodies that one of the servers or clients of the
-	// request path buffers.
-	bodyMemoryDivisor = 5
+	// bodyMemoryDivisor and responseMemoryDivisor are the divisors of the process
+	// memory that give the maximum memory for the request bodies that one of the
+	// servers of the request path buffers, and for the responses that one of its
+	// clients is reading. What a client has given up stays in memory until the next
+	// garbage collection.
+	bodyMemoryDivisor     = 5
+	responseMemoryDivisor = 8
 	// maxIdlePeerConns and maxIdleUpstreamConns are the maximum numbers of idle
 	// connections kept for one address.
 	maxIdlePeerConns     = 16
@@ -260,16 +263,22 @@
 	return len(seen)
 }
 
-// maxBodyMemory returns the maximum number of bytes of bodies that one server or
-// client of the request path buffers.
+// maxBodyMemory returns the maximum number of bytes of request bodies that one server
+// of the request path buffers.
 func (n *Node) maxBodyMemory() int64 { return int64(n.cfg.Operated.MemoryMB) << 20 / bodyMemoryDivisor }
 
+// maxResponseMemory returns the maximum number of bytes of responses that one client
+// of the request path is reading.
+func (n *Node) maxResponseMemory() int64 {
+	return int64(n.cfg.Operated.MemoryMB) << 20 / responseMemoryDivisor
+}
+
 // wireRequests builds the components on the path of a request.
 func (n *Node) wireRequests() {
 	n.localUpstream = &localupstream.Tracker{Service: n.cfg.Operated.Service, Address: n.cfg.Operated.Address}
-	maxBodyMemory := n.maxBodyMemory()
+	maxResponseMemory := n.maxResponseMemory()
 	n.gate = &egress.Gate{
-		Upstream: n.localUpstream, Client: &h1.Client{DialTimeout: upstreamDialTimeout, MaxIdleConns: maxIdleUpstreamConns, MaxBufferedBytes: maxBodyMemory}, Dialect: n.adapter,
+		Upstream: n.localUpstream, Client: &h1.Client{DialTimeout: upstreamDialTimeout, MaxIdleConns: maxIdleUpstreamConns, MaxBufferedBytes: maxResponseMemory}, Dialect: n.adapter,
 		LinkBytesPerSecond: int64(n.cfg.Operated.LinkMbps * bytesPerSecondPerMbps),
 		VersionAllowed:     n.orders.VersionAllowed, QuarantineEvents: n.quarantineEvents, PublishCrash: n.gossipCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
@@ -284,7 +293,7 @@
 		Picker:       &balancer.Picker{Self: n.cfg.Peers.Listen, DataCentre: n.cfg.Node.DataCentre, Region: n.cfg.Node.Region},
 		Budget:       retry.NewBudgetWithBurst(retryBudget.NodeBurst),
 		RetryPercent: retryBudget.NodePercent(),
-		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns, MaxBufferedBytes: maxBodyMemory}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
+		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns, MaxBufferedBytes: maxResponseMemory}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
 	}
 	n.holder.OnSwap(n.ingress.PruneRoutes)
 }
