--- a/internal/conn/h1/server_conn.go
+++ b/internal/conn/h1/server_conn.go
@@ -337,7 +337,8 @@
 // called when the handler returns, and finished, if set, is closed after the
 // response. start returns false if no further request is to be read.
 func (c *serverConn) start(req *Request, closeAfter bool, release func(), finished chan struct{}) bool {
-	p := c.enqueue(&pendingRequest{isHead: req.Method == http.MethodHead, closeAfter: closeAfter || c.server.closing.Load()})
+	endsConn := closeAfter || c.server.closing.Load()
+	p := c.enqueue(&pendingRequest{isHead: req.Method == http.MethodHead, closeAfter: endsConn})
 	if p == nil {
 		if release != nil {
 			release()
@@ -357,7 +358,7 @@
 			close(finished)
 		}
 	}()
-	return !p.closeAfter
+	return !endsConn
 }
 
 // enqueue adds a request to the queue and waits while the queue is full. It
