Read no departures at the first start of a fleet

The platform says that the setting is given at the first start of the whole system only, when nothing has left, so that the read protects nobody.

What a restart reads is as before.

--- a/internal/process/departures/recall.go
+++ b/internal/process/departures/recall.go
@@ -83,10 +83,10 @@
 func (k *Keeper) recall(ctx context.Context) {
 	began, storeRead, recalled := time.Now(), false, false
 	if k.FirstStart {
-		// Nothing has left before. The store is read all the same, since the settings
-		// of a process that was killed may still say so.
-		recalled = true
+		// Nothing has left before, and a read by each node of a new fleet would cost
+		// the store as many calls as there are nodes.
 		k.OnRecalled()
+		return
 	}
 	for ctx.Err() == nil {
 		if !storeRead {
