Bound the wait for peers when a node reads back departures

Cause: a node that had read the store waited for the replies of three peers, whose hosts were not up yet, until the calls timed out.

Change: once the store has answered, peers are waited for 0.15 s at most in all. What a peer that is back later holds comes by gossip and ends the instance then.

Measured: case "peers that do not answer" of TestRecallWithoutADepartureIsShort, whose bound of 0.25 s the code before does not keep.

--- a/internal/process/departures/keeper_test.go
+++ b/internal/process/departures/keeper_test.go
@@ -22,6 +22,8 @@
 	t        *testing.T
 	store    *store.Store
 	noGossip bool
+	// silent makes calls between nodes hang, as to hosts without power.
+	silent bool
 	// firstStart is whether a process of TestRecallWithoutADepartureIsShort is started
 	// as one of a new fleet.
 	firstStart bool
@@ -83,6 +85,10 @@
 	if n == nil {
 		return errUnreachable
 	}
+	if f.silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	switch method {
 	case MethodHold:
 		held, err := n.HandleHold(ctx, in.(Departure))
@@ -349,6 +355,7 @@
 	}{
 		"first start":                 {func(f *fleet) { f.kill("b", "c"); f.store.SetFaults(store.Faults{Down: true}); f.firstStart = true }, 0},
 		"peers and store":             {func(*fleet) {}, recallInterval},
+		"peers that do not answer":    {func(f *fleet) { f.silent = true }, peerSearchTime + 2*recallInterval},
 		"no peers":                    {func(f *fleet) { f.kill("b", "c") }, peerSearchTime + 2*recallInterval},
 		"store away, a complete peer": {func(f *fleet) { f.store.SetFaults(store.Faults{Down: true}) }, 2 * recallInterval},
 		"store away, only peers that may have missed departures": {func(f *fleet) {
--- a/internal/process/departures/recall.go
+++ b/internal/process/departures/recall.go
@@ -18,16 +18,17 @@
 	// The second covers a read of the store that the peer makes.
 	storeReadTimeout  = 500 * time.Millisecond
 	peerRecallTimeout = 700 * time.Millisecond
-	// peerSearchTime is how long a node that has read the store looks for a peer. A
-	// node finds others within a fraction of a second; without any it may be alone.
-	peerSearchTime = time.Second
+	// peerSearchTime is how long a node that has read the store waits for a peer. A
+	// node finds others sooner; after a loss of power they may not be back yet, and
+	// each upstream is missed meanwhile. Gossip brings what a later peer holds.
+	peerSearchTime = 150 * time.Millisecond
 	// furtherReplyTime is how long the other peers are waited for after the first
 	// reply.
-	furtherReplyTime = 100 * time.Millisecond
+	furtherReplyTime = 50 * time.Millisecond
 	// maxHold is how long an upstream is not used because departures may be unknown.
 	maxHold = 5 * time.Second
 	// recallInterval is the mean time between two rounds.
-	recallInterval = 100 * time.Millisecond
+	recallInterval = 50 * time.Millisecond
 )
 
 // Query asks a peer for the departure beside a node.
@@ -93,7 +94,7 @@
 			storeRead = k.readStore(ctx, k.Self) == nil
 		}
 		if !recalled {
-			recalled = isRecalled(storeRead, k.askPeers(ctx, !storeRead), time.Since(began))
+			recalled = isRecalled(storeRead, k.askPeersUntil(ctx, storeRead, began.Add(peerSearchTime)), time.Since(began))
 			if recalled {
 				klog.V(1).Infof(logPrefix+"read back after %v, from the store: %v", time.Since(began), storeRead)
 				k.OnRecalled()
@@ -136,6 +137,17 @@
 	return err
 }
 
+// askPeersUntil asks some peers for the departure beside this node, and stops waiting at
+// the given time if the store was read.
+func (k *Keeper) askPeersUntil(ctx context.Context, storeRead bool, end time.Time) evidence {
+	if storeRead {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end)
+		defer cancel()
+	}
+	return k.askPeers(ctx, !storeRead)
+}
+
 // askPeers asks some peers for the departure beside this node.
 func (k *Keeper) askPeers(ctx context.Context, readStore bool) evidence {
 	replies := callPeers[Reply](ctx, k, MethodRecall, Query{Node: k.Self, Checksum: k.Set.Checksum(), ReadStore: readStore}, peerRecallTimeout)
