Correct comments that the last read found wrong or hard to read

The comment on isRecalled spoke of one end of the wait and claimed that late reports have arrived by then; it names both ends and claims less. The fleet of the keeper's tests does have gossip.

--- a/internal/conn/h1/body_buffer.go
+++ b/internal/conn/h1/body_buffer.go
@@ -11,7 +11,7 @@
 
 var errBodyTooLarge = errors.New("the body exceeds its size limit")
 
-// bodyBuffer reads a body of a server that is not trusted into memory. It counts the buffers that it
+// bodyBuffer reads the body of a response into memory. It counts the buffers that it
 // allocates, not the bytes that it has read: while a buffer grows, its predecessor is
 // in use as well, and without a bound on both, bodies that never end take several times
 // the memory that their bytes do.
--- a/internal/process/departures/keeper.go
+++ b/internal/process/departures/keeper.go
@@ -57,7 +57,8 @@
 	Set       *Set
 	Publisher Publisher
 	RPC       rpc.Invoker
-	// Peers returns the known addresses of other nodes, those to ask first.
+	// Peers returns the known addresses of other nodes, in the order in which to ask
+	// them.
 	Peers func() []string
 	// FirstStart is set when the whole fleet starts for the first time, so that nothing
 	// has left before.
--- a/internal/process/departures/keeper_test.go
+++ b/internal/process/departures/keeper_test.go
@@ -16,11 +16,12 @@
 	"github.com/daisytide/daisytide/internal/standin/store"
 )
 
-// fleet runs the keepers of several nodes around one store, without gossip: what a
-// node learns of others it learns by recall and hold alone.
+// fleet runs the keepers of several nodes around one store. Published items reach every
+// running node at once, but none that is started later: it learns by recall alone.
 type fleet struct {
-	t        *testing.T
-	store    *store.Store
+	t     *testing.T
+	store *store.Store
+	// noGossip drops published items.
 	noGossip bool
 	// silent makes calls between nodes hang, as to hosts without power.
 	silent bool
--- a/internal/process/departures/recall.go
+++ b/internal/process/departures/recall.go
@@ -69,9 +69,11 @@
 // had it, or when a peer had it while the store was away, so both are asked. A node
 // that the store does not serve relies on a peer that is certain.
 //
-// Without one, which takes a loss of the whole fleet and of the store within TTL, the
-// upstream is used after maxHold: by then a report that was sent before the departure
-// has arrived, and gossip still brings what a peer holds.
+// Both waits have an end, since an upstream that has not left is missed meanwhile. After
+// the store has answered, only a departure from while it was away can be unknown; peers
+// are waited for until peerSearchTime. A node with neither the store nor a certain peer
+// uses its upstream after maxHold; reports seldom arrive so late. Gossip still brings
+// what a peer holds, and ends the instance then.
 func isRecalled(storeRead bool, peers evidence, elapsed time.Duration) bool {
 	if storeRead {
 		return peers != noPeer || elapsed >= peerSearchTime
--- a/internal/process/operated/stop.go
+++ b/internal/process/operated/stop.go
@@ -46,9 +46,9 @@
 // after the response. Then it notifies other nodes to send no more requests.
 // Then it closes the callers' listener and idle connections, refuses what other nodes
 // still send, and requests in progress finish. A request that is not expected to
-// finish by the end is refused before it is sent. The upstream's slots serve the fleet until nearly the end,
-// because in a rolling restart of all nodes their capacity is missing for as
-// long as each node takes to stop.
+// finish by the end is refused before it is sent. The upstream's slots serve the
+// fleet until nearly the end, because in a rolling restart of all nodes their
+// capacity is missing for as long as each node takes to stop.
 func (n *Node) stop(stopRunners func()) {
 	klog.Info(logPrefix + "stopping")
 	began := time.Now()
