Wait in a test until both hosts know each other

Traced on a scratch copy that printed the code of the refusals, 12 processes side by side: 2 failed, both with 4007 from a node that had not yet received the other one's member record. The test only awaited the record in the opposite direction.

--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -267,6 +267,12 @@
 			t.Errorf("the upstream got %s", name)
 		}
 	}
+	// The answer from far shows that near knows far, but not the reverse: far may learn
+	// of near later, and refuses requests for it until then.
+	waitFor(t, "far to know near", func() bool {
+		status, _, _ := send("GET", far.url("/near/1"), nil)
+		return status == http.StatusOK
+	})
 	for _, size := range []int{0, 10, 100_000} {
 		if status, body, id := send("POST", far.url("/near/1"), make([]byte, size)); status != http.StatusOK || body != "whole "+id || near.runsOf(id) != 1 {
 			t.Errorf("body of %d bytes: %d %q", size, status, body)
