Identify client accounts by their keys

Callers of a deployment with client accounts were not served at all: its configuration has routes of an unknown kind and was refused as a whole.

Adds the kind of large responses that may be repeated, client accounts with keys, priority and quota, public routes and the warm-up rate of services to the configuration. The entry maps a key to its account, refuses unknown keys with 401, and removes the key and any claimed account name. The upstream receives the account's name. A request whose key was revoked gets no further attempt. Nodes hold and exchange digests of keys only. Account priority precedes that of the route at the gate.

--- a/api/codes.go
+++ b/api/codes.go
@@ -93,6 +93,9 @@
 	CallKeyClash       Code = 4019
 	CallCancelled      Code = 4020
 	CallBody           Code = 4021
+	CallUnknownKey     Code = 4022
+	CallQuota          Code = 4023
+	CallEvacuated      Code = 4024
 	CallKeyNotReady    Code = 4030
 	CallAnswerNotKept  Code = 4031
 
@@ -191,6 +194,9 @@
 	{CallKeyClash, "call-key-clash", http.StatusUnprocessableEntity, RanNo, false, "the key was used before for a different request"},
 	{CallCancelled, "call-cancelled", 499, RanUnknown, false, "the caller went away"},
 	{CallBody, "call-body", http.StatusBadRequest, RanUnknown, false, "the caller's body ended early"},
+	{CallUnknownKey, "call-unknown-key", http.StatusUnauthorized, RanNo, false, "the request has no key of a client account, or one that is not in force"},
+	{CallQuota, "call-quota", http.StatusTooManyRequests, RanNo, true, "the client account is over its quota"},
+	{CallEvacuated, "call-evacuated", http.StatusServiceUnavailable, RanNo, true, "the upstream's data centre is evacuated"},
 	{CallKeyNotReady, "call-key-not-ready", http.StatusServiceUnavailable, RanNo, true, "the gate is not ready for calls with an idempotency key yet"},
 	{CallAnswerNotKept, "call-answer-not-kept", http.StatusConflict, RanYes, false, "an earlier attempt with this key ran; its answer was not kept"},
 
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -22,7 +22,6 @@
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/hop"
 	"github.com/daisytide/daisytide/internal/request/quarantine"
-	"github.com/daisytide/daisytide/internal/version/traffic"
 )
 
 const logPrefix = "egress: "
@@ -257,7 +256,7 @@
 }
 
 func requestInfo(r *hop.Request) RequestInfo {
-	return RequestInfo{Route: r.Route, Priority: r.Priority, Deadline: r.Deadline, Objective: r.Objective}
+	return RequestInfo{Route: r.Route, Account: r.Account, AccountPriority: r.AccountPriority, Priority: r.Priority, Deadline: r.Deadline, Objective: r.Objective}
 }
 
 // admit takes a slot, waits for one, or returns the refusal.
@@ -289,12 +288,15 @@
 func (g *Gate) send(ctx context.Context, instance *Instance, r *hop.Request, in *h1.Request, body []byte) hop.Result {
 	header := h1.ForwardableHeaders(in.Header)
 	g.Dialect.SetUpstreamHeaders(header, r.TimeLeft(time.Now()), instance.ID, r.CallerService)
+	if r.Account != "" {
+		g.Dialect.SetAccount(header, r.Account)
+	}
 	idHeader, id := g.Dialect.RequestID(header)
 	c := &h1.ClientRequest{
 		Method: in.Method, Target: in.Target, Host: in.Host, Header: header, Body: body,
 		IDHeader: idHeader, ID: id, Judge: g.judgeResponse,
 	}
-	if r.Kind != traffic.Idempotent {
+	if !r.Kind.Repeatable() {
 		c.MaxIdleTime = maxIdleForOnce
 	}
 	resp, err := g.Client.Do(ctx, instance.Address, c)
--- a/internal/request/egress/gate_test.go
+++ b/internal/request/egress/gate_test.go
@@ -24,6 +24,9 @@
 func (plainHeaders) RequestID(h http.Header) (string, string)   { return "Id", h.Get("Id") }
 func (plainHeaders) TimeLeft(http.Header) (time.Duration, bool) { return 0, false }
 func (plainHeaders) SetRetryAfter(http.Header, time.Duration)   {}
+func (plainHeaders) TakeKey(http.Header) string                 { return "" }
+func (plainHeaders) SetUnauthorized(http.Header)                {}
+func (plainHeaders) SetAccount(h http.Header, name string)      { h.Set("Account", name) }
 func (plainHeaders) SetUpstreamHeaders(h http.Header, left time.Duration, instance, caller string) {
 	h.Set("Left", strconv.FormatInt(left.Milliseconds(), 10))
 	h.Set("Instance", instance)
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -59,8 +59,11 @@
 // RequestInfo is the part of a request that admission depends on.
 type RequestInfo struct {
 	Route string
-	// Priority is the route's priority; 0 is the highest.
-	Priority int
+	// Account is the client account, if any. AccountPriority goes before Priority,
+	// which is that of the route; 0 is the highest.
+	Account         string
+	AccountPriority int
+	Priority        int
 	// Deadline is when a response becomes useless. Until Objective it has its
 	// full value.
 	Deadline, Objective time.Time
@@ -444,6 +447,8 @@
 		return !t.late
 	case t.short != o.short:
 		return t.short
+	case t.AccountPriority != o.AccountPriority:
+		return t.AccountPriority < o.AccountPriority
 	case t.Priority != o.Priority:
 		return t.Priority < o.Priority
 	default:
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -28,6 +28,16 @@
 	// left, the only instance that may run the request, and the calling
 	// service.
 	SetUpstreamHeaders(h http.Header, left time.Duration, instance, caller string)
+	// TakeKey removes the key of a client account, and any account's name that the
+	// caller claims, from the header. It returns the key, or an empty string if
+	// there is none or more than one.
+	TakeKey(h http.Header) string
+	// SetAccount sets the header with the name of the client account for an
+	// upstream.
+	SetAccount(h http.Header, name string)
+	// SetUnauthorized sets the headers of a response to a request without a valid
+	// key.
+	SetUnauthorized(h http.Header)
 	// NotExecuted reports whether an upstream's response states that it did not
 	// run the request, and whether the reason is that another instance has its
 	// address.
@@ -57,6 +67,11 @@
 	CallerService string
 	// ConfigNumber is the number of the configuration that routed the request.
 	ConfigNumber uint64
+	// Account is the client account that the request belongs to, empty if the
+	// deployment has none or the route needs no key. AccountPriority takes
+	// precedence over Priority.
+	Account         string
+	AccountPriority int
 }
 
 // TimeLeft returns the time until the request's deadline.
@@ -89,6 +104,31 @@
 		fieldConfig:    strconv.FormatUint(r.ConfigNumber, 10),
 	}
 	h[call.HeaderCall] = []string{strings.Join(fields[:], separator)}
+	delete(h, headerAccount)
+	if r.Account != "" {
+		h[headerAccount] = []string{strconv.Itoa(r.AccountPriority) + separator + r.Account}
+	}
+}
+
+// headerAccount holds the priority and the name of a request's client account
+// between nodes. It is absent from requests without an account.
+const headerAccount = "Daisytide-Account"
+
+// decodeAccount reads the account written by EncodeHeader and removes it from the
+// header.
+func (r *Request) decodeAccount(h http.Header) error {
+	value := h.Get(headerAccount)
+	if value == "" {
+		return nil
+	}
+	delete(h, headerAccount)
+	priority, name, _ := strings.Cut(value, separator)
+	n, err := strconv.Atoi(priority)
+	if err != nil || name == "" {
+		return api.Errorf(api.CallHeader, "%s: %.100q", headerAccount, value)
+	}
+	r.Account, r.AccountPriority = name, n
+	return nil
 }
 
 // DecodeHeader reads a request written by EncodeHeader and removes it from the
@@ -107,12 +147,13 @@
 		}
 		numbers[i] = n
 	}
-	return &Request{
+	r := &Request{
 		Service: fields[fieldService], Version: fields[fieldVersion], Route: fields[fieldRoute], Kind: traffic.RequestKind(fields[fieldKind]),
 		Priority: int(numbers[fieldPriority]), CallerService: fields[fieldCallerService], ConfigNumber: uint64(numbers[fieldConfig]),
 		Deadline:  now.Add(time.Duration(numbers[fieldTimeLeft]) * time.Microsecond),
 		Objective: now.Add(time.Duration(numbers[fieldObjective]) * time.Microsecond),
-	}, nil
+	}
+	return r, r.decodeAccount(h)
 }
 
 // Result is the outcome of one attempt.
--- a/internal/request/ingress/attempts.go
+++ b/internal/request/ingress/attempts.go
@@ -29,6 +29,9 @@
 	in      *h1.Request
 	req     *hop.Request
 	route   *traffic.Route
+	// key is the digest of the request's key, if the deployment has client
+	// accounts.
+	key traffic.KeyDigest
 
 	tried []string
 	// upstreamsReached counts the upstreams that may have received the request.
@@ -93,13 +96,13 @@
 // isRetryableResponse reports whether an upstream's own response is a failure that
 // another upstream may not have.
 func (d *dispatch) isRetryableResponse(res hop.Result) bool {
-	return res.Response.Status >= http.StatusInternalServerError && d.req.Kind == traffic.Idempotent
+	return res.Response.Status >= http.StatusInternalServerError && d.req.Kind.Repeatable()
 }
 
 // retryIfIdempotent spends a retry if the request may run again. It reports
 // whether the request may go to another upstream.
 func (d *dispatch) retryIfIdempotent() bool {
-	return d.req.Kind == traffic.Idempotent && d.spendRetry()
+	return d.req.Kind.Repeatable() && d.spendRetry()
 }
 
 // spendRetry takes one retry from the budget. It reports whether the request
@@ -174,6 +177,10 @@
 // attempt makes one attempt; false means that no node is left to try.
 func (d *dispatch) attempt(ctx context.Context) (hop.Result, bool) {
 	ing := d.ingress
+	if len(d.tried) > 0 && d.keyRevoked() {
+		d.lastRefusal = hop.Refuse(api.CallUnknownKey, 0, nil)
+		return hop.Result{}, false
+	}
 	index := ing.Members.Index()
 	d.req.Version = ing.Versions.ChooseVersion(index, d.req.Service, rand.Float64())
 	if d.req.Version == "" {
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -133,7 +133,14 @@
 	if d.route == nil {
 		return hop.Refuse(api.CallNoRoute, 0, nil)
 	}
+	account, refused := d.identify(snap.Traffic)
+	if refused != nil {
+		return *refused
+	}
 	d.req = d.ingress.newRequest(d.in, d.route, snap)
+	if account != nil {
+		d.req.Account, d.req.AccountPriority = account.Name, account.Priority
+	}
 	switch now := time.Now(); {
 	case d.req.TimeLeft(now) <= 0:
 		return hop.Refuse(api.CallNoTime, defaultRetryAfter, nil)
@@ -248,10 +255,14 @@
 		h[name] = []string{id}
 	}
 	status := statusOf(res)
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		ing.Counters.Refused.Add(1)
 		ing.Dialect.SetRetryAfter(h, retryAfter(res, r, time.Now()))
-	} else {
+	case http.StatusUnauthorized:
+		ing.Counters.Refused.Add(1)
+		ing.Dialect.SetUnauthorized(h)
+	default:
 		ing.Counters.Failed.Add(1)
 	}
 	return &h1.Response{Status: status, Header: h}
@@ -263,6 +274,10 @@
 	switch {
 	case res.Code == api.CallNoRoute:
 		return http.StatusNotFound
+	case res.Code == api.CallUnknownKey:
+		return http.StatusUnauthorized
+	case res.Code == api.CallQuota:
+		return http.StatusTooManyRequests
 	case res.Ran == api.RanNo:
 		return http.StatusServiceUnavailable
 	case res.Code == api.CallTimeout, res.Code == api.CallNoTime:
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -39,7 +39,14 @@
 
 func (plainHeaders) SetUpstreamHeaders(http.Header, time.Duration, string, string) {}
 func (plainHeaders) NotExecuted(*h1.Response) (bool, bool)                         { return false, false }
-func (plainHeaders) Signed(*h1.Response) bool                                      { return true }
+func (plainHeaders) SetAccount(http.Header, string)                                {}
+func (plainHeaders) SetUnauthorized(http.Header)                                   {}
+func (plainHeaders) TakeKey(h http.Header) string {
+	key := h.Get("Key")
+	delete(h, "Key")
+	return key
+}
+func (plainHeaders) Signed(*h1.Response) bool { return true }
 func (plainHeaders) SetRetryAfter(h http.Header, after time.Duration) {
 	h.Set("Back", strconv.FormatInt(after.Milliseconds(), 10))
 }
@@ -57,6 +64,8 @@
 	sent    int
 	// hang makes an attempt wait for the end of its context.
 	hang bool
+	// onHandle, if set, is called during each attempt.
+	onHandle func()
 }
 
 func (r *harness) handle(ctx context.Context) hop.Result {
@@ -64,6 +73,9 @@
 	i := r.sent
 	r.sent++
 	r.mu.Unlock()
+	if r.onHandle != nil {
+		r.onHandle()
+	}
 	if r.hang {
 		<-ctx.Done()
 		return hop.Result{Code: api.CallTimeout, Ran: api.RanUnknown, Err: ctx.Err()}
--- a/internal/version/traffic/traffic.go
+++ b/internal/version/traffic/traffic.go
@@ -17,6 +17,10 @@
 	Routes   []Route      `json:"routes"`
 	Services []Service    `json:"services"`
 	Callers  CallerLimits `json:"callers"`
+	// RequireKey is set if requests need the key of a client account, unless their
+	// route is public.
+	RequireKey bool      `json:"require_key,omitempty"`
+	Accounts   []Account `json:"accounts,omitempty"`
 }
 
 // RequestKind determines whether a request may be executed more than once.
@@ -30,8 +34,17 @@
 	Once RequestKind = "once"
 	// Upload requests are executed at most once and have large bodies.
 	Upload RequestKind = "upload"
+	// Download requests may be executed again and have large responses.
+	Download RequestKind = "download"
 )
 
+// Repeatable reports whether requests may be executed more than once.
+func (k RequestKind) Repeatable() bool { return k == Idempotent || k == Download }
+
+func (k RequestKind) isValid() bool {
+	return k == Idempotent || k == Once || k == Upload || k == Download
+}
+
 // Route sends the requests of a host under a path prefix to services.
 type Route struct {
 	Name   string      `json:"name"`
@@ -46,8 +59,10 @@
 	Priority int `json:"priority"`
 	// Attempts is the maximum number of upstreams that one request may be sent
 	// to.
-	Attempts int               `json:"attempts"`
-	Shares   []WeightedService `json:"shares"`
+	Attempts int `json:"attempts"`
+	// Public routes need no key of a client account.
+	Public bool              `json:"public,omitempty"`
+	Shares []WeightedService `json:"shares"`
 }
 
 // WeightedService is a service with its weight in a route.
@@ -64,6 +79,10 @@
 	Connections int `json:"connections"`
 	// HealthPath responds with status 200 while the upstream is healthy.
 	HealthPath string `json:"health_path"`
+	// Warmup is how long an upstream stays cold after a start, and WarmupRate the
+	// number of requests per second that a cold one bears; 0 means no limit.
+	Warmup     time.Duration `json:"warmup,omitempty"`
+	WarmupRate float64       `json:"warmup_rate,omitempty"`
 }
 
 // CallerLimits limits what callers may send and how long they may take.
@@ -92,8 +111,12 @@
 		if s.Name == "" {
 			faults = append(faults, errors.New("a service has no name"))
 		}
+		if !isQuota(s.WarmupRate) || s.Warmup < 0 {
+			faults = append(faults, fmt.Errorf("service %q: the warm-up time and rate must be finite and not negative", s.Name))
+		}
 		services[s.Name] = true
 	}
+	faults = append(faults, c.checkAccounts()...)
 	for _, r := range c.Routes {
 		if err := r.check(services); err != nil {
 			faults = append(faults, fmt.Errorf("route %q: %w", r.Name, err))
@@ -122,7 +145,7 @@
 		return errors.New("the sum of the weights is too large")
 	case r.TimeLimit <= 0:
 		return errors.New("the time limit must be positive")
-	case r.Kind != Idempotent && r.Kind != Once && r.Kind != Upload:
+	case !r.Kind.isValid():
 		return fmt.Errorf("unknown request kind %q", r.Kind)
 	}
 	return nil
@@ -134,6 +157,8 @@
 	// routesByHost lists the routes of each host, the longest prefix first.
 	routesByHost map[string][]*Route
 	services     map[string]*Service
+	// accounts holds the client accounts by the digests of their keys.
+	accounts map[KeyDigest]*Account
 }
 
 func NewTable(c Config) *Table {
@@ -148,6 +173,7 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &t.Config.Services[i]
 	}
+	t.indexAccounts()
 	return t
 }
 
