Let the calls of running upstreams go first at gates

A call was taken for one of a running upstream only if its runs were at most 0.3 times as long as the longest route's. Look-ups of 30 ms beside downloads of 96 ms were not, and could wait behind them, which wastes the runs that made them.

The entry now knows such calls by their origin: they come from the address of the upstream beside it, unless callers share that address, and the gate lets them go first. Between nodes they carry a header of their own.

--- a/internal/conn/h1/message.go
+++ b/internal/conn/h1/message.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +25,8 @@
 	Header http.Header
 	// ReceivedAt is the time at which the header was read.
 	ReceivedAt time.Time
+	// RemoteIP is the address that the connection comes from.
+	RemoteIP netip.Addr
 	// Body is the complete body, unless it is to be read with ReadBody.
 	Body []byte
 	// readDeferredBody requests and reads the body; nil if Body is set.
--- a/internal/conn/h1/server.go
+++ b/internal/conn/h1/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -141,7 +142,7 @@
 func (s *Server) addConn(conn net.Conn) *serverConn {
 	limiter := &headerLimiter{r: conn}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &serverConn{server: s, conn: conn, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), ctx: ctx, cancel: cancel}
+	c := &serverConn{server: s, conn: conn, remoteIP: remoteIP(conn), limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), ctx: ctx, cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
@@ -151,6 +152,14 @@
 	return c
 }
 
+// remoteIP returns the IP address of a connection's other end.
+func remoteIP(conn net.Conn) netip.Addr {
+	if tcp, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
 func (s *Server) removeConn(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/conn/h1/server_conn.go
+++ b/internal/conn/h1/server_conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -66,12 +67,14 @@
 // serverConn is one connection. Its requests run concurrently; their responses
 // are written in the order of the requests.
 type serverConn struct {
-	server  *Server
-	conn    net.Conn
-	limiter *headerLimiter
-	br      *bufio.Reader
-	ctx     context.Context
-	cancel  context.CancelFunc
+	server *Server
+	conn   net.Conn
+	// remoteIP is the address of the other end.
+	remoteIP netip.Addr
+	limiter  *headerLimiter
+	br       *bufio.Reader
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu sync.Mutex
 	// queue holds the requests whose response is not written yet, oldest first.
@@ -140,7 +143,7 @@
 	if err != nil {
 		return c.handleReadError(err)
 	}
-	req := &Request{Method: r.Method, Target: originTarget(r), Host: r.Host, Header: r.Header, ReceivedAt: time.Now()}
+	req := &Request{Method: r.Method, Target: originTarget(r), Host: r.Host, Header: r.Header, ReceivedAt: time.Now(), RemoteIP: c.remoteIP}
 	expectsContinue := strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	_ = c.conn.SetReadDeadline(time.Time{})
 	switch {
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -295,6 +296,9 @@
 		RetryPercent: retryBudget.NodePercent(),
 		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns, MaxBufferedBytes: maxResponseMemory}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
 	}
+	if upstream, err := netip.ParseAddrPort(o.Address); err == nil {
+		n.ingress.Origins.UpstreamIP = upstream.Addr().Unmap()
+	}
 	n.holder.OnSwap(n.ingress.PruneRoutes)
 }
 
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -256,7 +256,7 @@
 }
 
 func requestInfo(r *hop.Request) RequestInfo {
-	return RequestInfo{Route: r.Route, Account: r.Account, AccountPriority: r.AccountPriority, Priority: r.Priority, Deadline: r.Deadline, Objective: r.Objective}
+	return RequestInfo{Route: r.Route, Account: r.Account, AccountPriority: r.AccountPriority, Priority: r.Priority, Nested: r.Nested, Deadline: r.Deadline, Objective: r.Objective}
 }
 
 // admit takes a slot, waits for one, or returns the refusal.
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -64,6 +64,8 @@
 	Account         string
 	AccountPriority int
 	Priority        int
+	// Nested is set for calls of running upstreams.
+	Nested bool
 	// Deadline is when a response becomes useless. Until Objective it has its
 	// full value.
 	Deadline, Objective time.Time
@@ -187,7 +189,7 @@
 }
 
 func (q *Queue) newTicket(now time.Time, request RequestInfo) *Ticket {
-	return &Ticket{RequestInfo: request, Decision: make(chan Decision, 1), startBy: q.onTimeStart(now, request), short: q.IsShort(request.Route)}
+	return &Ticket{RequestInfo: request, Decision: make(chan Decision, 1), startBy: q.onTimeStart(now, request), short: q.goesFirst(request)}
 }
 
 // startRun takes a slot for a run.
@@ -239,12 +241,18 @@
 	return q.runTimes[route] > 0 && q.runTimes[route] <= shortRunFraction*q.longestRunTime()
 }
 
+// goesFirst reports whether a request goes before the others: calls of running
+// upstreams, known by their origin or by their short runs.
+func (q *Queue) goesFirst(request RequestInfo) bool {
+	return request.Nested || q.IsShort(request.Route)
+}
+
 // onTimeStart is when a request must start to meet its objective. A short one
 // may miss the objective, but waits at most for the longest mean run time.
 func (q *Queue) onTimeStart(now time.Time, request RequestInfo) time.Time {
 	start := request.Objective.Add(-time.Duration(objectiveMargin * float64(q.MeanRunTime(request.Route))))
-	if q.IsShort(request.Route) {
-		start = now.Add(time.Duration(q.longestRunTime() * float64(time.Second)))
+	if longest := q.longestRunTime(); longest > 0 && q.goesFirst(request) {
+		start = now.Add(time.Duration(longest * float64(time.Second)))
 	}
 	if latest := q.latestStart(request); latest.Before(start) {
 		return latest
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -72,6 +72,9 @@
 	// precedence over Priority.
 	Account         string
 	AccountPriority int
+	// Nested is set for a call that a running upstream makes itself. Refusing or
+	// delaying it wastes the run that waits for it.
+	Nested bool
 }
 
 // TimeLeft returns the time until the request's deadline.
@@ -104,12 +107,19 @@
 		fieldConfig:    strconv.FormatUint(r.ConfigNumber, 10),
 	}
 	h[call.HeaderCall] = []string{strings.Join(fields[:], separator)}
+	delete(h, headerNested)
+	if r.Nested {
+		h[headerNested] = []string{"1"}
+	}
 	delete(h, headerAccount)
 	if r.Account != "" {
 		h[headerAccount] = []string{strconv.Itoa(r.AccountPriority) + separator + r.Account}
 	}
 }
 
+// headerNested is present on nested calls between nodes.
+const headerNested = "Daisytide-Nested"
+
 // headerAccount holds the priority and the name of a request's client account
 // between nodes. It is absent from requests without an account.
 const headerAccount = "Daisytide-Account"
@@ -153,6 +163,8 @@
 		Deadline:  now.Add(time.Duration(numbers[fieldTimeLeft]) * time.Microsecond),
 		Objective: now.Add(time.Duration(numbers[fieldObjective]) * time.Microsecond),
 	}
+	r.Nested = h.Get(headerNested) != ""
+	delete(h, headerNested)
 	return r, r.decodeAccount(h)
 }
 
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -86,6 +86,9 @@
 	Local        LocalGate
 	Client       *h1.Client
 	Dialect      hop.HeaderDialect
+	// Origins tells the calls of the upstream beside this node from those of
+	// callers.
+	Origins Origins
 
 	// Stopping refuses requests that a planned stop would cut.
 	Stopping egress.Stopping
@@ -138,6 +141,7 @@
 		return *refused
 	}
 	d.req = d.ingress.newRequest(d.in, d.route, snap)
+	d.req.Nested = d.ingress.Origins.IsNested(d.in.RemoteIP)
 	if account != nil {
 		d.req.Account, d.req.AccountPriority = account.Name, account.Priority
 	}
