Limit the requests to a cold upstream by its warm-up rate

An upstream that has just started, or reports that it is cold, sustains warmup_per_s requests per second and crashes well above it. Nothing limited them: 28 arrived in one second at a rate of 12, which allows 26.

The gate limits the starts by a token bucket with its own clock (warmup.go) that begins empty, so that restarts of its process keep the bound. The queue's wait estimates follow the rate, a timer admits waiting requests, and a report or a configuration applies at once, also to requests that wait. While cold, the gate announces the slots that the rate keeps busy and the time after which such a slot is free, and the member record has the lower number of slots. A service without a rate keeps its path: a nil check in the queue.

The gauge gate_warmup_rate and the lines "upstream is cold" and "upstream is warm" show the state.

--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -70,6 +70,10 @@
 	// FieldRunningAtCrash is the number of requests that were running in an
 	// upstream when it crashed.
 	FieldRunningAtCrash = "died_with"
+	// FieldWarmupRate is the number of requests per second to which a gate limits its
+	// cold upstream, and FieldWarmupLeft for how long, in milliseconds.
+	FieldWarmupRate = "warmup_per_s"
+	FieldWarmupLeft = "warmup_ms"
 	// FieldDropped counts the lines dropped because the queue was full, and
 	// FieldWithheld those not written because of the rate limit.
 	FieldDropped  = "dropped"
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -282,10 +282,12 @@
 		LinkBytesPerSecond: int64(n.cfg.Operated.LinkMbps * bytesPerSecondPerMbps),
 		VersionAllowed:     n.orders.VersionAllowed, QuarantineEvents: n.quarantineEvents, PublishCrash: n.gossipCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
-	n.localUpstream.OnChange = func(i egress.Instance) {
-		n.gate.UpstreamChanged(i)
-		n.self.SetUpstream(api.Announcement{Service: i.Service, Version: i.Version, Address: i.Address, State: i.State, Slots: i.Slots})
+	n.gate.ServiceWarmupRate = n.warmupRate
+	n.gate.Announce = func(i egress.Instance, slots int) {
+		n.self.SetUpstream(api.Announcement{Service: i.Service, Version: i.Version, Address: i.Address, State: i.State, Slots: slots})
 	}
+	n.localUpstream.OnChange = n.gate.UpstreamChanged
+	n.holder.OnSwap(func(*snapshot.Snapshot) { n.gate.ConfigurationChanged() })
 	o := n.cfg.Operated
 	retryBudget := retry.FleetBudget{Ratio: o.RetryRatio, Slack: o.RetrySlack, Size: func() int { return len(n.members.Index().Members) }}
 	n.ingress = &ingress.Ingress{
@@ -298,6 +300,19 @@
 	n.holder.OnSwap(n.ingress.PruneRoutes)
 }
 
+// warmupRate returns the requests per second that a cold upstream of a service
+// sustains, by the configuration in force; 0 is no limit.
+func (n *Node) warmupRate(service string) float64 {
+	snap := n.holder.Current()
+	if snap == nil || snap.Traffic == nil {
+		return egress.UnknownWarmupRate
+	}
+	if s := snap.Traffic.Service(service); s != nil {
+		return s.WarmupRate
+	}
+	return 0
+}
+
 // handleOrder adds an order that was read from the store. An order from a list
 // of all keys may have ended long ago, so that its status is read from the store
 // as well, unless the peers have told it.
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -95,6 +95,7 @@
 	} {
 		n.requests.AddGauge(name, g.help, g.read)
 	}
+	n.requests.AddGauge("gate_warmup_rate", "Requests per second to which the gate limits its cold upstream; 0 while it is warm.", n.gate.WarmupRate)
 	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
 }
 
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -75,32 +75,39 @@
 	// receivingBodies counts the requests that wait for their bodies.
 	receivingBodies atomic.Int64
 
+	// ServiceWarmupRate returns the requests per second that a cold upstream of a
+	// service sustains, by the configuration in force; 0 is no limit. nil limits none.
+	ServiceWarmupRate func(service string) float64
+	// Announce receives each state of the upstream, in order, with the number of slots
+	// that entries should count on: fewer while it is cold. It may be nil, and must not
+	// call back into the Gate.
+	Announce func(i Instance, slots int)
+
+	// announceMu orders the calls of Announce. It is locked before mu.
+	announceMu sync.Mutex
+
 	mu    sync.Mutex
 	queue Queue
+	// instance is the latest state of the upstream, limitedRate the rate to which its
+	// starts are limited, 0 for none, and announcedSlots the slots last announced.
+	instance       Instance
+	limitedRate    float64
+	announcedSlots int
+	// warmupTimer admits waiting requests while the starts are limited.
+	warmupTimer *time.Timer
 	// runningFingerprints counts the running requests by instance ID and
 	// fingerprint.
 	runningFingerprints map[string]map[quarantine.Fingerprint]int
 }
 
-// UpstreamChanged applies a new state of the upstream.
-func (g *Gate) UpstreamChanged(instance Instance) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if instance.State != api.UpstreamReady {
-		g.queue.RefuseWaiting(Decision{Code: api.CallLeaving, RetryAfter: defaultRetryAfter})
-		return
-	}
-	g.queue.Slots = instance.Slots
-	g.queue.AdmitWaiting(time.Now())
-}
-
 // Load returns the load that the gate reports to other nodes.
 func (g *Gate) Load() gate.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	return gate.Load{
-		Busy: g.queue.Running() + g.queue.Waiting() + int(g.receivingBodies.Load()), Slots: max(1, g.queue.Slots),
-		ServiceTime: g.queue.MeanServiceTime(), LinkBacklog: g.bodies.backlog(g.LinkBytesPerSecond),
+		Busy: g.queue.Running() + g.queue.Waiting() + int(g.receivingBodies.Load()), Slots: max(1, g.queue.SustainedSlots(now)),
+		ServiceTime: g.queue.SlotTime(now), LinkBacklog: g.bodies.backlog(g.LinkBytesPerSecond),
 	}
 }
 
@@ -163,6 +170,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.queue.Complete(now, r.Route, now.Sub(began), conclusive)
+		g.setTimerLocked(now)
 	}()
 	instance, res := g.instanceFor(r)
 	if instance == nil {
@@ -265,7 +273,11 @@
 		return Decision{Code: res.Code, RetryAfter: res.RetryAfter}
 	}
 	g.mu.Lock()
-	ticket, decision := g.queue.Arrive(time.Now(), requestInfo(r))
+	now := time.Now()
+	ticket, decision := g.queue.Arrive(now, requestInfo(r))
+	if ticket != nil {
+		g.setTimerLocked(now)
+	}
 	g.mu.Unlock()
 	if ticket == nil {
 		return decision
--- a/internal/request/egress/gate_test.go
+++ b/internal/request/egress/gate_test.go
@@ -68,9 +68,24 @@
 func (u *fakeUpstream) set(fn func(*Instance)) {
 	u.mu.Lock()
 	fn(&u.current)
-	i := u.current
+	i, gate := u.current, u.gate
 	u.mu.Unlock()
-	u.gate.UpstreamChanged(i)
+	gate.UpstreamChanged(i)
+}
+
+// replaceGate puts the gate of a new process in the place of the current one, which
+// uses the upstream only after its next report. No request waits in the old one.
+func (u *fakeUpstream) replaceGate(gate *Gate) {
+	u.set(func(i *Instance) { i.State = api.UpstreamStarting })
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.gate = gate
+}
+
+func (u *fakeUpstream) gateNow() *Gate {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.gate
 }
 
 type testGate struct {
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -18,6 +18,8 @@
 	Slots int
 
 	running int
+	// warmup limits the starts while the upstream is cold; nil while it is warm.
+	warmup *warmupLimit
 	// waiting is sorted by Ticket.before, late requests last.
 	waiting     []*Ticket
 	lateCount   int
@@ -41,7 +43,7 @@
 
 // Arrive decides on a request: it runs now, waits with a ticket, or is refused.
 func (q *Queue) Arrive(now time.Time, request RequestInfo) (*Ticket, Decision) {
-	idle := q.running < q.Slots && len(q.waiting) == 0
+	idle := q.running < q.Slots && len(q.waiting) == 0 && q.warmup.allows(now)
 	if now.After(q.latestStart(request)) && !(idle && q.startProbe(now, request)) {
 		return nil, Decision{Code: api.CallNoTime}
 	}
@@ -51,7 +53,7 @@
 	}
 	ticket := q.newTicket(now, request)
 	if !q.enqueue(now, ticket) && !q.enqueueLate(now, ticket) {
-		return nil, Decision{Code: api.CallShed, RetryAfter: q.retryAfter()}
+		return nil, Decision{Code: api.CallShed, RetryAfter: q.retryAfter(now)}
 	}
 	return ticket, Decision{Code: api.OK}
 }
@@ -63,14 +65,14 @@
 	if body > 0 && now.Add(body).After(q.bodyDeadline(now, request)) {
 		return Decision{Code: api.CallShed, RetryAfter: max(minRetryAfter, body)}
 	}
-	idle := q.running < q.Slots && len(q.waiting) == 0
+	idle := q.running < q.Slots && len(q.waiting) == 0 && q.warmup.allows(now)
 	switch ticket := q.newTicket(now, request); {
 	case now.After(q.latestStart(request)) && !(idle && q.probeDue(now, request)):
 		return Decision{Code: api.CallNoTime}
 	case idle, q.fitsOnTime(now, ticket), q.fitsLate(now, ticket):
 		return Decision{Code: api.OK}
 	default:
-		return Decision{Code: api.CallShed, RetryAfter: q.retryAfter()}
+		return Decision{Code: api.CallShed, RetryAfter: q.retryAfter(now)}
 	}
 }
 
@@ -88,6 +90,7 @@
 // startRun takes a slot for a run.
 func (q *Queue) startRun(now time.Time, route string) {
 	q.running++
+	q.warmup.take(now)
 	if q.lastStart == nil {
 		q.lastStart = map[string]time.Time{}
 	}
@@ -117,12 +120,17 @@
 	q.AdmitWaiting(now)
 }
 
-// AdmitWaiting admits waiting requests while slots are free.
+// AdmitWaiting admits waiting requests while slots are free and, at a cold upstream,
+// its rate allows their start.
 func (q *Queue) AdmitWaiting(now time.Time) {
 	for q.running < q.Slots && len(q.waiting) > 0 {
 		t := q.waiting[0]
+		overdue := now.After(t.startBy)
+		if !overdue && !q.warmup.allows(now) {
+			return
+		}
 		q.waiting = q.waiting[1:]
-		if now.After(t.startBy) {
+		if overdue {
 			q.requeueLate(now, t)
 			continue
 		}
--- a/internal/request/egress/waiting.go
+++ b/internal/request/egress/waiting.go
@@ -30,14 +30,22 @@
 )
 
 // EstimatedWait estimates the wait at a position of the queue.
-func (q *Queue) EstimatedWait(position int) time.Duration {
+func (q *Queue) EstimatedWait(now time.Time, position int) time.Duration {
+	if q.warmup.active(now) {
+		return q.limitedWait(now, position)
+	}
+	return q.slotWait(position)
+}
+
+// slotWait estimates the wait for a slot at a position of the queue.
+func (q *Queue) slotWait(position int) time.Duration {
 	return time.Duration(float64(q.MeanServiceTime()) * float64(position+1) / float64(max(1, q.Slots)))
 }
 
 // retryAfter estimates when a refused request may find a free place: after all
 // waiting requests have started.
-func (q *Queue) retryAfter() time.Duration {
-	return max(minRetryAfter, q.EstimatedWait(len(q.waiting)))
+func (q *Queue) retryAfter(now time.Time) time.Duration {
+	return max(minRetryAfter, q.EstimatedWait(now, len(q.waiting)))
 }
 
 func (q *Queue) newTicket(now time.Time, request RequestInfo) *Ticket {
@@ -78,7 +86,7 @@
 
 // fitsOnTime reports whether a request can start in time.
 func (q *Queue) fitsOnTime(now time.Time, t *Ticket) bool {
-	return !now.Add(q.EstimatedWait(q.position(t))).After(t.startBy)
+	return !now.Add(q.EstimatedWait(now, q.position(t))).After(t.startBy)
 }
 
 // enqueue adds a request to those that can start in time. Requests behind it
@@ -95,7 +103,7 @@
 
 // fitsLate reports whether a request may wait behind all others.
 func (q *Queue) fitsLate(now time.Time, t *Ticket) bool {
-	return q.lateCount < max(1, q.Slots/lateSlotsDivisor) && !now.Add(q.EstimatedWait(len(q.waiting))).After(q.lateStartBy(now, t))
+	return q.lateCount < max(1, q.Slots/lateSlotsDivisor) && !now.Add(q.EstimatedWait(now, len(q.waiting))).After(q.lateStartBy(now, t))
 }
 
 // enqueueLate adds a request behind all others, if few late ones wait.
@@ -121,7 +129,7 @@
 	var overdue []*Ticket
 	kept := q.waiting[:from]
 	for _, t := range q.waiting[from:] {
-		if now.Add(q.EstimatedWait(len(kept))).After(t.startBy) {
+		if now.Add(q.EstimatedWait(now, len(kept))).After(t.startBy) {
 			overdue = append(overdue, t)
 			continue
 		}
@@ -142,5 +150,5 @@
 	} else if q.enqueueLate(now, t) {
 		return
 	}
-	t.decide(Decision{Code: api.CallShed, RetryAfter: q.retryAfter()})
+	t.decide(Decision{Code: api.CallShed, RetryAfter: q.retryAfter(now)})
 }
