--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -107,6 +107,9 @@
 	// heartbeats and deregistrations, which pass each report to take. A report is
 	// acknowledged only if take returns nil.
 	RegisterReportHandlers(mux *http.ServeMux, take func(context.Context, localupstream.Report) error)
+	// WarmupLeft returns how long an upstream stays cold by a response of its health
+	// path; false if the response does not tell.
+	WarmupLeft(resp *h1.Response) (time.Duration, bool)
 	// ReadyPath returns the path of the platform's readiness probe.
 	ReadyPath() string
 }
@@ -283,10 +286,13 @@
 		LinkBytesPerSecond: int64(n.cfg.Operated.LinkMbps * bytesPerSecondPerMbps),
 		VersionAllowed:     n.orders.VersionAllowed, QuarantineEvents: n.quarantineEvents, PublishCrash: n.gossipCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
-	n.localUpstream.OnChange = func(i egress.Instance) {
-		n.gate.UpstreamChanged(i)
-		n.self.SetUpstream(api.Announcement{Service: i.Service, Version: i.Version, Address: i.Address, State: i.State, Slots: i.Slots})
+	n.gate.ServiceWarmupRate = n.warmupRate
+	n.gate.AskWarmup = n.askWarmup
+	n.gate.Announce = func(i egress.Instance, slots int) {
+		n.self.SetUpstream(api.Announcement{Service: i.Service, Version: i.Version, Address: i.Address, State: i.State, Slots: slots})
 	}
+	n.localUpstream.OnChange = n.gate.UpstreamChanged
+	n.holder.OnSwap(func(*snapshot.Snapshot) { n.gate.ConfigurationChanged() })
 	o := n.cfg.Operated
 	retryBudget := retry.FleetBudget{Ratio: o.RetryRatio, Slack: o.RetrySlack, Size: func() int { return len(n.members.Index().Members) }}
 	n.ingress = &ingress.Ingress{
@@ -302,6 +308,39 @@
 	n.holder.OnSwap(n.ingress.PruneRoutes)
 }
 
+// warmupRate returns the requests per second that a cold upstream of a service
+// sustains, by the configuration in force; 0 is no limit.
+func (n *Node) warmupRate(service string) float64 {
+	snap := n.holder.Current()
+	if snap == nil || snap.Traffic == nil {
+		return egress.UnknownWarmupRate
+	}
+	if s := snap.Traffic.Service(service); s != nil {
+		return s.WarmupRate
+	}
+	return 0
+}
+
+// askWarmup asks an upstream on its health path how long it stays cold; false if it
+// does not tell. The connection is not kept, so that the response cannot be confused
+// with one to a request.
+func (n *Node) askWarmup(ctx context.Context, i egress.Instance) (time.Duration, bool) {
+	snap := n.holder.Current()
+	if snap == nil || snap.Traffic == nil {
+		return 0, false
+	}
+	s := snap.Traffic.Service(i.Service)
+	if s == nil || s.HealthPath == "" {
+		return 0, false
+	}
+	client := h1.Client{DialTimeout: upstreamDialTimeout}
+	resp, err := client.Do(ctx, i.Address, &h1.ClientRequest{Method: http.MethodGet, Target: s.HealthPath, Host: i.Address, Header: http.Header{}})
+	if err != nil {
+		return 0, false
+	}
+	return n.adapter.WarmupLeft(resp)
+}
+
 // handleOrder adds an order that was read from the store. An order from a list
 // of all keys may have ended long ago, so that its status is read from the store
 // as well, unless the peers have told it.
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -75,33 +75,49 @@
 	// receivingBodies counts the requests that wait for their bodies.
 	receivingBodies atomic.Int64
 
+	// ServiceWarmupRate returns the requests per second that a cold upstream of a
+	// service sustains, by the configuration in force; 0 is no limit. nil limits none.
+	ServiceWarmupRate func(service string) float64
+	// AskWarmup asks an instance by a health request how long it stays cold; false if
+	// it does not tell. It may be nil.
+	AskWarmup func(ctx context.Context, i Instance) (left time.Duration, ok bool)
+	// Announce receives each state of the upstream, in order, with the number of slots
+	// that entries should count on: fewer while it is cold. It may be nil, and must not
+	// call back into the Gate.
+	Announce func(i Instance, slots int)
+
+	health healthChecks
+
+	// announceMu orders the calls of Announce. It is locked before mu.
+	announceMu sync.Mutex
+
 	mu    sync.Mutex
 	queue Queue
+	// instance is the latest state of the upstream, limitedRate the rate to which its
+	// starts are limited, 0 for none, and announcedSlots the slots last announced.
+	instance       Instance
+	limitedRate    float64
+	announcedSlots int
+	// warmupTimer admits waiting requests while the starts are limited.
+	warmupTimer *time.Timer
 	// runningFingerprints counts the running requests by instance ID and
 	// fingerprint.
 	runningFingerprints map[string]map[quarantine.Fingerprint]int
 }
 
-// UpstreamChanged applies a new state of the upstream.
-func (g *Gate) UpstreamChanged(instance Instance) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if instance.State != api.UpstreamReady {
-		g.queue.RefuseWaiting(Decision{Code: api.CallLeaving, RetryAfter: defaultRetryAfter})
-		return
-	}
-	g.queue.Slots = instance.Slots
-	g.queue.AdmitWaiting(time.Now())
-}
-
 // Load returns the load that the gate reports to other nodes.
 func (g *Gate) Load() gate.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return gate.Load{
+	load := gate.Load{
 		Busy: g.queue.Running() + g.queue.Waiting() + int(g.receivingBodies.Load()), Slots: max(1, g.queue.Slots),
 		ServiceTime: g.queue.MeanServiceTime(), LinkBacklog: g.bodies.backlog(g.LinkBytesPerSecond),
 	}
+	if g.limitedRate > 0 {
+		now := time.Now()
+		load.Slots, load.ServiceTime = max(1, g.queue.SustainedSlots(now)), g.queue.SlotTime(now)
+	}
+	return load
 }
 
 // Handle runs one request or returns why it did not run. The body is requested
@@ -163,6 +179,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.queue.Complete(now, r.Route, now.Sub(began), conclusive)
+		g.setTimerLocked(now)
 	}()
 	instance, res := g.instanceFor(r)
 	if instance == nil {
@@ -184,6 +201,7 @@
 	if res.Code == api.CallCut {
 		g.detectCrash(instance, r.Service)
 	}
+	g.checkHealth(ctx, instance, r, res, took)
 	if g.Observer != nil && conclusive {
 		g.Observer.ObserveRun(instance, r, res, took)
 	}
@@ -265,7 +283,11 @@
 		return Decision{Code: res.Code, RetryAfter: res.RetryAfter}
 	}
 	g.mu.Lock()
-	ticket, decision := g.queue.Arrive(time.Now(), requestInfo(r))
+	now := time.Now()
+	ticket, decision := g.queue.Arrive(now, requestInfo(r))
+	if ticket != nil {
+		g.setTimerLocked(now)
+	}
 	g.mu.Unlock()
 	if ticket == nil {
 		return decision
