Read evacuations of data centres from the store

An operator's order to evacuate a data centre had no representation: the follower of the operator's keys ignored keys under op/evacuate/.

The follower passes changes, deletions and complete lists to it. A key that is absent from a list ends the order at the revision of the list's first page, which is what Store.List returns; an order written while later pages are read stays.

--- a/internal/process/provider/follower.go
+++ b/internal/process/provider/follower.go
@@ -16,6 +16,7 @@
 	"github.com/daisytide/daisytide/internal/conn/kvstore"
 	"github.com/daisytide/daisytide/internal/ctxtime"
 	"github.com/daisytide/daisytide/internal/logs"
+	"github.com/daisytide/daisytide/internal/process/evacuation"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 	"github.com/daisytide/daisytide/internal/version/traffic"
@@ -63,6 +64,8 @@
 	// value comes from a list of all keys and may be old. It returns an error for a
 	// value that is not usable.
 	OnOrder func(e kvstore.Entry, listed bool) error
+	// Evacuations receives the keys under Keys.Evacuations; nil ignores them.
+	Evacuations *evacuation.Set
 	// LinkCount returns the number of established peer links, and WatcherCount that
 	// of watchers in the fleet, on which the duration of a watch depends.
 	LinkCount, WatcherCount func() int
@@ -167,6 +170,9 @@
 	if err != nil {
 		return 0, err
 	}
+	// Evacuations come before the configuration, without which an entry sends
+	// nothing.
+	f.applyListedEvacuations(entries, revision)
 	f.applyNewestConfig(entries)
 	for _, e := range entries {
 		f.applyOrder(e, true)
@@ -186,6 +192,7 @@
 		ctxtime.Sleep(ctx, rand.N(followRetryJitter))
 		return after, nil
 	}
+	f.applyChangedEvacuations(entries)
 	f.applyNewestConfig(entries)
 	for _, e := range entries {
 		f.applyOrder(e, false)
@@ -220,6 +227,47 @@
 	}
 }
 
+// evacuationOf returns the evacuation that an entry orders, or ends if it was deleted.
+// ok is false for all other entries.
+func (f *Follower) evacuationOf(e kvstore.Entry) (o evacuation.Order, ok bool) {
+	if f.Evacuations == nil || f.Keys.Evacuations == "" {
+		return evacuation.Order{}, false
+	}
+	name, ok := strings.CutPrefix(e.Key, f.Keys.Evacuations)
+	return evacuation.Order{DataCentre: name, Revision: e.Revision, InForce: !e.Deleted}, ok
+}
+
+// applyChangedEvacuations applies the evacuations among changes, in order.
+func (f *Follower) applyChangedEvacuations(entries []kvstore.Entry) {
+	for _, e := range entries {
+		if o, ok := f.evacuationOf(e); ok {
+			f.countInvalidEvacuation(f.Evacuations.Apply(o))
+		}
+	}
+}
+
+// applyListedEvacuations applies the evacuations of a list of all keys, which ends all
+// others up to its revision.
+func (f *Follower) applyListedEvacuations(entries []kvstore.Entry, revision uint64) {
+	if f.Evacuations == nil {
+		return
+	}
+	var listed []evacuation.Order
+	for _, e := range entries {
+		if o, ok := f.evacuationOf(e); ok {
+			listed = append(listed, o)
+		}
+	}
+	f.countInvalidEvacuation(f.Evacuations.ApplyList(listed, revision))
+}
+
+func (f *Follower) countInvalidEvacuation(err error) {
+	if err != nil {
+		f.invalidEntries.Add(1)
+		klog.Errorf(logPrefix+"an evacuation in the store is not usable: %.500v", err)
+	}
+}
+
 // InvalidEntries returns the number of entries that were not usable.
 func (f *Follower) InvalidEntries() int64 { return f.invalidEntries.Load() }
 
--- a/internal/process/provider/follower_test.go
+++ b/internal/process/provider/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -9,6 +11,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/internal/conn/kvstore"
+	"github.com/daisytide/daisytide/internal/process/evacuation"
 	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 	"github.com/daisytide/daisytide/internal/version/traffic"
@@ -222,3 +225,66 @@
 		t.Errorf("configuration %d in force and %d invalid entries, want 8 and 1", r.HighestNumber(), r.InvalidEntries())
 	}
 }
+
+// Guards against orders that outlast their removal, seen as a deletion or as the absence
+// from a list, and against an order that is written while a list of several pages is
+// read and ended by that list.
+func TestFollowerPassesEvacuationsOn(t *testing.T) {
+	const prefix = "op/evacuate/"
+	newEvacuating := func(s kvstore.Store) *followerHarness {
+		r := newFollower(s)
+		r.Keys.Evacuations, r.Evacuations = prefix, &evacuation.Set{}
+		return r
+	}
+	await := func(t *testing.T, r *followerHarness, want ...string) {
+		t.Helper()
+		r.waitFor(t, fmt.Sprint("the evacuation of ", want), func() bool { return slices.Equal(r.Evacuations.View().Names(), want) })
+	}
+	remove := func(t *testing.T, s *store.Store, key string) {
+		t.Helper()
+		e, err := s.Get(context.Background(), key)
+		if err == nil {
+			_, err = s.CompareAndSwap(context.Background(), key, e.Revision, nil, "")
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Run("events and a list after lost history", func(t *testing.T) {
+		s := &lossyWatchStore{Store: store.New(1)}
+		putValue(t, s.Store, prefix+"a", "")
+		putValue(t, s.Store, prefix+"b", "{}")
+		r := newEvacuating(s)
+		startFollower(t, r)
+		await(t, r, "a", "b")
+		remove(t, s.Store, prefix+"a")
+		await(t, r, "b")
+		s.drop.Store(true)
+		remove(t, s.Store, prefix+"b")
+		putValue(t, s.Store, prefix+"c", "{}")
+		s.CompactHistory()
+		s.drop.Store(false)
+		await(t, r, "c")
+		if r.InvalidEntries() != 0 {
+			t.Errorf("%d invalid entries", r.InvalidEntries())
+		}
+	})
+	t.Run("order written during a list", func(t *testing.T) {
+		r := newEvacuating(store.New(1))
+		if err := r.Evacuations.Apply(evacuation.Order{DataCentre: "a", Revision: 12, InForce: true}); err != nil {
+			t.Fatal(err)
+		}
+		r.applyListedEvacuations([]kvstore.Entry{{Key: opConfig, Revision: 3}, {Key: prefix + "z", Revision: 13}}, 10)
+		await(t, r, "a", "z")
+		r.applyListedEvacuations(nil, 13)
+		await(t, r)
+	})
+	t.Run("key without a name", func(t *testing.T) {
+		r := newEvacuating(store.New(1))
+		r.applyChangedEvacuations([]kvstore.Entry{{Key: prefix, Revision: 3}, {Key: prefix + "a", Revision: 4}})
+		await(t, r, "a")
+		if r.InvalidEntries() != 1 {
+			t.Errorf("%d invalid entries, want 1", r.InvalidEntries())
+		}
+	})
+}
--- a/internal/version/traffic/traffic.go
+++ b/internal/version/traffic/traffic.go
@@ -98,6 +98,9 @@
 	// Prefix is the prefix of all keys of the operator, Config the key of the
 	// configuration, Orders the prefix of the orders to move services.
 	Prefix, Config, Orders string
+	// Evacuations is the prefix of the keys that evacuate the data centre that the
+	// rest of the key names, as long as they exist.
+	Evacuations string
 	// Decode decodes a configuration.
 	Decode func(value []byte) (number uint64, c Config, err error)
 }
