Send nothing to evacuated data centres

The members' index leaves out the upstreams of excluded data centres, so that neither the choice of a version nor the balancer offers them. A request costs nothing more: the filter applies when the index is rebuilt. A gate whose data centre is evacuated refuses arriving and waiting requests with 4024; those in progress end normally. An entry that gets 4024 tries another data centre at once, does not count the attempt towards its limit of nodes and does not eject the node. A service that serves only in evacuated data centres is refused immediately with 503, 4024 and a Retry-After of a second at most.

The baseline versions of a rollout are not extended while a baseline version serves in an excluded data centre: otherwise a version without an order would keep receiving requests after the return.

Mutations of each rule in the entry (avoiding the data centre, the version, the limit of nodes, the outcome for the balancer) made a test fail.

--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -40,6 +40,10 @@
 	// Serving lists, per service and version, the nodes whose upstream may
 	// receive new calls, ordered by address.
 	Serving map[UpstreamKey][]Record
+	// ExcludedServing counts, per service and version, the upstreams that may receive
+	// new calls but are left out of Serving because their data centre is excluded; nil
+	// if no data centre is excluded.
+	ExcludedServing map[UpstreamKey]int
 	// Members lists every record that is not Gone, ordered by address.
 	Members []Record
 }
@@ -73,6 +77,9 @@
 	staleKeys map[UpstreamKey]bool
 	// staleAddresses holds the addresses to update in Members.
 	staleAddresses map[string]bool
+	// excluded holds the data centres left out of Serving. It is replaced, never
+	// changed.
+	excluded map[string]bool
 	// self is this node's address; onConflict is called with records of this
 	// address that peers hold and that supersede the node's own.
 	self       string
@@ -94,6 +101,64 @@
 	return t.index.Load()
 }
 
+// ServesOnlyExcluded reports whether a service has upstreams that may receive new
+// calls, but only in excluded data centres.
+func (x *Index) ServesOnlyExcluded(service string) bool {
+	for key, records := range x.Serving {
+		if key.Service == service && len(records) > 0 {
+			return false
+		}
+	}
+	return len(x.ExcludedVersions(service)) > 0
+}
+
+// ExcludedVersions returns the versions of a service that serve in excluded data
+// centres.
+func (x *Index) ExcludedVersions(service string) []string {
+	var out []string
+	for key := range x.ExcludedServing {
+		if key.Service == service {
+			out = append(out, key.Version)
+		}
+	}
+	return out
+}
+
+// ServingWithout returns an index of the upstreams of one service that leaves out some
+// data centres in addition to those already excluded.
+func (x *Index) ServingWithout(service string, dataCentres map[string]bool) *Index {
+	out := &Index{Serving: map[UpstreamKey][]Record{}, ExcludedServing: map[UpstreamKey]int{}, Members: x.Members}
+	maps.Copy(out.ExcludedServing, x.ExcludedServing)
+	for key, records := range x.Serving {
+		if key.Service != service {
+			continue
+		}
+		for _, r := range records {
+			if dataCentres[r.DataCentre] {
+				out.ExcludedServing[key]++
+			} else {
+				out.Serving[key] = append(out.Serving[key], r)
+			}
+		}
+	}
+	return out
+}
+
+// Exclude leaves the upstreams of the given data centres, and only these, out of
+// Index.Serving. The set must not be changed afterwards.
+func (t *Table) Exclude(dataCentres map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.excluded
+	t.excluded = dataCentres
+	for _, e := range t.records {
+		if old[e.record.DataCentre] != dataCentres[e.record.DataCentre] && e.record.Serving() {
+			t.staleKeys[UpstreamKey{Service: e.record.Service, Version: e.record.Version}] = true
+		}
+	}
+	t.stale.Store(true)
+}
+
 // Generation returns a number that increases when the set of members, their
 // locations or their states change.
 func (t *Table) Generation() uint64 { return t.generation.Load() }
@@ -228,9 +293,16 @@
 	for k := range t.staleKeys {
 		delete(x.Serving, k)
 	}
+	if len(t.excluded) > 0 {
+		x.ExcludedServing = map[UpstreamKey]int{}
+	}
 	for _, r := range x.Members {
 		k := UpstreamKey{Service: r.Service, Version: r.Version}
-		if r.Serving() && t.staleKeys[k] {
+		switch {
+		case !r.Serving():
+		case t.excluded[r.DataCentre]:
+			x.ExcludedServing[k]++
+		case t.staleKeys[k]:
 			x.Serving[k] = append(x.Serving[k], r)
 		}
 	}
--- a/internal/process/membership/table_test.go
+++ b/internal/process/membership/table_test.go
@@ -156,3 +156,38 @@
 		i++
 	}
 }
+
+// Guards against upstreams of excluded data centres that stay in the index or do not
+// return to it, whether their records change before, during or after the exclusion.
+func TestIndexLeavesOutExcludedDataCentres(t *testing.T) {
+	key := UpstreamKey{Service: "s", Version: "v1"}
+	table := NewTable()
+	put := func(address, dataCentre string, sequence uint64, state api.UpstreamState) {
+		table.Merge(Record{Address: address, DataCentre: dataCentre, Incarnation: 1, Sequence: sequence, State: Alive, Service: "s", Version: "v1", Upstream: state, Slots: 1})
+	}
+	expect := func(when string, want, excluded int) {
+		t.Helper()
+		x := table.Index()
+		if len(x.Serving[key]) != want || x.ExcludedServing[key] != excluded || x.ServesOnlyExcluded("s") != (want == 0 && excluded > 0) {
+			t.Errorf("%s: %d serving, %d excluded", when, len(x.Serving[key]), x.ExcludedServing[key])
+		}
+	}
+	put("a1", "a", 0, api.UpstreamReady)
+	put("b1", "b", 0, api.UpstreamReady)
+	expect("at first", 2, 0)
+	table.Exclude(map[string]bool{"a": true})
+	expect("with a excluded", 1, 1)
+	put("a2", "a", 0, api.UpstreamReady)
+	put("a1", "a", 1, api.UpstreamReady)
+	expect("after changes in a", 1, 2)
+	table.Exclude(map[string]bool{"a": true, "b": true})
+	expect("with both excluded", 0, 3)
+	put("a2", "a", 1, api.UpstreamDraining)
+	table.Exclude(map[string]bool{"b": true})
+	expect("with b excluded", 1, 1)
+	table.Exclude(nil)
+	expect("with none excluded", 2, 0)
+	if got := len(table.Index().Members); got != 3 {
+		t.Errorf("%d members", got)
+	}
+}
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -250,7 +250,7 @@
 	if share < 1 {
 		u = (u - share) / (1 - share)
 	}
-	old := m.baselineVersions(service, target, serving)
+	old := m.baselineVersions(service, target, serving, x.ExcludedVersions(service))
 	if v := pickWeighted(old, u); v != "" {
 		return v
 	}
@@ -306,9 +306,10 @@
 // baselineVersions returns the baseline versions that serve, without the target,
 // with their numbers of upstreams. If there are none, all other serving versions
 // become baseline versions and are returned. So a new version gets no requests
-// before its order arrives, as long as a baseline version serves. The caller holds
-// mu.
-func (m *Manager) baselineVersions(service, target string, serving map[string]int) map[string]int {
+// before its order arrives, as long as a baseline version serves. excluded lists the
+// versions that serve in excluded data centres: a baseline version among them returns,
+// so it keeps the baseline from being extended. The caller holds mu.
+func (m *Manager) baselineVersions(service, target string, serving map[string]int, excluded []string) map[string]int {
 	baseline := m.baseline[service]
 	if baseline == nil {
 		baseline = map[string]bool{}
@@ -327,6 +328,14 @@
 	if len(baselineServing) > 0 {
 		return baselineServing
 	}
+	if slices.ContainsFunc(excluded, func(v string) bool { return baseline[v] }) {
+		return all
+	}
+	if len(baseline) == 0 {
+		for _, v := range excluded {
+			baseline[v] = v != target
+		}
+	}
 	for v := range all {
 		baseline[v] = true
 	}
--- a/internal/process/orders/orders_test.go
+++ b/internal/process/orders/orders_test.go
@@ -257,3 +257,54 @@
 		t.Errorf("the store has %q after its return, error %v", e.Value, err)
 	}
 }
+
+// Guards against a version without an order that becomes a baseline version because the
+// data centre of the baseline version was evacuated for a time.
+func TestEvacuationDoesNotExtendTheBaseline(t *testing.T) {
+	m := newTestManager("n0", store.New(1), &directPublisher{})
+	members := membership.NewTable()
+	put := func(dataCentre, version string) {
+		members.Merge(membership.Record{
+			Address: "10.0.0.1:" + fmt.Sprint(len(members.All())+1), DataCentre: dataCentre, Incarnation: 1, State: membership.Alive,
+			Service: "s", Version: version, Upstream: api.UpstreamReady, Slots: 10,
+		})
+	}
+	put("a", "v1")
+	if v := m.ChooseVersion(members.Index(), "s", 0.5); v != "v1" {
+		t.Fatalf("chose %q", v)
+	}
+	put("b", "v2")
+	members.Exclude(map[string]bool{"a": true})
+	if v := m.ChooseVersion(members.Index(), "s", 0.5); v != "v2" {
+		t.Errorf("chose %q while the baseline version is evacuated", v)
+	}
+	members.Exclude(nil)
+	for i := range 20 {
+		if v := m.ChooseVersion(members.Index(), "s", float64(i)/20); v != "v1" {
+			t.Errorf("chose %q after the evacuation", v)
+		}
+	}
+}
+
+// Guards against a node that starts during an evacuation and sends the evacuated version
+// nothing after it, because it did not count as a baseline version.
+func TestEvacuatedVersionIsABaselineVersionAtANewNode(t *testing.T) {
+	m := newTestManager("n0", store.New(1), &directPublisher{})
+	members := membership.NewTable()
+	for dataCentre, version := range map[string]string{"a": "v1", "b": "v2"} {
+		members.Merge(membership.Record{
+			Address: "10.0.0.1:" + fmt.Sprint(len(members.All())+1), DataCentre: dataCentre, Incarnation: 1, State: membership.Alive,
+			Service: "s", Version: version, Upstream: api.UpstreamReady, Slots: 10,
+		})
+	}
+	members.Exclude(map[string]bool{"a": true})
+	m.ChooseVersion(members.Index(), "s", 0.5)
+	members.Exclude(nil)
+	chosen := map[string]bool{}
+	for i := range 20 {
+		chosen[m.ChooseVersion(members.Index(), "s", float64(i)/20)] = true
+	}
+	if !chosen["v1"] || !chosen["v2"] {
+		t.Errorf("chose %v after the evacuation", chosen)
+	}
+}
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -53,6 +53,9 @@
 	Dialect  hop.HeaderDialect
 	// VersionAllowed reports whether requests may go to a version of a service.
 	VersionAllowed func(service, version string) bool
+	// Evacuated reports whether the data centre of this node is evacuated; nil means
+	// that it never is.
+	Evacuated func() bool
 	// QuarantineEvents holds the crash events and the requests isolated by
 	// them. PublishCrash sends a crash event to the other nodes.
 	QuarantineEvents *quarantine.EventSet
@@ -71,6 +74,9 @@
 	// on bodies in transfer.
 	LinkBytesPerSecond int64
 
+	// evacuationRefusals counts the requests refused because of an evacuation.
+	evacuationRefusals atomic.Uint64
+
 	bodies bodyLimiter
 	// receivingBodies counts the requests that wait for their bodies.
 	receivingBodies atomic.Int64
@@ -94,6 +100,17 @@
 	g.queue.AdmitWaiting(time.Now())
 }
 
+// RefuseEvacuated refuses the waiting requests once Evacuated reports true. Requests
+// in progress end normally.
+func (g *Gate) RefuseEvacuated() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.RefuseWaiting(Decision{Code: api.CallEvacuated, RetryAfter: defaultRetryAfter})
+}
+
+// EvacuationRefusals returns the number of requests refused because of an evacuation.
+func (g *Gate) EvacuationRefusals() uint64 { return g.evacuationRefusals.Load() }
+
 // Load returns the load that the gate reports to other nodes.
 func (g *Gate) Load() gate.Load {
 	g.mu.Lock()
@@ -110,6 +127,9 @@
 func (g *Gate) Handle(ctx context.Context, r *hop.Request, in *h1.Request) hop.Result {
 	began := time.Now()
 	res := g.process(ctx, r, in)
+	if res.Code == api.CallEvacuated {
+		g.evacuationRefusals.Add(1)
+	}
 	g.Metrics.ObserveRequest(metrics.Gate, r.Route, MetricsOutcome(res), time.Since(began))
 	g.mu.Lock()
 	res.MeanRunTime, res.ShortRoute = g.queue.MeanRunTime(r.Route), g.queue.IsShort(r.Route)
@@ -211,6 +231,8 @@
 func (g *Gate) instanceFor(r *hop.Request) (*Instance, hop.Result) {
 	instance := g.Upstream.Current()
 	switch {
+	case g.Evacuated != nil && g.Evacuated():
+		return nil, hop.Refuse(api.CallEvacuated, defaultRetryAfter, nil)
 	case !instance.Ready():
 		return nil, hop.Refuse(api.CallLeaving, defaultRetryAfter, nil)
 	case instance.Service != r.Service || instance.Version != r.Version:
--- a/internal/request/egress/gate_test.go
+++ b/internal/request/egress/gate_test.go
@@ -270,3 +270,46 @@
 		}
 	}
 }
+
+// Guards against requests that reach the upstream of an evacuated data centre, arriving
+// or waiting, against interrupted runs, and against a gate that stays closed.
+func TestEvacuatedGateRefusesArrivingAndWaitingRequests(t *testing.T) {
+	g, _ := newGate(t, quarantine.NewEventSet(time.Now))
+	var evacuated atomic.Bool
+	g.Evacuated = evacuated.Load
+	release := make(chan struct{})
+	g.respond = func(net.Conn, *http.Request) bool { <-release; return true }
+	results := make(chan hop.Result, 6)
+	for range 6 {
+		go func() { results <- g.sendRequest("v1", "/x") }()
+	}
+	for end := time.Now().Add(10 * time.Second); (g.Load().Busy < 6 || g.runs.Load() < 4) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	evacuated.Store(true)
+	g.RefuseEvacuated()
+	expectRefusal := func(what string, res hop.Result) {
+		t.Helper()
+		if res.Code != api.CallEvacuated || res.Ran != api.RanNo || res.RetryAfter <= 0 {
+			t.Errorf("%s: %+v", what, res)
+		}
+	}
+	for range 2 {
+		expectRefusal("a waiting request", <-results)
+	}
+	expectRefusal("an arriving request", g.sendRequest("v1", "/x"))
+	close(release)
+	for range 4 {
+		if res := <-results; res.Code != api.OK {
+			t.Errorf("a running request: %+v", res)
+		}
+	}
+	expectRefusal("an arriving request", g.sendRequest("v1", "/x"))
+	if n := g.runs.Load(); n != 4 || g.EvacuationRefusals() != 4 {
+		t.Errorf("%d requests ran, %d refusals counted", n, g.EvacuationRefusals())
+	}
+	evacuated.Store(false)
+	if res := g.sendRequest("v1", "/x"); res.Code != api.OK {
+		t.Errorf("after the evacuation: %+v", res)
+	}
+}
--- a/internal/request/ingress/attempts.go
+++ b/internal/request/ingress/attempts.go
@@ -34,6 +34,12 @@
 	key traffic.KeyDigest
 
 	tried []string
+	// attempts counts the attempts except those refused because of an evacuation.
+	attempts int
+	// evacuated holds the data centres whose gates have refused the request because
+	// of an evacuation that this node had not learnt of; nil if there are none. Each
+	// refused it once: these attempts do not count towards maxNodes.
+	evacuated map[string]bool
 	// upstreamsReached counts the upstreams that may have received the request.
 	upstreamsReached int
 	// fallback is the result for the caller unless a later attempt succeeds: an
@@ -69,7 +75,10 @@
 			return d.finalResult(d.expired(ctx, res))
 		case res.Ran == api.RanNo:
 			d.recordRefusal(res)
-			if len(d.tried) >= maxNodes || isFinal(res.Code) {
+			if res.Code == api.CallEvacuated {
+				continue
+			}
+			if d.attempts >= maxNodes || isFinal(res.Code) {
 				return d.finalResult(res)
 			}
 			if res.UpstreamRefused {
@@ -126,6 +135,34 @@
 	}
 }
 
+// avoidDataCentre leaves out all upstreams of the service in a data centre whose gate
+// has refused the request because of an evacuation.
+func (d *dispatch) avoidDataCentre(index *membership.Index, dataCentre string) {
+	if d.evacuated == nil {
+		d.evacuated = map[string]bool{}
+	}
+	d.evacuated[dataCentre] = true
+	for key, records := range index.Serving {
+		if key.Service != d.req.Service {
+			continue
+		}
+		for _, r := range records {
+			if r.DataCentre == dataCentre {
+				d.tried = append(d.tried, r.Address)
+			}
+		}
+	}
+}
+
+// chooseVersion chooses the version for the next attempt among those with upstreams
+// outside the data centres that are known to be evacuated.
+func (d *dispatch) chooseVersion(index *membership.Index) string {
+	if d.evacuated != nil {
+		index = index.ServingWithout(d.req.Service, d.evacuated)
+	}
+	return d.ingress.Versions.ChooseVersion(index, d.req.Service, rand.Float64())
+}
+
 // keepFallback stores the result of an attempt after which the request may have
 // run.
 func (d *dispatch) keepFallback(res hop.Result) {
@@ -182,8 +219,11 @@
 		return hop.Result{}, false
 	}
 	index := ing.Members.Index()
-	d.req.Version = ing.Versions.ChooseVersion(index, d.req.Service, rand.Float64())
+	d.req.Version = d.chooseVersion(index)
 	if d.req.Version == "" {
+		if len(d.tried) == 0 && index.ServesOnlyExcluded(d.req.Service) {
+			d.lastRefusal = hop.Refuse(api.CallEvacuated, unreachableRetryAfter, nil)
+		}
 		return hop.Result{}, false
 	}
 	key := membership.UpstreamKey{Service: d.req.Service, Version: d.req.Version}
@@ -204,21 +244,33 @@
 		return hop.Result{}, false
 	}
 	d.tried = append(d.tried, selection.Record.Address)
+	d.attempts++
 	if selection.Record.Address == ing.Self {
 		in := *d.in
 		res := ing.Local.Handle(ctx, d.req, &in)
 		d.recordAttempt(selection.Record.Address, now, res)
 		d.reportOutcome(ctx, selection, res, ing.Local.Load(), true)
 		ing.recordRunTime(d.req.Route, res.MeanRunTime)
+		d.noteEvacuated(index, selection, res)
 		return res, true
 	}
 	res, load, hasLoad := d.sendToNode(ctx, selection)
 	d.recordAttempt(selection.Record.Address, now, res)
 	ing.recordRunTime(d.req.Route, res.MeanRunTime)
 	d.reportOutcome(ctx, selection, res, load, hasLoad)
+	d.noteEvacuated(index, selection, res)
 	return res, true
 }
 
+// noteEvacuated makes the next attempts avoid the data centre of a gate that refused
+// the request because of an evacuation.
+func (d *dispatch) noteEvacuated(index *membership.Index, selection balancer.Selection, res hop.Result) {
+	if res.Code == api.CallEvacuated {
+		d.attempts--
+		d.avoidDataCentre(index, selection.Record.DataCentre)
+	}
+}
+
 // timeToObjective is the time in which the response should arrive: until the
 // objective, or until the deadline if the objective has passed.
 func (d *dispatch) timeToObjective(now time.Time) time.Duration {
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,6 +20,7 @@
 	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/request/balancer"
+	"github.com/daisytide/daisytide/internal/request/call"
 	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/gate"
 	"github.com/daisytide/daisytide/internal/request/hop"
@@ -64,11 +67,20 @@
 	sent    int
 	// hang makes an attempt wait for the end of its context.
 	hang bool
+	// evacuated holds the nodes whose gates refuse because of an evacuation.
+	evacuated          map[string]bool
+	evacuationRefusals int
 	// onHandle, if set, is called during each attempt.
 	onHandle func()
 }
 
-func (r *harness) handle(ctx context.Context) hop.Result {
+func (r *harness) handle(ctx context.Context, node string) hop.Result {
+	if r.evacuated[node] {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.evacuationRefusals++
+		return hop.Refuse(api.CallEvacuated, 100*time.Millisecond, nil)
+	}
 	r.mu.Lock()
 	i := r.sent
 	r.sent++
@@ -89,7 +101,7 @@
 // Handle implements LocalGate. The remote gates return results from the same
 // list.
 func (r *harness) Handle(ctx context.Context, _ *hop.Request, _ *h1.Request) hop.Result {
-	return r.handle(ctx)
+	return r.handle(ctx, "self")
 }
 
 // Load implements LocalGate.
@@ -121,9 +133,10 @@
 	}
 	add("self", "")
 	for i := range others {
+		name := "other" + strconv.Itoa(i)
 		s := &h1.Server{
 			Handler: func(ctx context.Context, _ *h1.Request) *h1.Response {
-				return egress.BuildResponse(r.handle(ctx), gate.Load{Slots: 10})
+				return egress.BuildResponse(r.handle(ctx, name), gate.Load{Slots: 10})
 			},
 			Limits: func() h1.Limits {
 				return h1.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
@@ -136,7 +149,7 @@
 		}
 		t.Cleanup(func() { _ = l.Close() })
 		go func() { _ = s.Serve(l) }()
-		add("other"+strconv.Itoa(i), l.Addr().String())
+		add(name, l.Addr().String())
 	}
 	holder := &snapshot.Holder{}
 	holder.StoreIfNewer(snapshotOf(t, 1, routes()))
@@ -448,3 +461,118 @@
 		}
 	}
 }
+
+// servingVersion chooses the first version of the service that serves.
+type servingVersion struct{}
+
+func (servingVersion) ChooseVersion(x *membership.Index, _ string, _ float64) string {
+	for _, v := range []string{"v1", "v2"} {
+		if len(x.Serving[membership.UpstreamKey{Service: "s", Version: v}]) > 0 {
+			return v
+		}
+	}
+	return ""
+}
+
+// locate moves a node of the harness to a data centre and gives its upstream a version.
+func (r *harness) locate(t *testing.T, address, dataCentre, version string) {
+	t.Helper()
+	record, ok := r.ingress.Members.Get(address)
+	if !ok {
+		t.Fatalf("no member %s", address)
+	}
+	record.Sequence++
+	record.DataCentre, record.Version = dataCentre, version
+	r.ingress.Members.Merge(record)
+}
+
+// Guards against an entry that, before it knows of an evacuation, spends its attempts on
+// further nodes of the evacuated data centre or on a version that serves only there, and
+// against the ejection of nodes that refuse for this reason.
+func TestRefusalBecauseOfAnEvacuationLeadsToAnotherDataCentre(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// dataCentres and versions are those of self and of each other node.
+		dataCentres, versions []string
+		// evacuated is the number of the nodes, from the first on, that refuse.
+		evacuated int
+		// refusals and status are those of one request.
+		refusals, status int
+		// full is set if the first other node is full.
+		full bool
+	}{
+		"same version":                         {[]string{"a", "a", "a", "a", "a", "b"}, []string{"v1", "v1", "v1", "v1", "v1", "v1"}, 5, 1, 200, false},
+		"another version":                      {[]string{"a", "a", "a", "a", "a", "b"}, []string{"v1", "v1", "v1", "v1", "v1", "v2"}, 5, 1, 200, false},
+		"several data centres":                 {[]string{"a", "b", "c", "d", "e"}, []string{"v1", "v1", "v1", "v1", "v2"}, 4, 4, 200, false},
+		"nowhere else":                         {[]string{"a", "a", "a"}, []string{"v1", "v1", "v1"}, 3, 1, 503, false},
+		"several data centres and a full node": {[]string{"a", "b", "c", "d", "e"}, []string{"v1", "v1", "v1", "v1", "v1"}, 3, 3, 200, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(t, len(tc.dataCentres)-1)
+			r.ingress.Versions = servingVersion{}
+			r.evacuated = map[string]bool{}
+			for i, dataCentre := range tc.dataCentres {
+				node := "self"
+				if i > 0 {
+					node = "other" + strconv.Itoa(i-1)
+				}
+				r.locate(t, node, dataCentre, tc.versions[i])
+				r.evacuated[node] = i < tc.evacuated
+			}
+			// A node that was ejected would be left out of the later requests.
+			const requests = 3
+			for range requests {
+				r.results, r.sent = []hop.Result{answered(200)}, 0
+				if tc.full {
+					r.results = []hop.Result{shed, answered(200)}
+				}
+				resp := r.get("/once/1")
+				if resp.Status != tc.status || (resp.Status == 503) != (resp.Header.Get("Back") != "") {
+					t.Errorf("status %d, %v", resp.Status, resp.Header)
+				}
+			}
+			if r.evacuationRefusals < requests || r.evacuationRefusals > requests*tc.refusals {
+				t.Errorf("%d refusals of %d requests, want at most %d of each", r.evacuationRefusals, requests, tc.refusals)
+			}
+			for node := range r.evacuated {
+				record, _ := r.ingress.Members.Get(node)
+				key := membership.UpstreamKey{Service: "s", Version: record.Version}
+				others := slices.DeleteFunc(slices.Collect(maps.Keys(r.evacuated)), func(a string) bool { return a == node })
+				selection, ok := r.ingress.Picker.PickByExpectedTime(r.ingress.Members.Index(), key, others, time.Now(), rand.New(globalRandom{}), balancer.Requirements{})
+				if !ok || selection.Ejected(time.Now()) {
+					t.Errorf("%s is ejected", node)
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests to a data centre that the entry knows to be evacuated, also in
+// the choice of a version, and against a late refusal if a service serves only there.
+func TestEntrySendsNothingToAnEvacuatedDataCentre(t *testing.T) {
+	r := newHarness(t, 2)
+	r.ingress.Versions = servingVersion{}
+	r.locate(t, "self", "b", "v1")
+	r.locate(t, "other0", "b", "v1")
+	r.locate(t, "other1", "c", "v2")
+	r.ingress.Members.Exclude(map[string]bool{"b": true})
+	for range 20 {
+		r.results, r.sent = []hop.Result{answered(200)}, 0
+		if resp := r.get("/once/1"); resp.Status != 200 || r.sent != 1 {
+			t.Fatalf("status %d after %d attempts", resp.Status, r.sent)
+		}
+	}
+	if key := (membership.UpstreamKey{Service: "s", Version: "v1"}); len(r.ingress.Members.Index().Serving[key]) != 0 {
+		t.Error("upstreams of the evacuated data centre are offered")
+	}
+	r.ingress.Members.Exclude(map[string]bool{"b": true, "c": true})
+	r.sent = 0
+	resp := r.get("/once/1")
+	if resp.Status != 503 || r.sent != 0 || resp.Header.Get(call.HeaderCode) != strconv.Itoa(int(api.CallEvacuated)) || resp.Header.Get("Back") == "" {
+		t.Errorf("status %d after %d attempts, %v", resp.Status, r.sent, resp.Header)
+	}
+	r.ingress.Members.Exclude(nil)
+	r.results, r.sent = []hop.Result{answered(200)}, 0
+	if resp := r.get("/once/1"); resp.Status != 200 {
+		t.Errorf("status %d after the evacuation", resp.Status)
+	}
+}
