Evacuate data centres on operated nodes

Wires the set of evacuations into operated nodes: the follower of the operator's keys and the gossip feed it, the members' index and the gate obey it. A node that starts keeps its upstream out of use until it knows from the store or from a peer whether its data centre is evacuated: without this, requests of its own callers reached the upstream after a restart. The set is shown by daisytide hosts and GET /v1/status, each change is logged, and two metrics count the evacuated data centres and the gate's refusals.

--- a/api/operator.go
+++ b/api/operator.go
@@ -95,6 +95,8 @@
 type HostsResponse struct {
 	Number uint64 `json:"number"`
 	Hosts  []Host `json:"hosts"`
+	// Evacuated lists the data centres that are evacuated.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // Rollout is one row of GET PathRollouts.
@@ -194,6 +196,8 @@
 	Watcher bool `json:"watcher"`
 	// StoreReached is true if the last call to the store was answered.
 	StoreReached bool `json:"store_reached"`
+	// Evacuated lists the data centres that are evacuated.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // UpstreamState is the state that an upstream reports.
--- a/cmd/daisytide/hosts.go
+++ b/cmd/daisytide/hosts.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -38,6 +39,9 @@
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("print: %w", err)
 	}
+	if len(out.Evacuated) > 0 {
+		fmt.Fprintf(c.app.stdout, "evacuated: %s\n", strings.Join(out.Evacuated, ", "))
+	}
 	have, all := countInForce(out, out.Number)
 	fmt.Fprintf(c.app.stdout, "configuration %d is in force on %d of %d hosts\n", out.Number, have, all)
 	return nil
--- a/cmd/daisytide/main_test.go
+++ b/cmd/daisytide/main_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -193,3 +195,28 @@
 		t.Error("exit code 0 for a request without a log line")
 	}
 }
+
+// Guards against an evacuation that the list of hosts does not show.
+func TestHostsShowsEvacuatedDataCentres(t *testing.T) {
+	out := api.HostsResponse{Number: 3, Hosts: []api.Host{{Address: "10.0.0.1:1", DataCentre: "a", Number: 3}}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := json.NewEncoder(w).Encode(out); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer server.Close()
+	hosts := func() string {
+		code, stdout, stderr := runCommand(t, "hosts", "--node", server.URL, "--token", "operators-have-this-token", "--operator", "ann")
+		if code != exitDone {
+			t.Fatalf("exit code %d: %s", code, stderr)
+		}
+		return stdout
+	}
+	if stdout := hosts(); strings.Contains(stdout, "evacuated") {
+		t.Errorf("without an evacuation: %s", stdout)
+	}
+	out.Evacuated = []string{"a", "b"}
+	if stdout := hosts(); !strings.Contains(stdout, "\nevacuated: a, b\n") {
+		t.Errorf("with two evacuated data centres: %s", stdout)
+	}
+}
--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -63,6 +63,8 @@
 	// FieldStoreCalls lists the operations of the store with the number of calls
 	// since the start.
 	FieldStoreCalls = "store_calls"
+	// FieldDataCentre is the name of a data centre.
+	FieldDataCentre = "data_centre"
 	// FieldMember is a node's address.
 	FieldMember = "member"
 	// FieldEjectedFor is the time for which a node is ejected, in milliseconds.
--- a/internal/process/evacuation/set.go
+++ b/internal/process/evacuation/set.go
@@ -14,12 +14,10 @@
 // TopicName is the gossip topic of evacuations.
 const TopicName = "evacuations"
 
-// maxInForce and maxRemoved bound a set. A fleet has tens of data centres; only
-// orders for names that do not exist come near the bounds.
-const (
-	maxInForce = 1024
-	maxRemoved = 1024
-)
+// maxRemoved bounds the orders that are kept after they have ended. A fleet has tens of
+// data centres; only orders for names that do not exist come near the bound. Orders in
+// force are not bounded, since leaving one out would not evacuate its data centre.
+const maxRemoved = 1024
 
 const logPrefix = "evacuation: "
 
@@ -140,10 +138,6 @@
 	if known && !o.supersedes(old) {
 		return false
 	}
-	if o.InForce && !old.InForce && len(s.orders)-s.removed >= maxInForce {
-		klog.Errorf(logPrefix+"the order for %.40q is left out: %d are in force", o.DataCentre, maxInForce)
-		return false
-	}
 	if s.orders == nil {
 		s.orders = map[string]Order{}
 	}
--- a/internal/process/operated/departures.go
+++ b/internal/process/operated/departures.go
@@ -19,7 +19,7 @@
 	})
 	n.departures = &departures.Keeper{
 		Self: n.cfg.Peers.Listen, Store: n.store, Set: set, Publisher: n.gossip, RPC: n.peerRPC,
-		FirstStart: n.cfg.Operated.FirstStart, Peers: n.knownPeers, OnRecalled: n.localUpstream.Release,
+		FirstStart: n.cfg.Operated.FirstStart, Peers: n.knownPeers, OnRecalled: n.releaseUpstream,
 	}
 	n.departures.Start()
 	n.gossip.RegisterTopic(set)
--- a/internal/process/operated/fuzz_peers_test.go
+++ b/internal/process/operated/fuzz_peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/daisytide/daisytide/internal/conn/link"
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/process/departures"
+	"github.com/daisytide/daisytide/internal/process/evacuation"
 	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/process/orders"
 	"github.com/daisytide/daisytide/internal/process/registry"
@@ -154,6 +155,7 @@
 		orders.StateTopicName:  rolloutState{Service: "s", Target: "v2", Revision: 5, Duration: time.Minute, Age: time.Second},
 		orders.CountsTopicName: runCounts{Node: "10.0.0.3:7600", Incarnation: 1, Sequence: 1, Service: "s", Revision: 5, Version: "v2", Routes: map[string]ramp.Tally{"r": {Failed: 1}}},
 		departures.TopicName:   departures.New("10.0.0.3:7600", "i-1", 5, time.Now()),
+		evacuation.TopicName:   evacuation.Order{DataCentre: "b", Revision: 5, InForce: true},
 		quarantine.TopicName:   quarantine.Event{ID: 7, Service: "s", ExpiresUnix: time.Now().Add(time.Minute).Unix()},
 	} {
 		item, err := wire.Marshal(v)
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -28,6 +28,7 @@
 	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/departures"
+	"github.com/daisytide/daisytide/internal/process/evacuation"
 	"github.com/daisytide/daisytide/internal/process/fleetstatus"
 	"github.com/daisytide/daisytide/internal/process/gossip"
 	"github.com/daisytide/daisytide/internal/process/localupstream"
@@ -128,6 +129,8 @@
 	quarantineEvents *quarantine.EventSet
 	localUpstream    *localupstream.Tracker
 	departures       *departures.Keeper
+	evacuations      *evacuation.Set
+	evacuationStart  *evacuation.Starter
 	gate             *egress.Gate
 	ingress          *ingress.Ingress
 	store            *kvstore.RateLimitedStore
@@ -140,6 +143,8 @@
 	listeners                             [listenerCount]net.Listener
 	startedAt                             time.Time
 	stopping                              atomic.Bool
+	// released counts the calls of releaseUpstream.
+	released atomic.Int32
 }
 
 // Indexes of the listeners, in the order in which they are opened.
@@ -166,6 +171,7 @@
 	}
 	n.wireMembership()
 	n.wireRequests()
+	n.wireEvacuations()
 	n.wireDepartures()
 	n.wireServers()
 	return n, nil
@@ -207,7 +213,10 @@
 	}, n.members, incarnation)
 	n.peerRPC = &rpc.Client{HTTP: &http.Client{Transport: dial.PeerTransport(nil)}, PeerKey: n.cfg.Peers.Secret, Scheme: "http"}
 	keys := n.adapter.OperatorKeys()
-	n.provider = &provider.Follower{Store: n.store, Holder: n.holder, Keys: keys, OnOrder: n.handleOrder, FirstStart: n.cfg.Operated.FirstStart}
+	n.evacuations = &evacuation.Set{}
+	n.provider = &provider.Follower{
+		Store: n.store, Holder: n.holder, Keys: keys, OnOrder: n.handleOrder, Evacuations: n.evacuations, FirstStart: n.cfg.Operated.FirstStart,
+	}
 	n.registry = &registry.Registry{
 		Store: n.store, Self: n.self.Record, Members: n.members, TTL: n.cfg.Operated.LeaseTTL,
 		SeedHosts: n.cfg.Operated.SeedHostList(), FirstStart: n.cfg.Operated.FirstStart,
@@ -245,6 +254,7 @@
 	n.gossip.RegisterTopic(orders.SumsTopic{Manager: n.orders})
 	n.gossip.RegisterTopic(n.quarantineEvents)
 	n.gossip.RegisterTopic(n.registry.StoreRecoveries())
+	n.gossip.RegisterTopic(n.evacuations)
 	n.holder.OnSwap(n.gossip.ConfigChanged)
 }
 
@@ -280,7 +290,7 @@
 	n.gate = &egress.Gate{
 		Upstream: n.localUpstream, Client: &h1.Client{DialTimeout: upstreamDialTimeout, MaxIdleConns: maxIdleUpstreamConns, MaxBufferedBytes: maxResponseMemory}, Dialect: n.adapter,
 		LinkBytesPerSecond: int64(n.cfg.Operated.LinkMbps * bytesPerSecondPerMbps),
-		VersionAllowed:     n.orders.VersionAllowed, QuarantineEvents: n.quarantineEvents, PublishCrash: n.gossipCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
+		VersionAllowed:     n.orders.VersionAllowed, Evacuated: n.isEvacuated, QuarantineEvents: n.quarantineEvents, PublishCrash: n.gossipCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
 	n.localUpstream.OnChange = func(i egress.Instance) {
 		n.gate.UpstreamChanged(i)
@@ -396,7 +406,7 @@
 			return nil
 		})
 	}
-	for _, run := range []func(context.Context) error{n.gossip.Run, n.provider.Run, n.registry.Run, n.orders.Run, n.departures.Run} {
+	for _, run := range []func(context.Context) error{n.gossip.Run, n.provider.Run, n.registry.Run, n.orders.Run, n.departures.Run, n.evacuationStart.Run} {
 		g.Go(func() error { return run(runnerCtx) })
 	}
 	g.Go(func() error {
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/kvstore"
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/operated"
 	"github.com/daisytide/daisytide/internal/process/operator/client"
@@ -99,7 +100,7 @@
 // host is a node and its upstream.
 type host struct {
 	*backend
-	store *store.Store
+	store kvstore.Store
 	cfg   *settings.Settings
 	stop  func()
 	done  chan struct{}
@@ -124,11 +125,16 @@
 }
 
 func startHost(t testing.TB, s *store.Store, service, id string) *host {
+	t.Helper()
+	return startHostIn(t, s, "a", service, id)
+}
+
+func startHostIn(t testing.TB, s kvstore.Store, dataCentre, service, id string) *host {
 	t.Helper()
 	a := hostAddresses(6)
-	text := fmt.Sprintf("[node]\nregion = r\ndata-centre = a\n[callers]\nlisten = %s\n[peers]\nlisten = %s\nsecret = nodes-share-this-key\n"+
+	text := fmt.Sprintf("[node]\nregion = r\ndata-centre = %s\n[callers]\nlisten = %s\n[peers]\nlisten = %s\nsecret = nodes-share-this-key\n"+
 		"[operators]\nlisten = %s\ntoken = operators-have-this-token\n[store]\naddress = http://127.0.0.1:1\nrate = 50\n[upstream]\nstop-grace = 3s\n"+
-		"[operated]\nenabled = true\ngate = %s\nready = %s\nservice = %s\nupstream = %s\n", a[0], a[1], a[2], a[3], a[4], service, a[5])
+		"[operated]\nenabled = true\ngate = %s\nready = %s\nservice = %s\nupstream = %s\n", dataCentre, a[0], a[1], a[2], a[3], a[4], service, a[5])
 	cfg, faults := settings.Parse(text)
 	if len(faults) > 0 {
 		t.Fatal(faults)
--- a/internal/process/operated/operators.go
+++ b/internal/process/operated/operators.go
@@ -51,12 +51,15 @@
 		Number: n.holder.Current().Number(), Ready: n.holder.Current() != nil && !n.stopping.Load(),
 		Links: n.gossip.LinkCount(), Members: len(n.members.Index().Members),
 		Watcher: n.provider.IsWatcher(), StoreReached: n.store.Reachable(),
+		Evacuated: n.evacuations.View().Names(),
 	}
 }
 
 // Hosts implements operator.Node.
 func (n operatorNode) Hosts(ctx context.Context) api.HostsResponse {
-	return n.fleetStatus.Hosts(ctx)
+	out := n.fleetStatus.Hosts(ctx)
+	out.Evacuated = n.evacuations.View().Names()
+	return out
 }
 
 // Rollouts implements operator.Node.
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -12,6 +12,7 @@
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/departures"
+	"github.com/daisytide/daisytide/internal/process/evacuation"
 )
 
 // wireServers builds the servers of the listeners.
@@ -28,6 +29,7 @@
 	peerMux.Handle(rpc.PathPrefix+probeMethod, rpc.Handle(n.handleProbe))
 	peerMux.Handle(rpc.PathPrefix+departures.MethodHold, rpc.Handle(n.departures.HandleHold))
 	peerMux.Handle(rpc.PathPrefix+departures.MethodRecall, rpc.Handle(n.departures.HandleRecall))
+	peerMux.Handle(rpc.PathPrefix+evacuation.MethodRecall, rpc.Handle(n.evacuationStart.HandleRecall))
 	n.peerServer = newServer(n.requirePeerKey(peerMux))
 	operatorMux := http.NewServeMux()
 	n.adapter.RegisterReportHandlers(operatorMux, n.applyReport)
@@ -85,10 +87,14 @@
 		help string
 		read func() float64
 	}{
-		"gossip_invalid_items":  {"Items of peers that were left out as invalid.", func() float64 { return float64(n.gossip.Counters().InvalidItems) }},
-		"gossip_handler_panics": {"Messages of peers whose handler panicked.", func() float64 { return float64(n.gossip.Counters().HandlerPanics) }},
-		"registry_invalid":      {"Entries of nodes that the last list of the store left out as invalid.", func() float64 { return float64(n.registry.InvalidEntries()) }},
-		"operator_invalid":      {"Configurations and orders in the store that were not usable.", func() float64 { return float64(n.provider.InvalidEntries()) }},
+		"gossip_invalid_items":   {"Items of peers that were left out as invalid.", func() float64 { return float64(n.gossip.Counters().InvalidItems) }},
+		"gossip_handler_panics":  {"Messages of peers whose handler panicked.", func() float64 { return float64(n.gossip.Counters().HandlerPanics) }},
+		"registry_invalid":       {"Entries of nodes that the last list of the store left out as invalid.", func() float64 { return float64(n.registry.InvalidEntries()) }},
+		"operator_invalid":       {"Configurations and orders in the store that were not usable.", func() float64 { return float64(n.provider.InvalidEntries()) }},
+		"evacuated_data_centres": {"Data centres that are evacuated.", func() float64 { return float64(len(n.evacuations.View().Set())) }},
+		"evacuation_refusals": {"Requests that the gate refused because its data centre is evacuated.", func() float64 {
+			return float64(n.gate.EvacuationRefusals())
+		}},
 		"request_panics": {"Requests whose handler panicked.", func() float64 {
 			return float64(n.callerServer.Panics() + n.gateServer.Panics() + n.readyServer.Panics())
 		}},
