Close kept connections when a test restarts a node

TestNodesLearnOfEvacuationsFromPeersAndAtTheirStart failed once under the race detector: the first heartbeat after the restart went out on a connection to the old process and ended with EOF. The test's client closes idle connections before the new process starts. The package passes with -race -short after that.

--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -182,6 +182,8 @@
 func (h *host) restartNode() {
 	h.stop()
 	<-h.done
+	// Connections to the old process would fail the next heartbeat with EOF.
+	http.DefaultClient.CloseIdleConnections()
 	h.startNode()
 }
 
