Evacuate data centres in the soak

No soak run showed whether an evacuated data centre stays without requests while nodes stop, the store fails and configurations change.

Adds the fault and the rule: a request that arrives over 5 s after the order's acknowledgement, at a host that was calm as long, is a violation.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -22,6 +22,9 @@
 	// downgradeSlack is rollback_slack_s: how long a slowed node may still route
 	// requests by an older configuration.
 	downgradeSlack = 2 * time.Second
+	// evacuationLimit is how long after the acknowledgement of an order requests may
+	// still reach the data centre that it evacuates.
+	evacuationLimit = 5 * time.Second
 	// minServedShare is the share of requests that must be served after recovery.
 	minServedShare = 0.95
 )
@@ -53,6 +56,9 @@
 	highestSeen map[[2]int]seenConfig
 	// acked is when the store acknowledged each configuration.
 	acked map[int]time.Time
+	// evacuatedSince is when the store acknowledged the order for each data centre that
+	// is evacuated. An order is dropped before the store is asked to remove it.
+	evacuatedSince map[string]time.Time
 	// undisturbed reports whether time limits held on a host between two times.
 	undisturbed func(host int, from, to time.Time) bool
 }
@@ -64,7 +70,7 @@
 }
 
 func newChecker(undisturbed func(host int, from, to time.Time) bool) *checker {
-	return &checker{runs: map[string]int{}, highestSeen: map[[2]int]seenConfig{}, acked: map[int]time.Time{}, undisturbed: undisturbed}
+	return &checker{runs: map[string]int{}, highestSeen: map[[2]int]seenConfig{}, acked: map[int]time.Time{}, evacuatedSince: map[string]time.Time{}, undisturbed: undisturbed}
 }
 
 // addViolation records a violated guarantee.
@@ -74,11 +80,35 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
-// addRun counts a run at a backend.
+// addRun counts a run at a backend. A run in a data centre that has been evacuated for
+// more than evacuationLimit is a violation unless the host was disturbed or delayed
+// within that time.
 func (c *checker) addRun(id, path string, b *backend) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[id]++
+	if b == nil {
+		return
+	}
+	now := time.Now()
+	since, evacuated := c.evacuatedSince[b.host.dataCentre]
+	if from := now.Add(-evacuationLimit); evacuated && since.Before(from) && b.host.undisturbed(from, now) && b.host.undelayed(from, now) {
+		c.violations = append(c.violations, fmt.Sprintf("evacuated: request %s of %s reached host %d in %s, evacuated %v before", id, path, b.host.number, b.host.dataCentre, now.Sub(since)))
+	}
+}
+
+// beginEvacuation records that the store has acknowledged an order, and endEvacuation
+// that it will be asked to remove it.
+func (c *checker) beginEvacuation(dataCentre string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuatedSince[dataCentre] = time.Now()
+}
+
+func (c *checker) endEvacuation(dataCentre string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.evacuatedSince, dataCentre)
 }
 
 // addLateRequest records a request that arrived more than drainGrace after an
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -70,7 +70,9 @@
 func newHost(number int, dir, binary, service, store string, c *checker) (*host, error) {
 	a := addresses(number, 5)
 	h := &host{
-		number: number, dataCentre: fmt.Sprintf("c%d", number%3), dir: dir, binary: binary, checker: c,
+		// Each service is in more than one data centre, if there are more hosts than
+		// services, so that it is served during an evacuation.
+		number: number, dataCentre: fmt.Sprintf("c%d", (number+number/len(services))%3), dir: dir, binary: binary, checker: c,
 		callers: a[0], peers: a[1], control: a[2], gate: a[3], ready: a[4],
 		heartbeatClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -251,6 +251,38 @@
 	})
 }
 
+// evacuate orders the evacuation of a data centre and removes the order d after the time
+// by which it must be in force.
+func (s *soak) evacuate(ctx context.Context, dataCentre string, d time.Duration) {
+	key := platform.PrefixEvacuation + dataCentre
+	e, err := s.store.CompareAndSwap(ctx, key, 0, []byte("{}"), "")
+	if err != nil {
+		s.options.Logf("the order to evacuate %s is not written: %v", dataCentre, err)
+		if kvstore.OutcomeOf(err) != kvstore.OutcomeUnknown {
+			return
+		}
+		// The reply was lost: the order may be in the store.
+		for e.Revision == 0 && ctx.Err() == nil {
+			if e, err = s.store.Get(ctx, key); err == nil && e.Revision == 0 {
+				return
+			}
+			sleep(ctx, 50*time.Millisecond)
+		}
+	}
+	s.checker.beginEvacuation(dataCentre)
+	s.faultEnds.Go(func() {
+		sleep(ctx, evacuationLimit+d)
+		s.checker.endEvacuation(dataCentre)
+		for ctx.Err() == nil {
+			_, err := s.store.CompareAndSwap(ctx, key, e.Revision, nil, "")
+			if err == nil || kvstore.OutcomeOf(err) == kvstore.OutcomeConflict {
+				return
+			}
+			sleep(ctx, 50*time.Millisecond)
+		}
+	})
+}
+
 // injectFault starts one random fault; it ends in the background.
 func (s *soak) injectFault(ctx context.Context) {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
@@ -327,5 +359,6 @@
 		"backend leaves, node stopped": leave(departure{nodeSignal: syscall.SIGTERM}),
 		"backend goes, node killed":    leave(departure{skipDrain: true, nodeSignal: syscall.SIGKILL}),
 		"configuration":                func() { s.applyNextConfig(ctx) },
+		"evacuation":                   func() { s.evacuate(ctx, h.dataCentre, d) },
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -69,6 +69,21 @@
 			c.acked[9] = began
 			c.addCall(call{id: "a", path: "/v9/1", start: 1, sentAt: began.Add(applyLimit + time.Second), status: 404}, good, "")
 		}},
+		{"request in an evacuated data centre", "evacuated", true, func(c *checker) {
+			c.evacuatedSince["c1"] = time.Now().Add(-evacuationLimit - time.Second)
+			c.addRun("a", "/read/1", &backend{host: &host{dataCentre: "c1"}})
+		}},
+		{"request in time after an order, and elsewhere", "", true, func(c *checker) {
+			c.evacuatedSince["c1"] = time.Now().Add(-evacuationLimit + time.Second)
+			c.addRun("a", "/read/1", &backend{host: &host{dataCentre: "c1"}})
+			c.addRun("a", "/read/1", &backend{host: &host{dataCentre: "c2"}})
+		}},
+		{"request in an evacuated data centre after a pause", "", true, func(c *checker) {
+			c.evacuatedSince["c1"] = time.Now().Add(-evacuationLimit - time.Second)
+			h := &host{dataCentre: "c1"}
+			h.markDelayed(time.Now().Add(-time.Second), time.Second)
+			c.addRun("a", "/read/1", &backend{host: h})
+		}},
 		{"not served after recovery", "recover", true, func(c *checker) {
 			c.addCall(call{id: "a", path: "/read/1", sentAt: began.Add(time.Hour), status: 503}, good, "")
 		}},
