--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -250,7 +251,14 @@
 	if share < 1 {
 		u = (u - share) / (1 - share)
 	}
+	var kept map[string]bool
+	if len(x.ExcludedServing) > 0 {
+		kept = m.baselineToKeep(x, service, target)
+	}
 	old := m.baselineVersions(service, target, serving)
+	if kept != nil {
+		m.baseline[service] = kept
+	}
 	if v := pickWeighted(old, u); v != "" {
 		return v
 	}
@@ -308,6 +316,9 @@
 // become baseline versions and are returned. So a new version gets no requests
 // before its order arrives, as long as a baseline version serves. The caller holds
 // mu.
+//
+// The function is small enough to be inlined, so that its maps stay on the stack of
+// each request.
 func (m *Manager) baselineVersions(service, target string, serving map[string]int) map[string]int {
 	baseline := m.baseline[service]
 	if baseline == nil {
@@ -333,6 +344,28 @@
 	return all
 }
 
+// baselineToKeep returns a copy of the baseline versions of a service if one of them
+// serves in an excluded data centre: it returns, so the baseline must not be extended
+// meanwhile. If there are no baseline versions yet, the excluded ones become the first,
+// and the result is nil. The caller holds mu.
+func (m *Manager) baselineToKeep(x *membership.Index, service, target string) map[string]bool {
+	baseline := m.baseline[service]
+	excluded := x.ExcludedVersions(service)
+	if slices.ContainsFunc(excluded, func(v string) bool { return baseline[v] }) {
+		return maps.Clone(baseline)
+	}
+	if len(baseline) == 0 {
+		first := map[string]bool{}
+		for _, v := range excluded {
+			if v != target {
+				first[v] = true
+			}
+		}
+		m.baseline[service] = first
+	}
+	return nil
+}
+
 // pickWeighted picks a version with probability proportional to its number of
 // upstreams; u is uniform in [0, 1).
 func pickWeighted(versions map[string]int, u float64) string {
