--- a/internal/conn/h1/pace.go
+++ b/internal/conn/h1/pace.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// paceChunk is how many bytes of a paced message are written together. At 10 Mbit/s
-// they take 13 ms, for which other messages wait at most.
-const paceChunk = 16 << 10
+const (
+	// minPaceChunk is the least that is written together of a paced message. At 10
+	// Mbit/s it takes 13 ms, for which other messages wait.
+	minPaceChunk = 16 << 10
+	// paceInterval is the least time between two writes. Timers are late by up to a
+	// millisecond.
+	paceInterval = 5 * time.Millisecond
+)
 
 // Pace spreads the writing of a message, so that what is written to other connections
 // meanwhile does not wait behind all of it in the buffers of the host's link.
@@ -30,8 +35,9 @@
 		return err
 	}
 	began := time.Now()
+	chunk := max(minPaceChunk, int(p.BytesPerSecond*paceInterval.Seconds()))
 	for sent := 0; sent < len(b); {
-		n, err := conn.Write(b[sent:min(sent+paceChunk, len(b))])
+		n, err := conn.Write(b[sent:min(sent+chunk, len(b))])
 		if err != nil {
 			return err
 		}
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -58,7 +58,8 @@
 	time.Sleep(b.workTime)
 	w.Header().Set(platform.HeaderRequestID, id)
 	w.Header().Set(platform.HeaderSignature, "signed by "+b.id)
-	_, _ = io.WriteString(w, "whole "+id)
+	extra, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
+	_, _ = io.WriteString(w, "whole "+id+strings.Repeat(" ", extra))
 }
 
 // runsOf returns how often the request with this ID ran.
@@ -124,11 +125,17 @@
 }
 
 func startHost(t testing.TB, s *store.Store, service, id string) *host {
+	t.Helper()
+	return startHostWithLink(t, s, service, id, 0)
+}
+
+// startHostWithLink starts a host with a link of the given rate in Mbit/s.
+func startHostWithLink(t testing.TB, s *store.Store, service, id string, mbps int) *host {
 	t.Helper()
 	a := hostAddresses(6)
 	text := fmt.Sprintf("[node]\nregion = r\ndata-centre = a\n[callers]\nlisten = %s\n[peers]\nlisten = %s\nsecret = nodes-share-this-key\n"+
 		"[operators]\nlisten = %s\ntoken = operators-have-this-token\n[store]\naddress = http://127.0.0.1:1\nrate = 50\n[upstream]\nstop-grace = 3s\n"+
-		"[operated]\nenabled = true\ngate = %s\nready = %s\nservice = %s\nupstream = %s\n", a[0], a[1], a[2], a[3], a[4], service, a[5])
+		"[operated]\nenabled = true\ngate = %s\nready = %s\nservice = %s\nupstream = %s\nlink-mbps = %d\n", a[0], a[1], a[2], a[3], a[4], service, a[5], mbps)
 	cfg, faults := settings.Parse(text)
 	if len(faults) > 0 {
 		t.Fatal(faults)
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -12,6 +12,7 @@
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/departures"
+	"github.com/daisytide/daisytide/internal/request/linkqueue"
 )
 
 // wireServers builds the servers of the listeners.
@@ -95,9 +96,20 @@
 	} {
 		n.requests.AddGauge(name, g.help, g.read)
 	}
+	n.publishLinkMetrics()
 	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
 }
 
+// publishLinkMetrics adds the gauges of the large transfers on the host's link.
+func (n *Node) publishLinkMetrics() {
+	for name, d := range map[string]*linkqueue.Direction{"in": n.gate.Link.In, "out": n.gate.Link.Out} {
+		n.requests.AddGauge("link_pending_bytes_"+name, "Bytes of large transfers that wait for the host's link or cross it.", func() float64 { return float64(d.PendingBytes()) })
+		for _, cause := range linkqueue.Causes() {
+			n.requests.AddGauge("link_refused_"+cause.String()+"_"+name, "Large transfers that the host's link refused since the start.", func() float64 { return float64(d.Refused(cause)) })
+		}
+	}
+}
+
 // callerLimits returns the limits for callers in the configuration in force.
 func (n *Node) callerLimits() h1.Limits {
 	snap := n.holder.Current()
--- a/internal/request/egress/link_transfers.go
+++ b/internal/request/egress/link_transfers.go
@@ -13,8 +13,9 @@
 )
 
 // unknownBodyTime is the time of the link that a body of unknown length is taken to
-// need.
-const unknownBodyTime = 250 * time.Millisecond
+// need: large, but in time on an idle link for the shortest objectives. Entries give
+// the length of each body.
+const unknownBodyTime = 25 * time.Millisecond
 
 // Errors of transfers that the link refused. They appear in the request's log line.
 var (
--- a/internal/request/hop/hop_test.go
+++ b/internal/request/hop/hop_test.go
@@ -14,7 +14,7 @@
 
 func sample() *Request {
 	return &Request{
-		Service: "s", Version: "v1.2", Route: "r", Kind: traffic.Once, Priority: 2, CallerService: "f", ConfigNumber: 9,
+		Service: "s", Version: "v1.2", Route: "r", Kind: traffic.Once, Priority: 2, CallerService: "f", ConfigNumber: 9, Returned: true,
 		Deadline: now.Add(1500 * time.Millisecond), Objective: now.Add(-20 * time.Millisecond),
 	}
 }
--- a/internal/request/ingress/ingress_test.go
+++ b/internal/request/ingress/ingress_test.go
@@ -257,15 +257,19 @@
 func TestObjectiveOfARetriedRequestIsNearer(t *testing.T) {
 	r := newHarness(t, 0)
 	route := r.ingress.Holder.Current().Traffic.Find("a", "/read/1")
-	objectiveWith := func(left string) time.Duration {
+	objectiveWith := func(left string) (objective time.Duration, returned bool) {
 		in := &h1.Request{Host: "a", Header: http.Header{"Left": {left}}, ReceivedAt: time.Now()}
-		return r.ingress.newRequest(in, route, r.ingress.Holder.Current()).Objective.Sub(in.ReceivedAt)
+		req := r.ingress.newRequest(in, route, r.ingress.Holder.Current())
+		return req.Objective.Sub(in.ReceivedAt), req.Returned
 	}
-	if first := objectiveWith("150"); first != 100*time.Millisecond {
-		t.Errorf("first: %v", first)
+	if first, returned := objectiveWith("150"); first != 100*time.Millisecond || returned {
+		t.Errorf("first: %v, returned %v", first, returned)
 	}
-	if second := objectiveWith("110"); second != 60*time.Millisecond {
-		t.Errorf("with 40 ms used up: %v", second)
+	if second, returned := objectiveWith("110"); second != 60*time.Millisecond || !returned {
+		t.Errorf("with 40 ms used up: %v, returned %v", second, returned)
+	}
+	if late, returned := objectiveWith("145"); late != 95*time.Millisecond || returned {
+		t.Errorf("with 5 ms used up: %v, returned %v", late, returned)
 	}
 }
 
--- a/internal/request/linkqueue/driver_test.go
+++ b/internal/request/linkqueue/driver_test.go
@@ -612,7 +612,7 @@
 
 var driverRules = []rule{
 	{name: "no rule", order: byArrival, window: math.Inf(1)},
-	{name: "today: 250 ms in order of arrival", order: byArrival, window: 0.25, today: true},
+	{name: "before: 250 ms in order of arrival", order: byArrival, window: 0.25, today: true},
 	{name: "smallest first, one at a time", order: bySize},
 	{name: "earliest deadline first, one at a time", order: byDeadline},
 	{name: "pacing: equal shares, 16 kB", order: byArrival, chunk: 16e3, share: true},
--- a/internal/request/linkqueue/link.go
+++ b/internal/request/linkqueue/link.go
@@ -53,11 +53,6 @@
 // Large reports whether transfers of a size are queued.
 func (d *Direction) Large(bytes int64) bool { return d != nil && d.queue.Large(bytes) }
 
-// LargestSmall is the size up to which messages pass at once.
-func (d *Direction) LargestSmall() int64 {
-	return int64(d.queue.Rate * largeTime.Seconds())
-}
-
 // Rate is in bytes per second, 0 if unknown.
 func (d *Direction) Rate() float64 {
 	if d == nil {
@@ -99,7 +94,7 @@
 
 // Pass counts a message that crosses at once.
 func (d *Direction) Pass(now time.Time, bytes int64) {
-	if d == nil {
+	if d == nil || bytes == 0 {
 		return
 	}
 	d.mu.Lock()
@@ -181,7 +176,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refused[Displaced]++
+	d.refused[t.cause]++
 	return Decision{RetryAfter: t.retryAfter}, nil
 }
 
--- a/internal/request/linkqueue/queue.go
+++ b/internal/request/linkqueue/queue.go
@@ -32,6 +32,10 @@
 	// keep the link from others.
 	stallFactor = 2
 	stallSlack  = 100 * time.Millisecond
+	// overdueSlack is how long after its expected end a transfer counts as overdue.
+	// Half of it is then taken to be still on its way: the link carries more than this
+	// process sees, or the sender is slow.
+	overdueSlack = 20 * time.Millisecond
 	// minRetryAfter is the shortest retry delay given with a refusal.
 	minRetryAfter = 20 * time.Millisecond
 )
@@ -56,14 +60,17 @@
 	// kept is set if the transfer cannot be refused any more, as the response of a
 	// request that ran.
 	kept bool
-	// stalledAt is when the transfer no longer counts as unfinished.
-	stalledAt time.Time
-	state     state
+	// endsAt is when the link should have carried the transfer, and stalledAt when it
+	// no longer counts as unfinished.
+	endsAt, stalledAt time.Time
+	state             state
 	// decided receives true when the transfer may start, or false when it is refused
 	// in favour of others.
 	decided chan bool
-	// retryAfter is the retry delay of a transfer that was refused while it waited.
+	// retryAfter is the retry delay of a transfer that was refused while it waited, and
+	// cause the cause.
 	retryAfter time.Duration
+	cause      Cause
 }
 
 type state uint8
@@ -115,7 +122,18 @@
 // Backlog is how long the link needs for all transfers started, waiting and
 // expected.
 func (q *Queue) Backlog(now time.Time) time.Duration {
-	return max(0, q.free.Sub(now)) + q.Time(sum(q.waiting)+sum(q.reserved))
+	return q.inProgress(now) + q.Time(sum(q.waiting)+sum(q.reserved))
+}
+
+// inProgress is how long the link needs for the transfers started.
+func (q *Queue) inProgress(now time.Time) time.Duration {
+	overdue := int64(0)
+	for _, t := range q.inFlight {
+		if now.Sub(t.endsAt) > overdueSlack {
+			overdue += t.Size
+		}
+	}
+	return max(0, q.free.Sub(now)) + q.Time(overdue)/2
 }
 
 // PendingBytes is the number of bytes of the transfers that wait or are in progress.
@@ -166,15 +184,16 @@
 		return decision
 	}
 	for _, w := range displaced {
-		q.refuse(now, w)
+		q.refuse(now, w, Displaced)
 	}
 	q.enqueue(t)
 	return decision
 }
 
 // refuse refuses a transfer that waits.
-func (q *Queue) refuse(now time.Time, t *Transfer) {
+func (q *Queue) refuse(now time.Time, t *Transfer, cause Cause) {
 	q.Remove(t)
+	t.cause = cause
 	t.retryAfter = q.retryAfter(now, t, q.Backlog(now))
 	t.decided <- false
 }
@@ -213,7 +232,7 @@
 	order := make([]*Transfer, 0, len(q.waiting)+len(q.reserved))
 	order = append(append(order, q.waiting...), q.reserved...)
 	sort.SliceStable(order, func(i, j int) bool { return order[i].before(order[j]) })
-	ahead = max(lead, q.free.Sub(now), 0)
+	ahead = max(lead, q.inProgress(now))
 	first := sort.Search(len(order), func(i int) bool { return t.before(order[i]) })
 	for _, w := range order[:first] {
 		ahead += q.Time(w.Size)
@@ -293,7 +312,7 @@
 
 func (q *Queue) start(now time.Time, t *Transfer) {
 	q.occupy(now, t.Size)
-	t.state = started
+	t.state, t.endsAt = started, q.free
 	t.stalledAt = now.Add(stallFactor*q.Time(sum(q.inFlight)+t.Size) + stallSlack)
 	q.inFlight = append(q.inFlight, t)
 }
@@ -333,7 +352,7 @@
 			end = now.Add(q.Time(t.Size))
 		}
 		if end.After(t.Deadline) {
-			q.refuse(now, t)
+			q.refuse(now, t, Expired)
 		} else {
 			i++
 		}
--- a/internal/request/linkqueue/queue_test.go
+++ b/internal/request/linkqueue/queue_test.go
@@ -167,6 +167,24 @@
 	}
 }
 
+// Transfers that take longer than the link explains must count as backlog, or what is
+// accepted behind them comes too late.
+func TestOverdueTransfersCountAsBacklog(t *testing.T) {
+	q := &Queue{Rate: testRate}
+	slow := transferOf(100, 9000, 9000)
+	q.Add(at(0), slow)
+	q.Start(at(0))
+	if b := q.Backlog(at(110)); b != 0 {
+		t.Errorf("backlog %v just after the expected end", b)
+	}
+	if b := q.Backlog(at(130)); b != 50*time.Millisecond {
+		t.Errorf("backlog %v with an overdue transfer", b)
+	}
+	if q.Add(at(130), transferOf(100, 270, 270)).OK || !q.Add(at(130), transferOf(100, 290, 290)).OK {
+		t.Error("the overdue transfer does not delay the next one")
+	}
+}
+
 // A transfer that is never ended must not keep the link from others.
 func TestDirectionGoesOnAfterATransferThatNeverEnds(t *testing.T) {
 	d := NewLink(testRate).Out
