Bound what one response counts in the mean size of its route

Cause: one response of 32 MB raised the mean of a route of 90 kB to 2 MB, and on a link of 10 Mbit/s its requests were then refused while anything else crossed it.

Shown by: TestMeanSizesFollowButIgnoreOutliers.

--- a/internal/request/egress/link_transfers_test.go
+++ b/internal/request/egress/link_transfers_test.go
@@ -221,7 +221,9 @@
 // otherwise its mean size would never be learnt again.
 func TestLargeResponseRunsOnAnIdleLink(t *testing.T) {
 	g := largeRoute(t)
-	g.responseSizes.Observe("r", 1<<30)
+	for range 40 {
+		g.responseSizes.Observe("r", 1<<30)
+	}
 	if res, _, _ := ParseResponse(g.serve(t, 500*time.Millisecond, false)); res.Code != api.OK {
 		t.Errorf("%+v", res)
 	}
--- a/internal/request/linkqueue/queue_test.go
+++ b/internal/request/linkqueue/queue_test.go
@@ -217,6 +217,29 @@
 	}
 }
 
+// One huge response must not shut its route out, and a route whose responses have
+// grown must be recognised.
+func TestMeanSizesFollowButIgnoreOutliers(t *testing.T) {
+	var s Sizes
+	for range 50 {
+		s.Observe("r", 90_000)
+	}
+	s.Observe("r", 32<<20)
+	if n := s.Mean("r"); n < 90_000 || n > 120_000 {
+		t.Errorf("mean %d after an outlier", n)
+	}
+	s.Observe("grows", 0)
+	for range 100 {
+		s.Observe("grows", 1<<20)
+	}
+	if n := s.Mean("grows"); n < 900_000 {
+		t.Errorf("mean %d of responses of 1 MiB", n)
+	}
+	if n := s.Mean("unknown"); n != 0 {
+		t.Errorf("mean %d of an unknown route", n)
+	}
+}
+
 // Without a known rate, and for what a fast link carries in a few milliseconds,
 // nothing is queued.
 func TestFastLinksQueueNothing(t *testing.T) {
