--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -75,6 +75,9 @@
 	// Nested is set for a call that a running upstream makes itself. Refusing or
 	// delaying it wastes the run that waits for it.
 	Nested bool
+	// Returned is set if the request used a part of its time before it arrived, as one
+	// that comes back after the retry delay of a refusal.
+	Returned bool
 }
 
 // TimeLeft returns the time until the request's deadline.
@@ -107,9 +110,9 @@
 		fieldConfig:    strconv.FormatUint(r.ConfigNumber, 10),
 	}
 	h[call.HeaderCall] = []string{strings.Join(fields[:], separator)}
-	delete(h, headerNested)
-	if r.Nested {
-		h[headerNested] = []string{"1"}
+	delete(h, headerFlags)
+	if r.Nested || r.Returned {
+		h[headerFlags] = []string{r.flags()}
 	}
 	delete(h, headerAccount)
 	if r.Account != "" {
@@ -117,8 +120,32 @@
 	}
 }
 
-// headerNested is present on nested calls between nodes.
-const headerNested = "Daisytide-Nested"
+// headerFlags holds one letter for each flag of a request between nodes. It is absent
+// from requests without flags.
+const (
+	headerFlags  = "Daisytide-Flags"
+	flagNested   = "n"
+	flagReturned = "r"
+)
+
+func (r *Request) flags() string {
+	out := ""
+	if r.Nested {
+		out += flagNested
+	}
+	if r.Returned {
+		out += flagReturned
+	}
+	return out
+}
+
+// decodeFlags reads the flags written by EncodeHeader and removes them from the
+// header.
+func (r *Request) decodeFlags(h http.Header) {
+	flags := h.Get(headerFlags)
+	delete(h, headerFlags)
+	r.Nested, r.Returned = strings.Contains(flags, flagNested), strings.Contains(flags, flagReturned)
+}
 
 // headerAccount holds the priority and the name of a request's client account
 // between nodes. It is absent from requests without an account.
@@ -163,8 +190,7 @@
 		Deadline:  now.Add(time.Duration(numbers[fieldTimeLeft]) * time.Microsecond),
 		Objective: now.Add(time.Duration(numbers[fieldObjective]) * time.Microsecond),
 	}
-	r.Nested = h.Get(headerNested) != ""
-	delete(h, headerNested)
+	r.decodeFlags(h)
 	return r, r.decodeAccount(h)
 }
 
