Make the tests of the link independent of a busy machine

Cause: cases of the link's tests held a link busy for 0.3 s of real time and expected a decision within 0.1 s of it.

Change: the links are busy for longer, and "at once" is read from the count of refusals made before any wait.

--- a/internal/request/egress/link_transfers_test.go
+++ b/internal/request/egress/link_transfers_test.go
@@ -141,11 +141,11 @@
 		code       api.Code
 	}{
 		{"in time for the objective", 800, 2000, 200, 200, false, api.OK},
-		{"after the objective", 800, 2000, 500, 400, false, api.CallShed},
-		{"after the objective, came back", 800, 2000, 500, 400, true, api.OK},
-		{"after the deadline, came back", 800, 2000, 1800, 400, true, api.CallShed},
+		{"after the objective", 800, 2000, 700, 400, false, api.CallShed},
+		{"after the objective, came back", 800, 2000, 700, 400, true, api.OK},
+		{"after the deadline, came back", 800, 2000, 1900, 400, true, api.CallShed},
 		{"late in any case, in time for the deadline", 100, 2000, 200, 200, false, api.OK},
-		{"late in any case, after the deadline", 100, 2000, 1900, 200, false, api.CallShed},
+		{"late in any case, after the deadline", 100, 2000, 2200, 200, false, api.CallShed},
 		{"small body on a busy link", 800, 2000, 1900, 3, false, api.OK},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -158,7 +158,7 @@
 			}
 			time.AfterFunc(ms(tc.busy), func() { g.Link.In.End(time.Now(), busy) })
 			r := &hop.Request{Route: "r", Objective: now.Add(ms(tc.objective)), Deadline: now.Add(ms(tc.deadline)), Returned: tc.returned}
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
 			_, refusal := g.acquireBody(ctx, r, int64(tc.body)*linkRate/1000)
 			if tc.code == api.OK {
@@ -167,8 +167,8 @@
 				}
 				return
 			}
-			if refusal == nil || refusal.Code != tc.code || refusal.Ran != api.RanNo || refusal.RetryAfter < ms(20) || time.Since(now) > ms(500) {
-				t.Errorf("%+v after %v", refusal, time.Since(now))
+			if refusal == nil || refusal.Code != tc.code || refusal.Ran != api.RanNo || refusal.RetryAfter < ms(20) || g.Link.In.Refused(linkqueue.Full) != 1 {
+				t.Errorf("%+v, %d refused at once", refusal, g.Link.In.Refused(linkqueue.Full))
 			}
 		})
 	}
--- a/internal/request/ingress/link_transfers_test.go
+++ b/internal/request/ingress/link_transfers_test.go
@@ -13,14 +13,14 @@
 
 const linkRate = 1_250_000 // 10 Mbit/s
 
-// newLinkHarness returns an entry whose link has 300 ms of transfers in both
+// newLinkHarness returns an entry whose link has 3 s of transfers in both
 // directions. Requests must end within 200 ms.
 func newLinkHarness(t *testing.T, others int) *harness {
 	t.Helper()
 	r := newHarness(t, others, answered(200), answered(200))
 	r.ingress.Link = linkqueue.NewLink(linkRate)
 	for _, d := range []*linkqueue.Direction{r.ingress.Link.In, r.ingress.Link.Out} {
-		x := &linkqueue.Transfer{Size: 3 * linkRate / 10, Objective: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Minute)}
+		x := &linkqueue.Transfer{Size: 3 * linkRate, Objective: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Minute)}
 		if _, err := d.Acquire(context.Background(), time.Now(), x); err != nil {
 			t.Fatal(err)
 		}
@@ -61,15 +61,14 @@
 				r.ingress.Members.Merge(self)
 			}
 			r.ingress.responseSizes.Observe("read", tc.response)
-			began := time.Now()
 			resp := r.post(tc.body)
 			if resp.Status != tc.status {
 				t.Errorf("status %d, want %d", resp.Status, tc.status)
 			}
-			if tc.status != http.StatusOK && (r.sent != 0 || time.Since(began) > 100*time.Millisecond) {
-				t.Errorf("%d attempts, after %v", r.sent, time.Since(began))
+			if tc.status != http.StatusOK && (r.sent != 0 || r.ingress.Link.In.Refused(linkqueue.Full)+r.ingress.Link.Out.Refused(linkqueue.Full) == 0) {
+				t.Errorf("%d attempts, or not refused at once", r.sent)
 			}
-			if n := r.ingress.Link.Out.PendingBytes(); n != 3*linkRate/10 {
+			if n := r.ingress.Link.Out.PendingBytes(); n != 3*linkRate {
 				t.Errorf("%d bytes pending after the request", n)
 			}
 		})
--- a/internal/request/linkqueue/queue_test.go
+++ b/internal/request/linkqueue/queue_test.go
@@ -188,7 +188,7 @@
 // A transfer that is never ended must not keep the link from others.
 func TestDirectionGoesOnAfterATransferThatNeverEnds(t *testing.T) {
 	d := NewLink(testRate).Out
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	for i := range 6 {
 		x := &Transfer{Size: 100_000, Objective: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Minute)}
