Share a full upstream among client accounts, and spread refused callers

Cause: the queue of a gate did not look at accounts. Refused callers were all told the same moment, at which they met again.

Change: accountShares counts what each account asked for and received at the gate. Retry-After after a full queue is spread from the drain of the queue to the last moment at which the request can be on time. Refusals tell their cause in the log; two gauges count accounts above their share and deprived ones.

--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -12,6 +12,7 @@
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/departures"
+	"github.com/daisytide/daisytide/internal/request/egress"
 )
 
 // wireServers builds the servers of the listeners.
@@ -96,6 +97,8 @@
 		n.requests.AddGauge(name, g.help, g.read)
 	}
 	n.requests.AddGauge("gate_warmup_rate", "Requests per second to which the gate limits its cold upstream; 0 while it is warm.", n.gate.WarmupRate)
+	n.requests.AddGauge("gate_accounts_above_share", "Client accounts that have used more than their share of the gate's upstream; 0 without overload.", func() float64 { return float64(n.gate.Accounts(egress.AboveShare)) })
+	n.requests.AddGauge("gate_accounts_deprived", "Client accounts that go first at the gate because they were served far less than the average.", func() float64 { return float64(n.gate.Accounts(egress.Deprived)) })
 	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
 }
 
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -120,6 +120,13 @@
 	return load
 }
 
+// Accounts returns the number of client accounts with a standing.
+func (g *Gate) Accounts(standing Standing) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.accounts.count(time.Now(), standing)
+}
+
 // Handle runs one request or returns why it did not run. The body is requested
 // only after the request passed a preliminary admission check, and holds no
 // slot while it is in transfer.
@@ -170,7 +177,7 @@
 		return *refusal
 	}
 	if decision := g.admit(ctx, r); decision.Code != api.OK {
-		return hop.Refuse(decision.Code, decision.RetryAfter, nil)
+		return hop.Refuse(decision.Code, decision.RetryAfter, decision.Cause.Err())
 	}
 	began := time.Now()
 	conclusive := false
--- a/internal/request/egress/queue.go
+++ b/internal/request/egress/queue.go
@@ -33,6 +33,8 @@
 	// route and in total.
 	runCounts map[string]float64
 	totalRuns float64
+	// accounts divides the slots among client accounts under overload.
+	accounts accountShares
 }
 
 // Running returns the number of requests in progress.
@@ -48,12 +50,12 @@
 		return nil, Decision{Code: api.CallNoTime}
 	}
 	if idle {
-		q.startRun(now, request.Route)
+		q.startRun(now, request)
 		return nil, Decision{Code: api.OK}
 	}
 	ticket := q.newTicket(now, request)
 	if !q.enqueue(now, ticket) && !q.enqueueLate(now, ticket) {
-		return nil, Decision{Code: api.CallShed, RetryAfter: q.retryAfter(now)}
+		return nil, q.refusal(now, ticket)
 	}
 	return ticket, Decision{Code: api.OK}
 }
@@ -88,13 +90,14 @@
 }
 
 // startRun takes a slot for a run.
-func (q *Queue) startRun(now time.Time, route string) {
+func (q *Queue) startRun(now time.Time, request RequestInfo) {
 	q.running++
 	q.warmup.take(now)
 	if q.lastStart == nil {
 		q.lastStart = map[string]time.Time{}
 	}
-	q.lastStart[route] = now
+	q.lastStart[request.Route] = now
+	q.accounts.decided(now, request.Account, q.MeanRunTime(request.Route), true)
 }
 
 // Complete records the end of a run and admits waiting requests. A run that did
@@ -137,7 +140,7 @@
 		if t.late {
 			q.lateCount--
 		}
-		q.startRun(now, t.Route)
+		q.startRun(now, t.RequestInfo)
 		t.decide(Decision{Code: api.OK})
 	}
 }
--- a/internal/request/egress/ticket.go
+++ b/internal/request/egress/ticket.go
@@ -1,6 +1,7 @@
 package egress
 
 import (
+	"errors"
 	"time"
 
 	"github.com/daisytide/daisytide/api"
@@ -31,7 +32,9 @@
 	startBy time.Time
 	late    bool
 	short   bool
-	decided bool
+	// standing is that of the account on arrival.
+	standing Standing
+	decided  bool
 }
 
 // Decision is the admission decision on a request.
@@ -39,6 +42,43 @@
 	Code api.Code
 	// RetryAfter is when a refused request may find a free place.
 	RetryAfter time.Duration
+	// Cause tells in the log why a request was refused under overload.
+	Cause Cause
+}
+
+// Cause is the cause of a refusal under overload. It is no error, because a channel of
+// decisions with pointers needs one more allocation per waiting request.
+type Cause uint8
+
+// Causes of refusals.
+const (
+	CauseNone Cause = iota
+	// CauseOnTime: the request could not start in time behind those that wait.
+	CauseOnTime
+	// CauseFairShare: so it was, and its account has used more than its share.
+	CauseFairShare
+	// CauseNested: a call of a running upstream could not start in time.
+	CauseNested
+)
+
+var causeErrors = [...]error{
+	CauseOnTime:    errors.New("on-time: could not start in time behind the waiting requests"),
+	CauseFairShare: errors.New("fair share: the account has used more than its share"),
+	CauseNested:    errors.New("nested: a call of a running upstream could not start in time"),
+}
+
+// Err returns the cause for the log; nil for CauseNone.
+func (c Cause) Err() error { return causeErrors[c] }
+
+// refusalCause returns why a request finds no place in the queue.
+func (t *Ticket) refusalCause() Cause {
+	switch {
+	case t.Nested:
+		return CauseNested
+	case t.standing == AboveShare:
+		return CauseFairShare
+	}
+	return CauseOnTime
 }
 
 func (t *Ticket) decide(decision Decision) {
@@ -53,10 +93,14 @@
 		return !t.late
 	case t.short != o.short:
 		return t.short
+	case (t.standing == Deprived) != (o.standing == Deprived):
+		return t.standing == Deprived
 	case t.AccountPriority != o.AccountPriority:
 		return t.AccountPriority < o.AccountPriority
 	case t.Priority != o.Priority:
 		return t.Priority < o.Priority
+	case t.standing != o.standing:
+		return t.standing < o.standing
 	default:
 		return t.startBy.Before(o.startBy)
 	}
--- a/internal/request/egress/waiting.go
+++ b/internal/request/egress/waiting.go
@@ -48,8 +48,17 @@
 	return max(minRetryAfter, q.EstimatedWait(now, len(q.waiting)))
 }
 
+// refusal returns the decision to refuse a request, and counts it for its account.
+func (q *Queue) refusal(now time.Time, t *Ticket) Decision {
+	q.accounts.decided(now, t.Account, q.MeanRunTime(t.Route), false)
+	return Decision{Code: api.CallShed, RetryAfter: q.retryAfter(now), Cause: t.refusalCause()}
+}
+
 func (q *Queue) newTicket(now time.Time, request RequestInfo) *Ticket {
-	return &Ticket{RequestInfo: request, Decision: make(chan Decision, 1), startBy: q.onTimeStart(now, request), short: q.goesFirst(request)}
+	return &Ticket{
+		RequestInfo: request, Decision: make(chan Decision, 1), startBy: q.onTimeStart(now, request), short: q.goesFirst(request),
+		standing: q.accounts.standing(now, request.Account),
+	}
 }
 
 // latestStart is when a request must start to be answered by its deadline.
@@ -150,5 +159,5 @@
 	} else if q.enqueueLate(now, t) {
 		return
 	}
-	t.decide(Decision{Code: api.CallShed, RetryAfter: q.retryAfter(now)})
+	t.decide(q.refusal(now, t))
 }
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -262,7 +262,7 @@
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		ing.Counters.Refused.Add(1)
-		ing.Dialect.SetRetryAfter(h, retryAfter(res, r, time.Now()))
+		ing.Dialect.SetRetryAfter(h, ing.retryAfter(res, r, time.Now()))
 	case http.StatusUnauthorized:
 		ing.Counters.Refused.Add(1)
 		ing.Dialect.SetUnauthorized(h)
@@ -292,12 +292,16 @@
 }
 
 // retryAfter is when a refused caller should retry: when the nodes expect free
-// places, but early enough for another try.
-func retryAfter(res hop.Result, r *hop.Request, now time.Time) time.Duration {
+// places, but early enough for another try. Callers that full queues refused are
+// spread. A nested call returns as early as possible, because a run waits for it.
+func (ing *Ingress) retryAfter(res hop.Result, r *hop.Request, now time.Time) time.Duration {
 	after := res.RetryAfter
 	if after <= 0 {
 		after = defaultRetryAfter
 	}
+	if r != nil && res.Code == api.CallShed && !r.Nested {
+		after = retry.SpreadDelay(after, r.Objective.Sub(now), r.TimeLeft(now), ing.meanRunTime(r.Route), rand.Float64())
+	}
 	if r != nil {
 		after = min(after, time.Duration(retryAfterFraction*float64(r.TimeLeft(now))))
 	}
