Rank nested calls by the urgency of the runs that make them

Cause: all nested calls were equal.

Change: the gate knows the public runs in progress at its upstream, by route priority and whether they may be repeated. The entry beside it gives the upstream's calls the urgency of the most urgent one, the header of nested calls carries it, and queues admit nested calls in that order. After a refusal a nested call tries other nodes without regard to the expected time. An account that has used exactly what others leave counts as above its share; by rounding it was so only at times.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -301,6 +301,7 @@
 		Budget:       retry.NewBudgetWithBurst(retryBudget.NodeBurst),
 		RetryPercent: retryBudget.NodePercent(),
 		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns, MaxBufferedBytes: maxResponseMemory}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
+		MostUrgentRun: n.gate.MostUrgentRun,
 	}
 	if upstream, err := netip.ParseAddrPort(o.Address); err == nil {
 		n.ingress.Origins.UpstreamIP = upstream.Addr().Unmap()
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -97,7 +97,7 @@
 		n.requests.AddGauge(name, g.help, g.read)
 	}
 	n.requests.AddGauge("gate_warmup_rate", "Requests per second to which the gate limits its cold upstream; 0 while it is warm.", n.gate.WarmupRate)
-	n.requests.AddGauge("gate_accounts_above_share", "Client accounts that have used more than their share of the gate's upstream; 0 without overload.", func() float64 { return float64(n.gate.Accounts(egress.AboveShare)) })
+	n.requests.AddGauge("gate_accounts_above_share", "Client accounts that have used up their share of the gate's upstream; 0 without overload.", func() float64 { return float64(n.gate.Accounts(egress.AboveShare)) })
 	n.requests.AddGauge("gate_accounts_deprived", "Client accounts that go first at the gate because they were served far less than the average.", func() float64 { return float64(n.gate.Accounts(egress.Deprived)) })
 	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
 }
--- a/internal/request/egress/account_shares.go
+++ b/internal/request/egress/account_shares.go
@@ -24,6 +24,9 @@
 	// is judged together with others of its size, because its own fraction is mostly
 	// chance: judged alone from 2 on, it cost 4% of the value in the simulation.
 	minSharedRequests = 8
+	// shareTolerance is the part of the fair amount that an account may have left when it
+	// counts as used up: one that takes all that the others leave has used exactly that.
+	shareTolerance = 0.01
 	// forgottenRequests is the decayed number of requests below which an account is
 	// forgotten: 9 s after its last one, if that was the only one.
 	forgottenRequests = 0.01
@@ -44,7 +47,7 @@
 	// average. They go before the accounts' priority.
 	Deprived Standing = iota
 	WithinShare
-	// AboveShare accounts have used more than the fair amount. Among requests of equal
+	// AboveShare accounts have used up the fair amount. Among requests of equal
 	// priority they receive what the others leave unused.
 	AboveShare
 )
@@ -122,7 +125,7 @@
 		return WithinShare
 	case served < guardFraction*s.servedOfAll:
 		return Deprived
-	case use.used > s.fairAmount:
+	case use.used >= (1-shareTolerance)*s.fairAmount:
 		return AboveShare
 	}
 	return WithinShare
--- a/internal/request/egress/gate.go
+++ b/internal/request/egress/gate.go
@@ -91,6 +91,9 @@
 	// announceMu orders the calls of Announce. It is locked before mu.
 	announceMu sync.Mutex
 
+	// publicRuns holds the urgencies of the runs that may make nested calls.
+	publicRuns runUrgencies
+
 	mu    sync.Mutex
 	queue Queue
 	// instance is the latest state of the upstream, limitedRate the rate to which its
@@ -120,6 +123,9 @@
 	return load
 }
 
+// MostUrgentRun returns the urgency of the most urgent public run in progress.
+func (g *Gate) MostUrgentRun() int { return g.publicRuns.mostUrgent() }
+
 // Accounts returns the number of client accounts with a standing.
 func (g *Gate) Accounts(standing Standing) int {
 	g.mu.Lock()
@@ -201,6 +207,11 @@
 	}
 	g.trackRun(instance, fingerprint, 1)
 	defer g.trackRun(instance, fingerprint, -1)
+	if !r.Nested {
+		urgency := callerUrgency(r.Priority, r.Kind.Repeatable())
+		g.publicRuns.add(urgency, 1)
+		defer g.publicRuns.add(urgency, -1)
+	}
 	sent := time.Now()
 	res = g.send(ctx, instance, r, in, body)
 	took := time.Since(sent)
@@ -281,7 +292,7 @@
 }
 
 func requestInfo(r *hop.Request) RequestInfo {
-	return RequestInfo{Route: r.Route, Account: r.Account, AccountPriority: r.AccountPriority, Priority: r.Priority, Nested: r.Nested, Deadline: r.Deadline, Objective: r.Objective}
+	return RequestInfo{Route: r.Route, Account: r.Account, AccountPriority: r.AccountPriority, Priority: r.Priority, Nested: r.Nested, CallerUrgency: r.CallerUrgency, Deadline: r.Deadline, Objective: r.Objective}
 }
 
 // admit takes a slot, waits for one, or returns the refusal.
--- a/internal/request/egress/ticket.go
+++ b/internal/request/egress/ticket.go
@@ -17,6 +17,8 @@
 	Priority        int
 	// Nested is set for calls of running upstreams.
 	Nested bool
+	// CallerUrgency ranks the runs that make nested calls; see callerUrgency.
+	CallerUrgency int
 	// Deadline is when a response becomes useless. Until Objective it has its
 	// full value.
 	Deadline, Objective time.Time
@@ -55,7 +57,7 @@
 	CauseNone Cause = iota
 	// CauseOnTime: the request could not start in time behind those that wait.
 	CauseOnTime
-	// CauseFairShare: so it was, and its account has used more than its share.
+	// CauseFairShare: so it was, and its account has used up its share.
 	CauseFairShare
 	// CauseNested: a call of a running upstream could not start in time.
 	CauseNested
@@ -63,7 +65,7 @@
 
 var causeErrors = [...]error{
 	CauseOnTime:    errors.New("on-time: could not start in time behind the waiting requests"),
-	CauseFairShare: errors.New("fair share: the account has used more than its share"),
+	CauseFairShare: errors.New("fair share: the account has used up its share"),
 	CauseNested:    errors.New("nested: a call of a running upstream could not start in time"),
 }
 
@@ -93,6 +95,8 @@
 		return !t.late
 	case t.short != o.short:
 		return t.short
+	case t.CallerUrgency != o.CallerUrgency:
+		return t.CallerUrgency < o.CallerUrgency
 	case (t.standing == Deprived) != (o.standing == Deprived):
 		return t.standing == Deprived
 	case t.AccountPriority != o.AccountPriority:
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -75,6 +75,9 @@
 	// Nested is set for a call that a running upstream makes itself. Refusing or
 	// delaying it wastes the run that waits for it.
 	Nested bool
+	// CallerUrgency ranks the run that makes a nested call; 0 is the most urgent, and
+	// stands for an unknown one.
+	CallerUrgency int
 }
 
 // TimeLeft returns the time until the request's deadline.
@@ -109,7 +112,7 @@
 	h[call.HeaderCall] = []string{strings.Join(fields[:], separator)}
 	delete(h, headerNested)
 	if r.Nested {
-		h[headerNested] = []string{"1"}
+		h[headerNested] = []string{strconv.Itoa(r.CallerUrgency + 1)}
 	}
 	delete(h, headerAccount)
 	if r.Account != "" {
@@ -117,7 +120,8 @@
 	}
 }
 
-// headerNested is present on nested calls between nodes.
+// headerNested is present on nested calls between nodes. Its value is CallerUrgency + 1,
+// so that the 1 of nodes that do not know the urgency is the most urgent.
 const headerNested = "Daisytide-Nested"
 
 // headerAccount holds the priority and the name of a request's client account
@@ -163,7 +167,13 @@
 		Deadline:  now.Add(time.Duration(numbers[fieldTimeLeft]) * time.Microsecond),
 		Objective: now.Add(time.Duration(numbers[fieldObjective]) * time.Microsecond),
 	}
-	r.Nested = h.Get(headerNested) != ""
+	if nested := h.Get(headerNested); nested != "" {
+		r.Nested = true
+		// A value that is not a number counts as the most urgent.
+		if n, err := strconv.Atoi(nested); err == nil {
+			r.CallerUrgency = max(0, n-1)
+		}
+	}
 	delete(h, headerNested)
 	return r, r.decodeAccount(h)
 }
--- a/internal/request/hop/hop_test.go
+++ b/internal/request/hop/hop_test.go
@@ -31,6 +31,23 @@
 	}
 }
 
+// Guards against the calls of urgent runs that queue behind others because the next node
+// does not learn whose calls they are, and against nodes of an earlier version.
+func TestUrgencyOfACallerRoundTrips(t *testing.T) {
+	for header, want := range map[string]int{"": 3, "1": 0, "x": 0, "-7": 0} {
+		r := sample()
+		r.Nested, r.CallerUrgency = true, 3
+		h := http.Header{}
+		r.EncodeHeader(h, now)
+		if header != "" {
+			h[headerNested] = []string{header}
+		}
+		if got, err := DecodeHeader(h, now); err != nil || !got.Nested || got.CallerUrgency != want {
+			t.Errorf("%q: %+v, %v", header, got, err)
+		}
+	}
+}
+
 func FuzzDecodeHeader(f *testing.F) {
 	h := http.Header{}
 	sample().EncodeHeader(h, now)
--- a/internal/request/ingress/attempts.go
+++ b/internal/request/ingress/attempts.go
@@ -189,8 +189,9 @@
 	key := membership.UpstreamKey{Service: d.req.Service, Version: d.req.Version}
 	now := time.Now()
 	requirements := balancer.Requirements{MeanRunTime: ing.meanRunTime(d.req.Route), HasBody: len(d.in.Body) > 0, Objective: d.timeToObjective(now)}
-	if d.lastRefusal.Code == api.CallShed && !d.lastRefusal.UpstreamRefused && !d.lastRefusal.ShortRoute {
-		// A node was full, so only nodes expected to be fast enough are tried.
+	if d.lastRefusal.Code == api.CallShed && !d.lastRefusal.UpstreamRefused && !d.lastRefusal.ShortRoute && !d.req.Nested {
+		// A node was full, so only nodes expected to be fast enough are tried. Nested
+		// calls go first at any node, and a refused one wastes a run.
 		requirements.MaxExpected = max(time.Nanosecond, time.Duration(expectedTimeSlack*float64(d.req.Objective.Sub(now))))
 	}
 	if d.lastRefusal.Code == api.CallNoTime {
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -89,6 +89,9 @@
 	// Origins tells the calls of the upstream beside this node from those of
 	// callers.
 	Origins Origins
+	// MostUrgentRun returns the urgency of the most urgent public run of the upstream
+	// beside this node, whose calls are ranked by it. nil ranks them equally.
+	MostUrgentRun func() int
 
 	// Stopping refuses requests that a planned stop would cut.
 	Stopping egress.Stopping
@@ -142,6 +145,9 @@
 	}
 	d.req = d.ingress.newRequest(d.in, d.route, snap)
 	d.req.Nested = d.ingress.Origins.IsNested(d.in.RemoteIP)
+	if d.req.Nested && d.ingress.MostUrgentRun != nil {
+		d.req.CallerUrgency = d.ingress.MostUrgentRun()
+	}
 	if account != nil {
 		d.req.Account, d.req.AccountPriority = account.Name, account.Priority
 	}
