--- a/internal/request/egress/account_shares.go
+++ b/internal/request/egress/account_shares.go
@@ -22,7 +22,7 @@
 	guardFraction = 0.7
 	// minSharedRequests is the decayed number of an account's requests below which it
 	// is judged together with others of its size, because its own fraction is mostly
-	// chance: judged alone from 2 on, it cost 4% of the value in the simulation.
+	// chance: judged alone from 2 on, it cost 5% of the value in the simulation.
 	minSharedRequests = 8
 	// shareTolerance is the part of the fair amount that an account may have left when it
 	// counts as used up: one that takes all that the others leave has used exactly that.
