--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -314,7 +314,8 @@
 		Budget:       retry.NewBudgetWithBurst(retryBudget.NodeBurst),
 		RetryPercent: retryBudget.NodePercent(),
 		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns, MaxBufferedBytes: maxResponseMemory}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
-		Link: link,
+		Link:          link,
+		MostUrgentRun: n.gate.MostUrgentRun,
 	}
 	if upstream, err := netip.ParseAddrPort(o.Address); err == nil {
 		n.ingress.Origins.UpstreamIP = upstream.Addr().Unmap()
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -13,6 +13,7 @@
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/departures"
 	"github.com/daisytide/daisytide/internal/process/evacuation"
+	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/linkqueue"
 )
 
@@ -104,6 +105,8 @@
 	}
 	n.requests.AddGauge("gate_warmup_rate", "Requests per second to which the gate limits its cold upstream; 0 while it is warm.", n.gate.WarmupRate)
 	n.publishLinkMetrics()
+	n.requests.AddGauge("gate_accounts_above_share", "Client accounts that have used up their share of the gate's upstream; 0 without overload.", func() float64 { return float64(n.gate.Accounts(egress.AboveShare)) })
+	n.requests.AddGauge("gate_accounts_deprived", "Client accounts that go first at the gate because they were served far less than the average.", func() float64 { return float64(n.gate.Accounts(egress.Deprived)) })
 	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
 }
 
--- a/internal/request/hop/hop.go
+++ b/internal/request/hop/hop.go
@@ -78,6 +78,9 @@
 	// Returned is set if the request used a part of its time before it arrived, as one
 	// that comes back after the retry delay of a refusal.
 	Returned bool
+	// CallerUrgency ranks the run that makes a nested call; 0 is the most urgent, and
+	// stands for an unknown one.
+	CallerUrgency int
 }
 
 // TimeLeft returns the time until the request's deadline.
@@ -110,9 +113,13 @@
 		fieldConfig:    strconv.FormatUint(r.ConfigNumber, 10),
 	}
 	h[call.HeaderCall] = []string{strings.Join(fields[:], separator)}
-	delete(h, headerFlags)
-	if r.Nested || r.Returned {
-		h[headerFlags] = []string{r.flags()}
+	delete(h, headerReturned)
+	if r.Returned {
+		h[headerReturned] = []string{"1"}
+	}
+	delete(h, headerNested)
+	if r.Nested {
+		h[headerNested] = []string{strconv.Itoa(r.CallerUrgency + 1)}
 	}
 	delete(h, headerAccount)
 	if r.Account != "" {
@@ -120,32 +127,12 @@
 	}
 }
 
-// headerFlags holds one letter for each flag of a request between nodes. It is absent
-// from requests without flags.
-const (
-	headerFlags  = "Daisytide-Flags"
-	flagNested   = "n"
-	flagReturned = "r"
-)
+// headerReturned is present if the request is Returned.
+const headerReturned = "Daisytide-Returned"
 
-func (r *Request) flags() string {
-	out := ""
-	if r.Nested {
-		out += flagNested
-	}
-	if r.Returned {
-		out += flagReturned
-	}
-	return out
-}
-
-// decodeFlags reads the flags written by EncodeHeader and removes them from the
-// header.
-func (r *Request) decodeFlags(h http.Header) {
-	flags := h.Get(headerFlags)
-	delete(h, headerFlags)
-	r.Nested, r.Returned = strings.Contains(flags, flagNested), strings.Contains(flags, flagReturned)
-}
+// headerNested is present on nested calls between nodes. Its value is CallerUrgency + 1,
+// so that the 1 of nodes that do not know the urgency is the most urgent.
+const headerNested = "Daisytide-Nested"
 
 // headerAccount holds the priority and the name of a request's client account
 // between nodes. It is absent from requests without an account.
@@ -190,7 +177,16 @@
 		Deadline:  now.Add(time.Duration(numbers[fieldTimeLeft]) * time.Microsecond),
 		Objective: now.Add(time.Duration(numbers[fieldObjective]) * time.Microsecond),
 	}
-	r.decodeFlags(h)
+	r.Returned = h.Get(headerReturned) != ""
+	delete(h, headerReturned)
+	if nested := h.Get(headerNested); nested != "" {
+		r.Nested = true
+		// A value that is not a number counts as the most urgent.
+		if n, err := strconv.Atoi(nested); err == nil {
+			r.CallerUrgency = max(0, n-1)
+		}
+	}
+	delete(h, headerNested)
 	return r, r.decodeAccount(h)
 }
 
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -90,6 +90,9 @@
 	// Origins tells the calls of the upstream beside this node from those of
 	// callers.
 	Origins Origins
+	// MostUrgentRun returns the urgency of the most urgent public run of the upstream
+	// beside this node, whose calls are ranked by it. nil ranks them equally.
+	MostUrgentRun func() int
 
 	// Stopping refuses requests that a planned stop would cut.
 	Stopping egress.Stopping
@@ -148,6 +151,9 @@
 	}
 	d.req = d.ingress.newRequest(d.in, d.route, snap)
 	d.req.Nested = d.ingress.Origins.IsNested(d.in.RemoteIP)
+	if d.req.Nested && d.ingress.MostUrgentRun != nil {
+		d.req.CallerUrgency = d.ingress.MostUrgentRun()
+	}
 	if account != nil {
 		d.req.Account, d.req.AccountPriority = account.Name, account.Priority
 	}
@@ -268,7 +274,7 @@
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		ing.Counters.Refused.Add(1)
-		ing.Dialect.SetRetryAfter(h, retryAfter(res, r, time.Now()))
+		ing.Dialect.SetRetryAfter(h, ing.retryAfter(res, r, time.Now()))
 	case http.StatusUnauthorized:
 		ing.Counters.Refused.Add(1)
 		ing.Dialect.SetUnauthorized(h)
@@ -298,12 +304,16 @@
 }
 
 // retryAfter is when a refused caller should retry: when the nodes expect free
-// places, but early enough for another try.
-func retryAfter(res hop.Result, r *hop.Request, now time.Time) time.Duration {
+// places, but early enough for another try. Callers that full queues refused are
+// spread. A nested call returns as early as possible, because a run waits for it.
+func (ing *Ingress) retryAfter(res hop.Result, r *hop.Request, now time.Time) time.Duration {
 	after := res.RetryAfter
 	if after <= 0 {
 		after = defaultRetryAfter
 	}
+	if r != nil && res.Code == api.CallShed && !r.Nested {
+		after = retry.SpreadDelay(after, r.Objective.Sub(now), r.TimeLeft(now), ing.meanRunTime(r.Route), rand.Float64())
+	}
 	if r != nil {
 		after = min(after, time.Duration(retryAfterFraction*float64(r.TimeLeft(now))))
 	}
