Limit client accounts over all nodes by quotas

Accounts have a rate and a burst, but nothing limited their requests. Package quota limits them over all nodes: each node lends a vote, 1/N of every account's bucket, to a few owners by short leases; owners accrue tokens in proportion to the votes that they hold and lend them to the nodes by demand. Owner and Borrower decide without I/O; Limiter exchanges the messages over package rpc. The entry takes a token before the first attempt, refuses with 4023 (429) without one, and returns the token of a request that certainly did not run.

--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -70,6 +70,10 @@
 	// FieldRunningAtCrash is the number of requests that were running in an
 	// upstream when it crashed.
 	FieldRunningAtCrash = "died_with"
+	// FieldAccount is the name of a client account, and FieldRefused the number of its
+	// requests that were refused while it was limited.
+	FieldAccount = "account"
+	FieldRefused = "refused"
 	// FieldDropped counts the lines dropped because the queue was full, and
 	// FieldWithheld those not written because of the rate limit.
 	FieldDropped  = "dropped"
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -110,6 +110,9 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "daisytide_" + name, Help: help}, read))
 }
 
+// Register publishes further series.
+func (m *NodeMetrics) Register(c prometheus.Collector) { m.registry.MustRegister(c) }
+
 // Gauges holds the functions that return the values of a node's gauges at each
 // scrape.
 type Gauges struct {
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -34,6 +34,7 @@
 	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/process/orders"
 	"github.com/daisytide/daisytide/internal/process/provider"
+	"github.com/daisytide/daisytide/internal/process/quota"
 	"github.com/daisytide/daisytide/internal/process/registry"
 	"github.com/daisytide/daisytide/internal/process/settings"
 	"github.com/daisytide/daisytide/internal/request/balancer"
@@ -128,6 +129,7 @@
 	quarantineEvents *quarantine.EventSet
 	localUpstream    *localupstream.Tracker
 	departures       *departures.Keeper
+	quota            *quota.Limiter
 	gate             *egress.Gate
 	ingress          *ingress.Ingress
 	store            *kvstore.RateLimitedStore
@@ -167,6 +169,7 @@
 	n.wireMembership()
 	n.wireRequests()
 	n.wireDepartures()
+	n.wireQuota()
 	n.wireServers()
 	return n, nil
 }
@@ -396,7 +399,7 @@
 			return nil
 		})
 	}
-	for _, run := range []func(context.Context) error{n.gossip.Run, n.provider.Run, n.registry.Run, n.orders.Run, n.departures.Run} {
+	for _, run := range []func(context.Context) error{n.gossip.Run, n.provider.Run, n.registry.Run, n.orders.Run, n.departures.Run, n.quota.Run} {
 		g.Go(func() error { return run(runnerCtx) })
 	}
 	g.Go(func() error {
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -12,6 +12,7 @@
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/departures"
+	"github.com/daisytide/daisytide/internal/process/quota"
 )
 
 // wireServers builds the servers of the listeners.
@@ -28,6 +29,7 @@
 	peerMux.Handle(rpc.PathPrefix+probeMethod, rpc.Handle(n.handleProbe))
 	peerMux.Handle(rpc.PathPrefix+departures.MethodHold, rpc.Handle(n.departures.HandleHold))
 	peerMux.Handle(rpc.PathPrefix+departures.MethodRecall, rpc.Handle(n.departures.HandleRecall))
+	peerMux.Handle(rpc.PathPrefix+quota.Method, rpc.Handle(n.quota.HandleAsk))
 	n.peerServer = newServer(n.requirePeerKey(peerMux))
 	operatorMux := http.NewServeMux()
 	n.adapter.RegisterReportHandlers(operatorMux, n.applyReport)
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -87,6 +87,9 @@
 	Client       *h1.Client
 	Dialect      hop.HeaderDialect
 
+	// Limiter limits the requests of client accounts; nil means no limits.
+	Limiter Limiter
+
 	// Stopping refuses requests that a planned stop would cut.
 	Stopping egress.Stopping
 
@@ -149,7 +152,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, d.req.Deadline)
 	defer cancel()
-	return d.run(ctx)
+	return d.runWithinQuota(ctx, account)
 }
 
 // log writes one line for a request that did not succeed at the first attempt.
@@ -288,13 +291,14 @@
 }
 
 // retryAfter is when a refused caller should retry: when the nodes expect free
-// places, but early enough for another try.
+// places, but early enough for another try. The delay of an account over its quota
+// is not shortened, because an earlier try would be refused as well.
 func retryAfter(res hop.Result, r *hop.Request, now time.Time) time.Duration {
 	after := res.RetryAfter
 	if after <= 0 {
 		after = defaultRetryAfter
 	}
-	if r != nil {
+	if r != nil && res.Code != api.CallQuota {
 		after = min(after, time.Duration(retryAfterFraction*float64(r.TimeLeft(now))))
 	}
 	return max(after, time.Millisecond)
