Keep quotas within the bound while owners change, and serve usual rates

The first version used a node's share for time in which its vote was lent, let a new owner build up a full bucket beside tokens of the former one that nodes still held, and took the count of nodes of a process that started during a cut for the whole fleet: with the owner of an account killed again and again, 1,146 requests ran in a window of 1,010. It also refused 6.7% of the requests within their quota during a wave of planned restarts.

The own share now starts when the vote is free, a bucket whose owner has changed lends only for requests that wait for the length of a lease, and nodes take over the higher count of nodes. A change of the list of owners completes with the last acknowledgement instead of a timer, and a denial is repeated after 40 ms, doubling.

--- a/internal/process/quota/borrower.go
+++ b/internal/process/quota/borrower.go
@@ -19,6 +19,14 @@
 	// minHold is the expected demand from which tokens are held in advance; for less,
 	// a request asks the owner.
 	minHold = 0.2
+	// firstDenial is how long the owner is not asked again after it had no token; the
+	// time doubles up to the period, after maxDenials at most. A new owner has tokens
+	// soon, while an account far over its quota must not cost a message per request.
+	firstDenial = 40 * time.Millisecond
+	maxDenials  = 5
+	// targetDeviations is the number of standard deviations of the expected demand that
+	// are held beyond it.
+	targetDeviations = 0.8
 	// idleTime is how long the state of an account without requests is kept.
 	idleTime = 10 * time.Second
 	// probeInterval is the time between two messages to an owner that is not reached.
@@ -116,6 +124,8 @@
 	// deniedUntil is how long the owner is not asked again; wait is what it announced.
 	deniedUntil time.Time
 	wait        time.Duration
+	// denials counts the replies without a token since the last one with some.
+	denials int
 	// share is the node's own share of the bucket, for use without an owner.
 	share   float64
 	shareAt time.Time
@@ -212,7 +222,10 @@
 		a.share, a.shareAt = 0, time.Time{}
 		return false
 	}
-	if a.shareAt.Before(from) {
+	switch {
+	case a.shareAt.IsZero():
+		a.share, a.shareAt = 0, now
+	case a.shareAt.Before(from):
 		a.share, a.shareAt = 0, from
 	}
 	part := 1 / float64(b.fleet)
@@ -247,7 +260,7 @@
 	if expected < minHold {
 		return 0
 	}
-	return int(math.Ceil(expected + math.Sqrt(expected)))
+	return int(math.Round(expected + targetDeviations*math.Sqrt(expected)))
 }
 
 // SetFleet sets the nodes that may be owners, and the number of nodes that may hold a
@@ -337,6 +350,7 @@
 	}
 	for _, a := range b.accounts {
 		a.deniedUntil = time.Time{}
+		a.share, a.shareAt = 0, time.Time{}
 	}
 }
 
@@ -511,6 +525,9 @@
 			l.nextAt = now
 		}
 	}
+	if b.next != nil {
+		b.Step(now)
+	}
 	if len(r.Grants) != len(sent.ask.Wants) {
 		return
 	}
@@ -532,8 +549,12 @@
 	a.held += g.Tokens
 	a.wait = time.Duration(g.WaitMillis) * time.Millisecond
 	a.deniedUntil = time.Time{}
+	if a.wait == 0 || g.Tokens > 0 {
+		a.denials = 0
+	}
 	if a.wait > 0 {
-		a.deniedUntil = now.Add(min(a.wait, b.period))
+		a.deniedUntil = now.Add(min(a.wait, b.period, firstDenial<<min(a.denials, maxDenials)))
+		a.denials++
 	}
 }
 
@@ -549,10 +570,14 @@
 		l.failingSince, l.nextAt = now, now
 	}
 	if closed {
-		l.leaseEnd, l.clock = time.Time{}, 0
+		l.clock = 0
+		if l.leaseEnd.After(now) {
+			l.leaseEnd = now
+		}
 	}
 	if closed || now.Sub(l.failingSince) >= b.lease {
 		b.exclude(l, true)
+		b.Step(now)
 	}
 }
 
--- a/internal/process/quota/fleet.go
+++ b/internal/process/quota/fleet.go
@@ -14,6 +14,7 @@
 }
 
 type fleetNode struct {
+	seenAt  time.Time
 	lostAt  time.Time
 	leaving bool
 }
@@ -22,6 +23,10 @@
 // membership keeps the record of a node that is gone.
 const lostTTL = membership.TombstoneTTL
 
+// joinTime is how long a new node does not count yet: it lends its vote only after a
+// lease, which is longer.
+const joinTime = 750 * time.Millisecond
+
 // NewFleet returns a fleet without nodes.
 func NewFleet() *Fleet { return &Fleet{nodes: map[string]*fleetNode{}} }
 
@@ -36,7 +41,7 @@
 		present[r.Address] = true
 		n := f.nodes[r.Address]
 		if n == nil {
-			n = &fleetNode{}
+			n = &fleetNode{seenAt: now}
 			f.nodes[r.Address] = n
 		}
 		n.lostAt, n.leaving = time.Time{}, r.State == membership.Leaving
@@ -47,6 +52,9 @@
 	for address, n := range f.nodes {
 		switch {
 		case present[address]:
+			if now.Sub(n.seenAt) >= joinTime {
+				size++
+			}
 			continue
 		case n.lostAt.IsZero() && !n.leaving:
 			n.lostAt = now
@@ -57,7 +65,7 @@
 		}
 		lost = append(lost, address)
 	}
-	return owners, len(f.nodes), lost
+	return owners, size + len(lost), lost
 }
 
 // Ended records that no process runs at the address of a lost node.
--- a/internal/process/quota/limiter.go
+++ b/internal/process/quota/limiter.go
@@ -13,7 +13,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/rpc"
-	"github.com/daisytide/daisytide/internal/ctxtime"
 	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
@@ -57,6 +56,8 @@
 	fleet    *Fleet
 	lanes    map[string]*lane
 	lost     []string
+	// changed wakes Run when there may be new owners.
+	changed chan struct{}
 	// generation and joined are those of the last look at the members, at updatedAt.
 	generation uint64
 	joined     bool
@@ -83,7 +84,7 @@
 func (l *Limiter) Start(start uint64, now time.Time) {
 	l.borrower, l.owner = NewBorrower(l.Self, start, now), NewOwner(l.Self, start, now)
 	l.borrower.onLimited = logLimited
-	l.fleet, l.lanes = NewFleet(), map[string]*lane{}
+	l.fleet, l.lanes, l.changed = NewFleet(), map[string]*lane{}, make(chan struct{}, 1)
 	l.counters.init()
 }
 
@@ -150,7 +151,7 @@
 			return refused
 		}
 		link.urgent = true
-		lane.notify()
+		notify(lane.wake)
 		replied := lane.replied
 		a.waiting++
 		l.mu.Unlock()
@@ -175,9 +176,10 @@
 	}
 }
 
-func (s *lane) notify() {
+// notify wakes the receiver of a channel with room for one element.
+func notify(wake chan<- struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
@@ -217,7 +219,13 @@
 				l.probeLost(ctx, lost)
 			}
 		}
-		ctxtime.Sleep(ctx, fleetInterval)
+		timer := time.NewTimer(fleetInterval)
+		select {
+		case <-ctx.Done():
+		case <-l.changed:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
 	return nil
 }
@@ -250,7 +258,7 @@
 	}
 	for o := range owners {
 		if s := l.lanes[o]; s != nil {
-			s.notify()
+			notify(s.wake)
 			continue
 		}
 		laneCtx, stop := context.WithCancel(ctx)
@@ -319,6 +327,12 @@
 	} else {
 		l.borrower.Apply(owner, reply, time.Now())
 	}
+	for o := range l.borrower.links {
+		if l.lanes[o] == nil {
+			notify(l.changed)
+			break
+		}
+	}
 	close(s.replied)
 	s.replied = make(chan struct{})
 }
--- a/internal/process/quota/owner.go
+++ b/internal/process/quota/owner.go
@@ -28,7 +28,9 @@
 	began  time.Time
 	limits limits
 	// fleet is the number of nodes by this node's count.
-	fleet   int
+	fleet int
+	// lease is the length of the leases of the last message.
+	lease   time.Duration
 	voters  map[string]*voter
 	ballots map[[2]uint64]*ballot
 	lists   map[uint64]*electorate
@@ -67,7 +69,14 @@
 	rate, burst float64
 	stock       float64
 	votes       float64
-	at          time.Time
+	// mostVotes is the highest number of votes so far.
+	mostVotes float64
+	// Until youngUntil nodes may hold tokens of a former owner that this one does not
+	// know of. settledVotes is the number of votes before the last marked increase.
+	settledVotes float64
+	youngUntil   time.Time
+	lease        time.Duration
+	at           time.Time
 	// lent is the sum of what the borrowers hold.
 	lent      float64
 	borrowers map[string]*borrowed
@@ -114,8 +123,11 @@
 // setFleet sets the number of nodes that is told to others.
 func (o *Owner) setFleet(size int) { o.fleet = size }
 
+// clockStart is the time of an owner's start by its clock: 0 stands for no reply yet.
+const clockStart = 1
+
 // clock returns the time in the form of Reply.Clock.
-func (o *Owner) clock(now time.Time) uint64 { return uint64(now.Sub(o.began)) + 1 }
+func (o *Owner) clock(now time.Time) uint64 { return uint64(now.Sub(o.began)) + clockStart }
 
 // Answer answers a message. A message that arrives after a later one of the same
 // node gets no tokens.
@@ -130,6 +142,7 @@
 		return reply
 	}
 	v.start, v.sequence, v.seen = a.Start, a.Sequence, now
+	o.lease = time.Duration(a.LeaseMillis) * time.Millisecond
 	reply.Unknown = !o.vote(v, a, now)
 	if o.dirty || now.Sub(o.countedAt) >= recountInterval {
 		o.recount(now)
@@ -156,7 +169,7 @@
 		key[i], lists[i] = id, o.lists[id]
 		known = known && lists[i] != nil
 	}
-	until := o.began.Add(time.Duration(a.OwnerClock) + time.Duration(a.LeaseMillis)*time.Millisecond)
+	until := o.began.Add(time.Duration(a.OwnerClock) - clockStart + time.Duration(a.LeaseMillis)*time.Millisecond)
 	// A clock ahead of this process's own is not from one of its replies.
 	valid := a.OwnerClock > 0 && a.OwnerStart == o.start && a.OwnerClock <= o.clock(now) && until.After(now)
 	if known && valid && len(a.Electorates) > 0 {
@@ -231,7 +244,11 @@
 	}
 	b := &bucket{hash: xxhash.Sum64String(account), rate: a.Rate, burst: a.Burst, at: now, sweptAt: now, borrowers: map[string]*borrowed{}}
 	votes, voteSeconds := o.votes(b.hash)
-	b.votes, b.stock = votes, a.Rate*voteSeconds
+	b.lease = o.lease
+	b.votes, b.mostVotes, b.settledVotes, b.stock = votes, votes, votes, a.Rate*voteSeconds+votes*initialStock(a.Rate)
+	if voteSeconds < votes*b.lease.Seconds() {
+		b.youngUntil = now.Add(b.lease)
+	}
 	b.clip()
 	o.buckets[account] = b
 	return b
@@ -244,15 +261,37 @@
 		b.stock += b.rate * min(votes, b.votes) * elapsed
 		b.at = now
 	}
+	if votes > b.mostVotes {
+		b.stock += (votes - b.mostVotes) * initialStock(b.rate)
+		b.mostVotes = votes
+	}
 	b.votes = votes
+	switch {
+	case votes < b.settledVotes:
+		b.settledVotes = votes
+	case votes > b.settledVotes+movedVotes:
+		b.settledVotes, b.youngUntil, b.lease = votes, now.Add(max(b.lease, o.lease)), o.lease
+	}
 	b.dropLapsed(now)
 	b.clip()
 }
 
+// movedVotes is the increase of votes after which a bucket is young. Fewer are those of
+// single nodes that have started.
+const movedVotes = 0.1
+
+// isYoung reports whether nodes may hold tokens of a former owner.
+func (b *bucket) isYoung() bool { return b.at.Before(b.youngUntil) }
+
 // clip limits the stock so that it and the lent tokens stay within the part of the
-// capacity that the votes stand for.
+// capacity that the votes stand for, and a young bucket's to youngStock.
 func (b *bucket) clip() {
-	b.stock = max(0, min(b.stock, capacity(b.rate, b.burst)*min(1, b.votes)-b.lent))
+	votes := min(1, b.votes)
+	b.stock = min(b.stock, capacity(b.rate, b.burst)*votes-b.lent)
+	if b.isYoung() {
+		b.stock = min(b.stock, youngStock(b.rate)*votes)
+	}
+	b.stock = max(0, b.stock)
 }
 
 // sweepBorrowers is the time between two searches for lapsed tokens in a bucket.
@@ -311,11 +350,12 @@
 
 // share returns how many tokens a borrower gets: what it wants if the stock above
 // the reserve suffices for all, else a part in proportion to its want. Requests
-// that wait may use the reserve.
+// that wait may use the reserve, and only they get tokens of a young bucket, so that
+// none are held beside those of a former owner.
 func (b *bucket) share(h *borrowed, w *Want) float64 {
 	free := b.stock - reserveFraction*capacity(b.rate, b.burst)*min(1, b.votes)
 	n := 0.0
-	if want := float64(w.Tokens); want > 0 && free > 0 {
+	if want := float64(w.Tokens); want > 0 && free > 0 && !b.isYoung() {
 		part := want
 		if b.wanted > free {
 			part = min(want, free*want/b.wanted+h.fraction)
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -26,12 +26,20 @@
 
 // Parameters of the token buckets. The quota allows (5 x rate + burst) x 1.1 + 20
 // requests in 5 s, and a bucket admits its capacity + 5 x rate. What the capacity
-// leaves (0.2 x rate + 0.1 x burst + 8) covers requests that wait in queues between
-// their admission and their run, and tokens that stay valid for the rest of a lease
-// after the votes behind them have moved to another owner.
+// leaves (0.25 x rate + 0.1 x burst + 10) covers the first stock of new owners, tokens
+// that stay valid for the rest of a lease after the votes behind them have moved to
+// another owner, and requests that wait in queues between admission and run.
 const (
-	capacityOfRate = 0.3
-	capacitySlack  = 12
+	capacityOfRate = 0.25
+	capacitySlack  = 10
+	// firstOfRate x rate + firstStock is what a bucket holds at first. An owner without
+	// state would else refuse requests until it has accrued tokens.
+	firstOfRate = 0.03
+	firstStock  = 1.5
+	// youngOfRate x rate + youngSlack is what a bucket holds at most for a lease after its
+	// owner has changed: the nodes may still hold the capacity of the former owner.
+	youngOfRate = 0.0625
+	youngSlack  = 2
 	// minRate is the least rate at which a bucket accrues: an account with a limit far
 	// below one request per second would else be refused after each change of its
 	// owner. It adds 2.5 requests to a window.
@@ -39,30 +47,35 @@
 	// reserveFraction of a bucket's capacity is lent only for requests that wait.
 	// Otherwise the nodes' advance holdings would leave nothing for a node with its
 	// first request.
-	reserveFraction = 0.2
+	reserveFraction = 0.25
 )
 
 // Parameters of the exchange between nodes and owners.
 const (
-	// minPeriod and periodPerOwner give the time between two messages of a node to
-	// one owner, so that a node sends at most 8 messages per second
-	// besides those for requests that wait.
+	// minPeriod and periodPerOwner give the longest time between two messages of a node
+	// to one owner. Without requests that wait, a node of 74 sends 8 per second.
 	minPeriod      = 500 * time.Millisecond
-	periodPerOwner = 125 * time.Millisecond
+	periodPerOwner = 62500 * time.Microsecond
 	// leasePeriods is the length of a lease in periods: a lease outlasts the loss of
-	// two messages in a row.
-	leasePeriods = 3.5
-	// minOwners and maxOwners bound the number of owners. Each further owner costs
-	// each node further messages; with fewer, an owner handles more.
-	minOwners, maxOwners = 3, 16
-	// ownersPerRoot times the square root of the number of nodes is the number of
-	// owners: 4 of 74, 16 of 1,034.
-	ownersPerRoot = 0.5
+	// a message.
+	leasePeriods = 3
+	// minOwners and maxOwners bound the number of owners, which is that of the nodes
+	// divided by nodesPerOwner: 3 of 12, 4 of 74, 32 of 1,034. Each owner costs each
+	// node further messages; with fewer, an owner handles more.
+	minOwners, maxOwners = 3, 32
+	nodesPerOwner        = 20
 )
 
 // capacity returns the capacity of an account's bucket over all owners.
 func capacity(rate, burst float64) float64 { return burst + capacityOfRate*rate + capacitySlack }
 
+// initialStock returns what the new buckets of an account hold over all owners.
+func initialStock(rate float64) float64 { return firstStock + firstOfRate*rate }
+
+// youngStock returns the most that a bucket holds over all owners while nodes may hold
+// tokens of a former owner.
+func youngStock(rate float64) float64 { return youngSlack + youngOfRate*rate }
+
 // timing returns the period and the lease of a node that has the given number of
 // owners.
 func timing(owners int) (period, lease time.Duration) {
@@ -108,8 +121,8 @@
 // electOwners returns the owners among the given nodes by rendezvous hashing: a
 // node that joins or leaves replaces at most one of them.
 func electOwners(nodes []string) *electorate {
-	n := int(math.Round(ownersPerRoot * math.Sqrt(float64(len(nodes)))))
-	n = min(min(max(n, minOwners), maxOwners), len(nodes))
+	n := int(math.Round(float64(len(nodes)) / nodesPerOwner))
+	n = min(max(n, minOwners), maxOwners, len(nodes))
 	const allAccounts = 0x71756f7461
 	ranked := slices.Clone(nodes)
 	scores := make(map[string]uint64, len(nodes))
--- a/internal/process/quota/sim_test.go
+++ b/internal/process/quota/sim_test.go
@@ -21,13 +21,22 @@
 	nodes  []*simNode
 	faults simFaults
 
+	// onAnswer, if set, is called with each message between nodes and its reply.
+	onAnswer func(*Ask, Reply)
+	// scheme, if set, decides in place of the nodes' borrowers and owners.
+	scheme scheme
+
 	accounts []*simAccount
 	// goneAfter is when the others take a silent node for gone.
 	goneAfter time.Duration
-	messages  uint64
-	bytesSent uint64
-	waits     uint64
-	order     uint64
+	// fullest is the highest part of a bound that was reached.
+	fullest  float64
+	messages uint64
+
+	waits uint64
+	// reasons counts the refused requests of accounts that keep to their usual rate.
+	reasons map[string]int
+	order   uint64
 }
 
 // simFaults are the faults of the network.
@@ -43,6 +52,7 @@
 	// configured is set when the process has a configuration.
 	configured  bool
 	pausedUntil time.Time
+	killedAt    time.Time
 	borrower    *Borrower
 	owner       *Owner
 	fleet       *Fleet
@@ -98,11 +108,14 @@
 
 var simStart = time.Unix(1_000_000, 0)
 
+// simAddress returns the address of a node.
+func simAddress(i int) string { return fmt.Sprintf("10.%d.%d.%d:7240", i%3, i/250, i%250) }
+
 // newSim returns nodes that know each other and have been up for a while.
 func newSim(seed uint64, nodes int) *sim {
-	s := &sim{now: simStart, rng: rand.New(rand.NewPCG(seed, 1)), goneAfter: 9 * time.Second}
+	s := &sim{now: simStart, reasons: map[string]int{}, rng: rand.New(rand.NewPCG(seed, 1)), goneAfter: 9 * time.Second}
 	for i := range nodes {
-		n := &simNode{s: s, address: fmt.Sprintf("10.%d.0.%d:7240", i%3, i), lostAt: make([]time.Time, nodes)}
+		n := &simNode{s: s, address: simAddress(i), lostAt: make([]time.Time, nodes)}
 		s.nodes = append(s.nodes, n)
 	}
 	for _, n := range s.nodes {
@@ -188,31 +201,58 @@
 	n.up, n.leaving = true, false
 	n.starts++
 	n.borrower, n.owner, n.fleet = NewBorrower(n.address, n.starts, n.s.now), NewOwner(n.address, n.starts, n.s.now), NewFleet()
-	n.waits, n.steppedAt, n.configured = nil, time.Time{}, false
+	n.waits, n.steppedAt, n.configured = nil, time.Time{}, n.s.scheme != nil
 }
 
 // configure gives a node that has started the configuration of the store, or that of a
 // node that it reaches.
 func (n *simNode) configure() {
 	n.configured = n.group == 0 || slices.ContainsFunc(n.s.nodes, func(m *simNode) bool { return m.up && m.configured && n.reaches(m) })
-	if n.configured {
-		n.setLimits()
+	if !n.configured {
+		return
+	}
+	n.setLimits()
+	if n.group == 0 {
+		// The list of the store has an entry of each node that was up lately.
+		var entries []membership.Record
+		for _, m := range n.s.nodes {
+			if m.up || n.s.now.Sub(m.killedAt) < storeLease {
+				entries = append(entries, membership.Record{Address: m.address, State: membership.Alive})
+			}
+		}
+		n.fleet.Update(entries, n.s.now)
 	}
 }
 
+// storeLease is how long the store keeps the entry of a node that has ended.
+const storeLease = 20 * time.Second
+
 // kill ends the process; what waits there gets no answer.
-func (n *simNode) kill() { n.up, n.waits = false, nil }
+func (n *simNode) kill() {
+	if n.up {
+		n.killedAt = n.s.now
+	}
+	n.up, n.waits = false, nil
+}
 
 func (n *simNode) reaches(m *simNode) bool { return m == n || n.group == m.group }
 
 func (n *simNode) request(a *simAccount) {
+	if n.s.scheme != nil {
+		if n.s.scheme.take(n, a) {
+			n.admit(a)
+		} else {
+			n.decline(a)
+		}
+		return
+	}
 	d, _ := n.borrower.Take(&a.Account, n.s.now)
 	state := n.borrower.accounts[a.Name]
 	switch d {
 	case admitted:
 		n.admit(a)
 	case refused:
-		a.declined++
+		n.decline(a)
 	default:
 		n.s.waits++
 		w := &simWait{a, state, n.s.now.Add(maxAskWait)}
@@ -224,6 +264,31 @@
 	}
 }
 
+// decline counts a refused request by its reason.
+func (n *simNode) decline(a *simAccount) {
+	a.declined++
+	if n.s.scheme != nil {
+		return
+	}
+	b := n.borrower
+	state := b.account(&a.Account, n.s.now)
+	reason := "no list"
+	if b.current != nil {
+		l := b.links[b.current.owner(state.hash)]
+		switch {
+		case n.s.now.Before(state.deniedUntil):
+			reason = "denied"
+		case l == nil || l.excluded || !l.failingSince.IsZero():
+			reason = "not reached"
+		default:
+			reason = "no reply in time"
+		}
+	}
+	if a.factor == 1 {
+		n.s.reasons[reason]++
+	}
+}
+
 // urge marks the owner of an account as due.
 func (n *simNode) urge(a *simAccount) {
 	b := n.borrower
@@ -238,7 +303,7 @@
 	if n.s.rng.Float64() < refusedLater {
 		starts := n.starts
 		n.s.after(20*time.Millisecond, func() {
-			if n.up && n.starts == starts {
+			if n.up && n.starts == starts && n.s.scheme == nil {
 				n.borrower.Return(&a.Account, n.s.now)
 			}
 		})
@@ -265,7 +330,7 @@
 			n.waits = append(n.waits, w)
 			n.urge(w.account)
 		default:
-			w.account.declined++
+			n.decline(w.account)
 		}
 	}
 }
@@ -274,6 +339,9 @@
 const simTick = 20 * time.Millisecond
 
 func (n *simNode) tick() {
+	if n.s.scheme != nil {
+		return
+	}
 	n.s.after(simTick, n.tick)
 	if !n.up || n.paused() {
 		return
@@ -394,6 +462,9 @@
 					return
 				}
 				reply := target.owner.Answer(ask, s.now)
+				if s.onAnswer != nil {
+					s.onAnswer(ask, reply)
+				}
 				if s.rng.Float64() < s.faults.lost {
 					return
 				}
