Test a vote in transition in both directions

With lists that only lose an owner, TestVoteInTransitionCountsOnlyForAccountsThatStay passed although votes ignored the second list. It now also adds one, and fails then.

--- a/internal/process/quota/owner_test.go
+++ b/internal/process/quota/owner_test.go
@@ -82,27 +82,29 @@
 
 // Guards against a vote for accounts that the node is moving to another owner.
 func TestVoteInTransitionCountsOnlyForAccountsThatStay(t *testing.T) {
-	v := newVoters(4, acme)
-	both, alone := newElectorate([]string{"o", "p", "q"}), newElectorate([]string{"o", "p"})
-	v.lists = [][]string{both.addresses, alone.addresses}
-	v.owner.Answer(v.ask(0), v.now)
-	stays, moves := 0, 0
-	for key := range uint64(200) {
-		want := 0.0
-		switch {
-		case both.owner(key) == "o" && alone.owner(key) == "o":
-			stays++
-			want = 0.25
-		case alone.owner(key) == "o":
-			moves++
+	large, small := newElectorate([]string{"o", "p", "q"}), newElectorate([]string{"o", "p"})
+	for _, lists := range [][2]*electorate{{large, small}, {small, large}} {
+		v := newVoters(4, acme)
+		v.lists = [][]string{lists[0].addresses, lists[1].addresses}
+		v.owner.Answer(v.ask(0), v.now)
+		stays, moves := 0, 0
+		for key := range uint64(200) {
+			want, before, after := 0.0, lists[0].owner(key) == "o", lists[1].owner(key) == "o"
+			switch {
+			case before && after:
+				stays++
+				want = 0.25
+			case before || after:
+				moves++
+			}
+			if got, _ := v.owner.votes(key); got != want {
+				t.Fatalf("key %d: votes %v, want %v", key, got, want)
+			}
 		}
-		if got, _ := v.owner.votes(key); got != want {
-			t.Fatalf("key %d: votes %v, want %v", key, got, want)
+		if stays == 0 || moves == 0 {
+			t.Errorf("%d accounts stay and %d move", stays, moves)
 		}
 	}
-	if stays == 0 || moves == 0 {
-		t.Errorf("%d accounts stay and %d move", stays, moves)
-	}
 }
 
 // Guards against tokens for a message that arrives twice or after a later one.
