--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -76,6 +76,10 @@
 	// cold upstream, and FieldWarmupLeft for how long, in milliseconds.
 	FieldWarmupRate = "warmup_per_s"
 	FieldWarmupLeft = "warmup_ms"
+	// FieldAccount is the name of a client account, and FieldRefused the number of its
+	// requests that were refused while it was limited.
+	FieldAccount = "account"
+	FieldRefused = "refused"
 	// FieldDropped counts the lines dropped because the queue was full, and
 	// FieldWithheld those not written because of the rate limit.
 	FieldDropped  = "dropped"
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -36,6 +36,7 @@
 	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/process/orders"
 	"github.com/daisytide/daisytide/internal/process/provider"
+	"github.com/daisytide/daisytide/internal/process/quota"
 	"github.com/daisytide/daisytide/internal/process/registry"
 	"github.com/daisytide/daisytide/internal/process/settings"
 	"github.com/daisytide/daisytide/internal/request/balancer"
@@ -136,6 +137,7 @@
 	departures       *departures.Keeper
 	evacuations      *evacuation.Set
 	evacuationStart  *evacuation.Starter
+	quota            *quota.Limiter
 	gate             *egress.Gate
 	ingress          *ingress.Ingress
 	store            *kvstore.RateLimitedStore
@@ -178,6 +180,7 @@
 	n.wireRequests()
 	n.wireEvacuations()
 	n.wireDepartures()
+	n.wireQuota()
 	n.wireServers()
 	return n, nil
 }
@@ -454,7 +457,7 @@
 			return nil
 		})
 	}
-	for _, run := range []func(context.Context) error{n.gossip.Run, n.provider.Run, n.registry.Run, n.orders.Run, n.departures.Run, n.evacuationStart.Run} {
+	for _, run := range []func(context.Context) error{n.gossip.Run, n.provider.Run, n.registry.Run, n.orders.Run, n.departures.Run, n.evacuationStart.Run, n.quota.Run} {
 		g.Go(func() error { return run(runnerCtx) })
 	}
 	g.Go(func() error {
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -13,6 +13,7 @@
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/departures"
 	"github.com/daisytide/daisytide/internal/process/evacuation"
+	"github.com/daisytide/daisytide/internal/process/quota"
 	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/linkqueue"
 )
@@ -32,6 +33,7 @@
 	peerMux.Handle(rpc.PathPrefix+departures.MethodHold, rpc.Handle(n.departures.HandleHold))
 	peerMux.Handle(rpc.PathPrefix+departures.MethodRecall, rpc.Handle(n.departures.HandleRecall))
 	peerMux.Handle(rpc.PathPrefix+evacuation.MethodRecall, rpc.Handle(n.evacuationStart.HandleRecall))
+	peerMux.Handle(rpc.PathPrefix+quota.Method, rpc.Handle(n.quota.HandleAsk))
 	n.peerServer = newServer(n.requirePeerKey(peerMux))
 	operatorMux := http.NewServeMux()
 	n.adapter.RegisterReportHandlers(operatorMux, n.applyReport)
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -94,6 +94,9 @@
 	// beside this node, whose calls are ranked by it. nil ranks them equally.
 	MostUrgentRun func() int
 
+	// Limiter limits the requests of client accounts; nil means no limits.
+	Limiter Limiter
+
 	// Stopping refuses requests that a planned stop would cut.
 	Stopping egress.Stopping
 
@@ -165,7 +168,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, d.req.Deadline)
 	defer cancel()
-	return d.run(ctx)
+	return d.runWithinQuota(ctx, account)
 }
 
 // log writes one line for a request that did not succeed at the first attempt.
@@ -306,6 +309,8 @@
 // retryAfter is when a refused caller should retry: when the nodes expect free
 // places, but early enough for another try. Callers that full queues refused are
 // spread. A nested call returns as early as possible, because a run waits for it.
+// The delay of an account over its quota is not shortened, because an earlier try
+// would be refused as well.
 func (ing *Ingress) retryAfter(res hop.Result, r *hop.Request, now time.Time) time.Duration {
 	after := res.RetryAfter
 	if after <= 0 {
@@ -314,7 +319,7 @@
 	if r != nil && res.Code == api.CallShed && !r.Nested {
 		after = retry.SpreadDelay(after, r.Objective.Sub(now), r.TimeLeft(now), ing.meanRunTime(r.Route), rand.Float64())
 	}
-	if r != nil {
+	if r != nil && res.Code != api.CallQuota {
 		after = min(after, time.Duration(retryAfterFraction*float64(r.TimeLeft(now))))
 	}
 	return max(after, time.Millisecond)
