Bound what connections hold in memory, and their number

Nothing bounded the responses that callers had not received: each was held whole with an encoded copy, and idle connections kept their last one. 64 readers of 4 MiB took a node with memory-mb = 96 to 551 MB, 16 with 64 pipelined requests of 1 MiB to 1185 MB. Declared bodies that never came took the memory for bodies, and silent connections all descriptors.

h1.Budget counts request bodies, heads beyond one read, responses being read and responses not received. At its bounds it disconnects the connection that holds most with the least progress, and new requests get 503 before they run. Responses are written without a lock and without a copy of a large body; the write timeout applies to 64 KiB, so that a slow reader is cut for standing still only. A connection that holds much is not read further. A declared body is reserved when its first 64 KiB have come. h1.ConnLimit bounds the connections of each listener, with a reserve of descriptors; at the bound the oldest connection without a request makes room, and failed accepts are counted and do not end a listener.

--- a/internal/conn/h1/body_buffer.go
+++ b/internal/conn/h1/body_buffer.go
@@ -22,8 +22,17 @@
 	limit int64
 	// reserved is the part of total for this body.
 	reserved int64
+	// budget counts the buffers too, if set.
+	budget *Budget
 }
 
+const (
+	// smallBody is the size up to which a body may exceed the limit by a part of
+	// 1/smallBodyShare, so that large ones that are being read do not make it fail.
+	smallBody      = 64 << 10
+	smallBodyShare = 4
+)
+
 // readAll reads a body of at most maxBytes to its end. length is the length that its
 // sender gave, negative if none.
 func (b *bodyBuffer) readAll(r io.Reader, length, maxBytes int64) ([]byte, error) {
@@ -38,7 +47,7 @@
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown, err := b.grow(body, largest)
+			grown, err := b.grow(body, length, largest)
 			if err != nil {
 				return nil, err
 			}
@@ -57,9 +66,18 @@
 	}
 }
 
-// grow returns a larger buffer of at most largest bytes with the same content.
-func (b *bodyBuffer) grow(body []byte, largest int64) ([]byte, error) {
+// grow returns a larger buffer of at most largest bytes with the same content. length
+// is the length that the sender gave, negative if none.
+func (b *bodyBuffer) grow(body []byte, length, largest int64) ([]byte, error) {
 	size := min(max(minBodyBuffer, 2*int64(cap(body))), largest)
+	if length >= 0 {
+		// Doubling would leave as much garbage as the body has bytes. The sender of a
+		// large body first shows that it sends what it declared.
+		size = largest
+		if body == nil {
+			size = min(smallBody, largest)
+		}
+	}
 	if err := b.reserve(size); err != nil {
 		return nil, err
 	}
@@ -71,7 +89,15 @@
 // reserve adds bytes to the total.
 func (b *bodyBuffer) reserve(bytes int64) error {
 	b.reserved += bytes
-	if total := b.total.Add(bytes); b.limit > 0 && bytes > 0 && total > b.limit {
+	total, within := b.total.Add(bytes), b.budget.add(bytes)
+	if bytes <= 0 {
+		return nil
+	}
+	limit := b.limit
+	if b.reserved <= smallBody {
+		limit += limit / smallBodyShare
+	}
+	if limit > 0 && total > limit || !within {
 		return errTooManyBytes
 	}
 	return nil
@@ -80,5 +106,6 @@
 // release subtracts the body from the total.
 func (b *bodyBuffer) release() {
 	b.total.Add(-b.reserved)
+	b.budget.add(-b.reserved)
 	b.reserved = 0
 }
--- a/internal/conn/h1/client.go
+++ b/internal/conn/h1/client.go
@@ -117,6 +117,9 @@
 	// MaxBufferedBytes bounds the buffers of all bodies that are being read; a
 	// response that exceeds it fails. 0 sets no bound beyond MaxResponseBytes.
 	MaxBufferedBytes int64
+	// Budget bounds what the client holds in memory, together with servers and other
+	// clients; nil sets no bound.
+	Budget *Budget
 
 	// buffered is the size of the buffers of the bodies that are being read.
 	buffered atomic.Int64
@@ -422,7 +425,7 @@
 // connection: it is complete if the server closed the connection, and cut short
 // if the connection was reset.
 func (x *exchange) readResponseBody(resp *http.Response) (*Response, error) {
-	in := &bodyBuffer{total: &x.client.buffered, limit: x.client.MaxBufferedBytes}
+	in := &bodyBuffer{total: &x.client.buffered, limit: x.client.MaxBufferedBytes, budget: x.client.Budget}
 	defer in.release()
 	body, err := in.readAll(resp.Body, resp.ContentLength, MaxResponseBytes)
 	if err != nil {
--- a/internal/conn/h1/message.go
+++ b/internal/conn/h1/message.go
@@ -100,9 +100,9 @@
 	}
 }
 
-// encode writes the response. isHead is set for the response to a HEAD request,
-// which has no body.
-func (r *Response) encode(b *bytes.Buffer, isHead bool) {
+// encode writes the response, and returns its body instead of writing it if it is
+// large. isHead is set for the response to a HEAD request, which has no body.
+func (r *Response) encode(b *bytes.Buffer, isHead bool) (large []byte) {
 	b.WriteString("HTTP/1.1 ")
 	b.WriteString(strconv.Itoa(r.Status))
 	b.WriteByte(' ')
@@ -118,7 +118,12 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	if !isHead && !statusHasNoBody(r.Status) {
-		b.Write(r.Body)
+	if isHead || statusHasNoBody(r.Status) {
+		return nil
 	}
+	if len(r.Body) > maxInlineResponse {
+		return r.Body
+	}
+	b.Write(r.Body)
+	return nil
 }
--- a/internal/conn/h1/server.go
+++ b/internal/conn/h1/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -63,6 +62,14 @@
 	// its limit.
 	BufferedBytes    atomic.Int64
 	MaxBufferedBytes int64
+	// Budget bounds what the server holds in memory, together with other servers and
+	// clients; nil sets no bound.
+	Budget *Budget
+	// MaxHeldBytes bounds the responses that one connection has not received before no
+	// further request of it is read; 0 sets no bound.
+	MaxHeldBytes int64
+	// ConnLimit bounds the connections; nil sets no bound.
+	ConnLimit *ConnLimit
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
@@ -76,17 +83,16 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	limit := s.ConnLimit
+	if limit == nil {
+		limit = &ConnLimit{Name: l.Addr().String()}
+	}
 	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
+		conn, slot, err := limit.accept(l)
 		if err != nil {
-			klog.Warningf(logPrefix+"accept a connection: %v", err)
-			time.Sleep(acceptRetryDelay)
-			continue
+			return nil
 		}
-		c := s.addConn(conn)
+		c := s.addConn(conn, slot)
 		if s.refusing.Load() {
 			// CloseIdle may have missed it.
 			c.startNoMore()
@@ -138,10 +144,13 @@
 	}
 }
 
-func (s *Server) addConn(conn net.Conn) *serverConn {
-	limiter := &headerLimiter{r: conn}
+func (s *Server) addConn(conn net.Conn, slot *connSlot) *serverConn {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &serverConn{server: s, conn: conn, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), ctx: ctx, cancel: cancel}
+	c := &serverConn{server: s, conn: conn, ctx: ctx, cancel: cancel, slot: slot}
+	c.writerIdle.L = &c.mu
+	c.holder = s.Budget.hold(conn, c.abort)
+	c.limiter = &headerLimiter{r: conn, holder: c.holder}
+	c.br = bufio.NewReaderSize(c.limiter, readBufferSize)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
@@ -152,6 +161,8 @@
 }
 
 func (s *Server) removeConn(c *serverConn) {
+	c.slot.release()
+	s.Budget.forget(c.holder)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/internal/conn/h1/server_conn.go
+++ b/internal/conn/h1/server_conn.go
@@ -22,6 +22,26 @@
 	r         io.Reader
 	limiting  bool
 	remaining int
+	// holder, if set, is charged for a header that does not fit one read: its bytes
+	// and headerLineBytes for each line. charged is the sum, and reads the number of
+	// reads of this header.
+	holder  *holder
+	reads   int
+	charged int64
+}
+
+// headerLineBytes is what a short header line takes in memory besides its bytes: a
+// string and its places in a slice and in a map.
+const headerLineBytes = 48
+
+// start begins a header of at most n bytes.
+func (l *headerLimiter) start(n int) { l.limiting, l.remaining, l.reads = true, n, 0 }
+
+// takeCharge returns what the header was charged and forgets it.
+func (l *headerLimiter) takeCharge() int64 {
+	n := l.charged
+	l.charged = 0
+	return n
 }
 
 var errHeaderTooLarge = errors.New("the header exceeds the size limit")
@@ -36,9 +56,17 @@
 	}
 	n, err := l.r.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if l.reads++; l.holder != nil && l.reads > 1 && n > 0 {
+		charge := int64(n + headerLineBytes*bytes.Count(p[:n], newline))
+		l.charged += charge
+		l.holder.add(charge)
+		l.holder.budget.add(charge)
+	}
 	return n, err
 }
 
+var newline = []byte{'\n'}
+
 var errTooManyBytes = errors.New("the bodies in memory exceed their limit")
 
 // countingReader counts the bytes that it reads in a total with a limit.
@@ -48,12 +76,19 @@
 	// limit bounds the total; 0 sets no bound.
 	limit int64
 	read  int64
+	// holder is charged too.
+	holder *holder
 }
 
 // Read implements io.Reader.
 func (c *countingReader) Read(p []byte) (int, error) {
 	n, err := c.r.Read(p)
 	c.read += int64(n)
+	c.holder.add(int64(n))
+	c.holder.progressed()
+	if !c.holder.budget.add(int64(n)) {
+		return n, errTooManyBytes
+	}
 	if total := c.total.Add(int64(n)); c.limit > 0 && total > c.limit {
 		return n, errTooManyBytes
 	}
@@ -61,7 +96,10 @@
 }
 
 // release subtracts what was read from the total.
-func (c *countingReader) release() { c.total.Add(-c.read) }
+func (c *countingReader) release() {
+	c.total.Add(-c.read)
+	c.holder.budget.add(-c.read)
+}
 
 // serverConn is one connection. Its requests run concurrently; their responses
 // are written in the order of the requests.
@@ -72,8 +110,19 @@
 	br      *bufio.Reader
 	ctx     context.Context
 	cancel  context.CancelFunc
+	holder  *holder
+	slot    *connSlot
 
 	mu sync.Mutex
+	// writing is the number of responses that a goroutine has taken from the queue and
+	// writes; it takes further ones that are next in order. writerIdle is signalled when
+	// it ends.
+	writing    int
+	writerIdle sync.Cond
+	// heldBytes is the size of the responses that are not written.
+	heldBytes int64
+	// noMore is set when no further request is to be started.
+	noMore bool
 	// queue holds the requests whose response is not written yet, oldest first.
 	queue []*pendingRequest
 	// writeEnded is set when no further response will be written.
@@ -97,6 +146,7 @@
 	defer c.server.removeConn(c)
 	defer c.cancel()
 	for {
+		c.waitForRoom()
 		limits := c.server.Limits()
 		if !c.waitForRequest(limits) || !c.readRequest(limits) {
 			break
@@ -124,22 +174,62 @@
 	}
 }
 
+// waitForRoom waits until the connection holds few enough responses to have another
+// request, or has ended.
+func (c *serverConn) waitForRoom() {
+	for {
+		c.mu.Lock()
+		if c.server.MaxHeldBytes <= 0 || c.heldBytes <= c.server.MaxHeldBytes || c.writeEnded {
+			c.mu.Unlock()
+			return
+		}
+		shrunk := c.awaitShrunk()
+		c.mu.Unlock()
+		<-shrunk
+	}
+}
+
+// awaitShrunk returns a channel that is closed when the queue may have shrunk or the
+// connection ends. mu is held.
+func (c *serverConn) awaitShrunk() <-chan struct{} {
+	if c.queueShrunk == nil {
+		c.queueShrunk = make(chan struct{})
+	}
+	return c.queueShrunk
+}
+
+// notifyShrunk wakes those that wait for awaitShrunk. mu is held.
+func (c *serverConn) notifyShrunk() {
+	if c.queueShrunk != nil {
+		close(c.queueShrunk)
+		c.queueShrunk = nil
+	}
+}
+
+// queueLen returns the number of requests whose response is not written.
 func (c *serverConn) queueLen() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue)
+	return len(c.queue) + c.writing
 }
 
 // readRequest reads one request and starts its handler. It returns false if no
 // further request is to be read.
 func (c *serverConn) readRequest(limits Limits) bool {
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limiter.limiting, c.limiter.remaining = true, limits.HeaderBytes+headerReadAhead
+	c.limiter.start(limits.HeaderBytes + headerReadAhead)
 	r, err := http.ReadRequest(c.br)
 	c.limiter.limiting = false
+	headerBytes := c.limiter.takeCharge()
 	if err != nil {
+		c.releaseHeader(headerBytes)
 		return c.handleReadError(err)
 	}
+	if headerBytes > 0 {
+		// The header counts until its request is started; from then on the request has
+		// its deadline.
+		defer c.releaseHeader(headerBytes)
+	}
 	req := &Request{Method: r.Method, Target: originTarget(r), Host: r.Host, Header: r.Header, ReceivedAt: time.Now()}
 	expectsContinue := strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	_ = c.conn.SetReadDeadline(time.Time{})
@@ -149,6 +239,9 @@
 	case c.server.DeferContinue && expectsContinue:
 		c.writeInterim(http.StatusProcessing, 0)
 	}
+	if c.server.Budget.exhausted() {
+		return c.refuseForMemory(r)
+	}
 	switch {
 	case r.Body == http.NoBody || r.ContentLength == 0:
 		return c.start(req, r.Close, nil, nil)
@@ -158,6 +251,9 @@
 		c.writeInterim(http.StatusContinue, 0)
 	}
 	body, release, status := c.readBody(r, limits)
+	if status == http.StatusServiceUnavailable && c.server.Budget != nil {
+		c.server.Budget.refuse()
+	}
 	if status != 0 {
 		return c.refuse(status, "the request body exceeds the size limit or the memory for bodies")
 	}
@@ -169,6 +265,28 @@
 	return c.start(req, r.Close, release, nil)
 }
 
+// releaseHeader gives back what a header was charged.
+func (c *serverConn) releaseHeader(bytes int64) {
+	c.holder.add(-bytes)
+	c.holder.budget.add(-bytes)
+}
+
+// refuseForMemory refuses a request because the memory for messages is exhausted. The
+// connection goes on unless a body follows, which would have to be read.
+func (c *serverConn) refuseForMemory(r *http.Request) bool {
+	c.server.Budget.refuse()
+	const reason = "the memory for messages is exhausted"
+	if r.Body != http.NoBody && r.ContentLength != 0 {
+		return c.refuse(http.StatusServiceUnavailable, reason)
+	}
+	p := c.enqueue(&pendingRequest{isHead: r.Method == http.MethodHead, closeAfter: r.Close})
+	if p == nil {
+		return false
+	}
+	c.respond(p, c.server.RefusalResponse(http.StatusServiceUnavailable, reason))
+	return !r.Close
+}
+
 // originTarget returns the request target in origin form, that is path and query.
 func originTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -219,24 +337,87 @@
 	if r.ContentLength < 0 {
 		return c.readChunkedBody(r.Body, limits)
 	}
-	size := r.ContentLength
-	release = func() { c.server.BufferedBytes.Add(-size) }
-	if c.server.BufferedBytes.Add(size) > c.server.MaxBufferedBytes {
-		release()
+	if c.server.BufferedBytes.Load()+r.ContentLength > c.server.MaxBufferedBytes {
+		return nil, nil, http.StatusServiceUnavailable
+	}
+	c.setReceiving()
+	first := min(r.ContentLength, firstBodyBytes)
+	// Only what the sender has shown to send is held: a declared length costs nothing.
+	body = make([]byte, first)
+	c.holder.add(first)
+	held := first
+	defer func() { c.holder.add(-held) }()
+	size := first
+	release = func() {
+		c.server.BufferedBytes.Add(-size)
+		c.holder.budget.add(-size)
+	}
+	if !c.reserveBody(first) {
 		return nil, nil, http.StatusServiceUnavailable
 	}
-	body = make([]byte, size)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		release()
 		return nil, nil, 0
 	}
-	return body, release, 0
+	if first == r.ContentLength {
+		return body, release, 0
+	}
+	rest := r.ContentLength - first
+	if !c.reserveBody(rest) {
+		release()
+		return nil, nil, http.StatusServiceUnavailable
+	}
+	size += rest
+	held += rest
+	c.holder.add(rest)
+	whole := make([]byte, size)
+	copy(whole, body)
+	for at := first; at < size; {
+		n, err := r.Body.Read(whole[at:])
+		at += int64(n)
+		c.holder.progressed()
+		if err != nil && at < size {
+			release()
+			return nil, nil, 0
+		}
+	}
+	return whole, release, 0
+}
+
+// firstBodyBytes is the part of a body that is received before memory is reserved for
+// all of it.
+const firstBodyBytes = 64 << 10
+
+// reserveBody counts a part of a body that is to be received. It reports whether there
+// is room, and counts nothing if there is none.
+func (c *serverConn) reserveBody(bytes int64) bool {
+	if c.server.BufferedBytes.Add(bytes) > c.server.MaxBufferedBytes {
+		c.server.BufferedBytes.Add(-bytes)
+		return false
+	}
+	if !c.holder.budget.add(bytes) {
+		c.server.BufferedBytes.Add(-bytes)
+		c.holder.budget.add(-bytes)
+		return false
+	}
+	return true
+}
+
+// setReceiving records that a body is being received, unless requests are in progress.
+func (c *serverConn) setReceiving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue)+c.writing == 0 {
+		c.slot.set(connReceiving)
+	}
 }
 
 // readChunkedBody is readBody for a body whose size is known only at its end. Its
 // bytes count as they arrive.
 func (c *serverConn) readChunkedBody(r io.Reader, limits Limits) (body []byte, release func(), status int) {
-	in := &countingReader{r: r, total: &c.server.BufferedBytes, limit: c.server.MaxBufferedBytes}
+	c.setReceiving()
+	in := &countingReader{r: r, total: &c.server.BufferedBytes, limit: c.server.MaxBufferedBytes, holder: c.holder}
+	defer func() { c.holder.add(-in.read) }()
 	body, err := io.ReadAll(io.LimitReader(in, limits.BodyBytes+1))
 	switch {
 	case errors.Is(err, errTooManyBytes):
@@ -366,17 +547,19 @@
 func (c *serverConn) enqueue(p *pendingRequest) *pendingRequest {
 	for {
 		c.mu.Lock()
-		if c.writeEnded || len(c.queue) > 0 && c.queue[len(c.queue)-1].closeAfter {
+		if c.writeEnded || c.noMore || len(c.queue) > 0 && c.queue[len(c.queue)-1].closeAfter {
 			c.mu.Unlock()
 			return nil
 		}
-		if len(c.queue) < maxPipelined {
+		if len(c.queue)+c.writing < maxPipelined {
 			c.queue = append(c.queue, p)
+			if c.writing == 0 {
+				c.slot.set(connKept)
+			}
 			c.mu.Unlock()
 			return p
 		}
-		shrunk := make(chan struct{})
-		c.queueShrunk = shrunk
+		shrunk := c.awaitShrunk()
 		c.mu.Unlock()
 		<-shrunk
 	}
@@ -389,6 +572,11 @@
 func (c *serverConn) writeInterim(status, queued int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// The response to the previous request may have been received while its write has
+	// not returned yet.
+	for c.writing > 0 {
+		c.writerIdle.Wait()
+	}
 	if len(c.queue) > queued {
 		return
 	}
@@ -398,48 +586,162 @@
 }
 
 // respond stores a request's response and writes all responses that are next in
-// order.
+// order, unless another goroutine is writing, which then goes on with them.
 func (c *serverConn) respond(p *pendingRequest, resp *Response) {
+	held := int64(0)
+	if resp != nil {
+		held = int64(cap(resp.Body))
+	}
+	c.holder.add(held)
+	c.holder.budget.addResponse(held)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.resp, p.done = resp, true
-	if c.queueShrunk != nil {
-		close(c.queueShrunk)
-		c.queueShrunk = nil
+	c.heldBytes += held
+	if c.writing > 0 {
+		return
+	}
+	for {
+		var b batch
+		c.takeBatch(&b)
+		c.writing = b.responses
+		if b.responses == 0 {
+			break
+		}
+		if b.head.Len() > 0 {
+			c.slot.set(connBusy)
+			c.mu.Unlock()
+			err := c.write(&b)
+			c.mu.Lock()
+			if err != nil {
+				b.closeConn = true
+				c.cancel()
+			} else {
+				c.holder.progressed()
+			}
+		}
+		c.releaseHeld(b.held)
+		c.writing = 0
+		if !b.dropped && (b.closeConn || c.noMore && len(c.queue) == 0) {
+			c.writeEnded = true
+			go c.lingeringClose()
+		}
+		c.notifyShrunk()
 	}
-	var out bytes.Buffer
-	closeConn := false
-	for len(c.queue) > 0 && c.queue[0].done && !closeConn {
+	c.writerIdle.Broadcast()
+	if len(c.queue) == 0 {
+		c.slot.set(connIdle)
+	} else {
+		c.slot.set(connKept)
+	}
+}
+
+// batch is a number of responses that are written together.
+type batch struct {
+	responses int
+	// head holds encoded responses, of the last one without its body if that is large.
+	head bytes.Buffer
+	body []byte
+	// held is the size of the responses.
+	held int64
+	// closeConn ends the connection after the batch. dropped is set if the connection
+	// has ended before it.
+	closeConn, dropped bool
+}
+
+const (
+	// maxInlineResponse is the size up to which a body is copied behind its header.
+	maxInlineResponse = 16 << 10
+	// writeBytes is the part of a body for which writeTimeout applies: a caller that
+	// reads a large response slowly is not cut off while it reads.
+	writeBytes = 64 << 10
+	// maxBatchBytes bounds the encoded responses of a batch.
+	maxBatchBytes = 64 << 10
+)
+
+// takeBatch takes responses that are next in order from the queue, up to one with a
+// large body or that ends the connection. mu is held.
+func (c *serverConn) takeBatch(b *batch) {
+	for len(c.queue) > 0 && c.queue[0].done && !b.closeConn && b.body == nil && b.head.Len() < maxBatchBytes {
 		q := c.queue[0]
+		resp := q.resp
+		// The slice's array and the request's goroutine outlive the write.
+		c.queue[0], q.resp = nil, nil
 		c.queue = c.queue[1:]
+		b.responses++
+		if resp != nil {
+			b.held += int64(cap(resp.Body))
+		}
 		if c.writeEnded {
+			b.dropped = true
 			continue
 		}
-		if q.resp == nil {
-			closeConn = true
+		if resp == nil {
+			b.closeConn = true
 			break
 		}
 		// A closing server ends the connection after the last request that it
 		// has started, so that each of them gets its response.
 		closing := c.server.closing.Load() && len(c.queue) == 0
-		q.resp.Close = q.resp.Close || q.closeAfter || closing
+		resp.Close = resp.Close || q.closeAfter || closing
 		if len(c.queue) > 0 {
-			q.resp.Close = false
+			resp.Close = false
 		}
-		closeConn = q.resp.Close
-		q.resp.encode(&out, q.isHead)
+		b.closeConn = resp.Close
+		b.body = resp.encode(&b.head, q.isHead)
+	}
+	if b.closeConn {
+		// Nothing is started after it.
+		c.writeEnded = true
 	}
-	if out.Len() > 0 {
+}
+
+// write writes a batch.
+func (c *serverConn) write(b *batch) error {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if b.body == nil {
+		_, err := c.conn.Write(b.head.Bytes())
+		return err
+	}
+	part := b.body[:min(len(b.body), writeBytes)]
+	buffers := net.Buffers{b.head.Bytes(), part}
+	if _, err := buffers.WriteTo(c.conn); err != nil {
+		return err
+	}
+	for rest := b.body[len(part):]; len(rest) > 0; rest = rest[len(part):] {
+		c.holder.progressed()
+		c.slot.progressed()
 		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.conn.Write(out.Bytes()); err != nil {
-			closeConn = true
-			c.cancel()
+		part = rest[:min(len(rest), writeBytes)]
+		if _, err := c.conn.Write(part); err != nil {
+			return err
 		}
 	}
-	if closeConn && !c.writeEnded {
-		c.writeEnded = true
-		go c.lingeringClose()
+	return nil
+}
+
+// releaseHeld subtracts responses that are written or dropped. mu is held.
+func (c *serverConn) releaseHeld(bytes int64) {
+	c.heldBytes -= bytes
+	c.holder.add(-bytes)
+	c.holder.budget.addResponse(-bytes)
+}
+
+// abort drops the responses of a connection that was disconnected.
+func (c *serverConn) abort() {
+	c.cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeEnded = true
+	dropped := int64(0)
+	for _, q := range c.queue {
+		if q.resp != nil {
+			dropped += int64(cap(q.resp.Body))
+			q.resp = nil
+		}
 	}
+	c.releaseHeld(dropped)
+	c.notifyShrunk()
 }
 
 // startNoMore closes the connection if no request is in progress, or else after the
@@ -450,6 +752,9 @@
 	switch {
 	case len(c.queue) > 0:
 		c.queue[len(c.queue)-1].closeAfter = true
+	case c.writing > 0:
+		// The writer ends the connection after the response.
+		c.noMore = true
 	case !c.writeEnded:
 		c.writeEnded = true
 		go c.lingeringClose()
@@ -471,7 +776,7 @@
 // what still arrives until all responses are written or the caller disconnects.
 func (c *serverConn) drain() {
 	c.mu.Lock()
-	idle := len(c.queue) == 0 && !c.writeEnded
+	idle := len(c.queue)+c.writing == 0 && !c.writeEnded
 	c.writeEnded = c.writeEnded || idle
 	c.mu.Unlock()
 	if idle || c.ctx.Err() != nil {
@@ -490,9 +795,9 @@
 	}
 }
 
-// markEnded closes the connection, unless its end was already started, and wakes
-// a waiting enqueue. Responses that are not written yet are dropped, since the
-// caller has disconnected.
+// markEnded closes the connection after the write of its last response, if one is in
+// progress, and wakes a waiting enqueue. Responses that are not written yet are dropped,
+// since the caller has disconnected. Afterwards the descriptor is free.
 func (c *serverConn) markEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -500,8 +805,9 @@
 		c.writeEnded = true
 		_ = c.conn.Close()
 	}
-	if c.queueShrunk != nil {
-		close(c.queueShrunk)
-		c.queueShrunk = nil
+	c.notifyShrunk()
+	for c.writing > 0 {
+		c.writerIdle.Wait()
 	}
+	_ = c.conn.Close()
 }
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -137,6 +137,8 @@
 
 	callerServer, gateServer, readyServer *h1.Server
 	peerServer, operatorServer            *http.Server
+	budget                                *h1.Budget
+	connLimits                            [listenerCount]*h1.ConnLimit
 	listeners                             [listenerCount]net.Listener
 	startedAt                             time.Time
 	stopping                              atomic.Bool
@@ -164,6 +166,7 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
+	n.wireLimits()
 	n.wireMembership()
 	n.wireRequests()
 	n.wireDepartures()
@@ -278,7 +281,7 @@
 	n.localUpstream = &localupstream.Tracker{Service: n.cfg.Operated.Service, Address: n.cfg.Operated.Address}
 	maxResponseMemory := n.maxResponseMemory()
 	n.gate = &egress.Gate{
-		Upstream: n.localUpstream, Client: &h1.Client{DialTimeout: upstreamDialTimeout, MaxIdleConns: maxIdleUpstreamConns, MaxBufferedBytes: maxResponseMemory}, Dialect: n.adapter,
+		Upstream: n.localUpstream, Client: &h1.Client{DialTimeout: upstreamDialTimeout, MaxIdleConns: maxIdleUpstreamConns, MaxBufferedBytes: maxResponseMemory, Budget: n.budget}, Dialect: n.adapter,
 		LinkBytesPerSecond: int64(n.cfg.Operated.LinkMbps * bytesPerSecondPerMbps),
 		VersionAllowed:     n.orders.VersionAllowed, QuarantineEvents: n.quarantineEvents, PublishCrash: n.gossipCrash, Observer: n.orders, Log: n.log, Metrics: n.requests,
 	}
@@ -293,7 +296,7 @@
 		Picker:       &balancer.Picker{Self: n.cfg.Peers.Listen, DataCentre: n.cfg.Node.DataCentre, Region: n.cfg.Node.Region},
 		Budget:       retry.NewBudgetWithBurst(retryBudget.NodeBurst),
 		RetryPercent: retryBudget.NodePercent(),
-		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns, MaxBufferedBytes: maxResponseMemory}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
+		Local:        n.gate, Client: &h1.Client{DialTimeout: peerDialTimeout, MaxIdleConns: maxIdlePeerConns, MaxBufferedBytes: maxResponseMemory, Budget: n.budget}, Dialect: n.adapter, Log: n.log, Metrics: n.requests,
 	}
 	n.holder.OnSwap(n.ingress.PruneRoutes)
 }
@@ -390,7 +393,7 @@
 	}
 	for i, s := range map[int]*http.Server{peerListener: n.peerServer, operatorListener: n.operatorServer} {
 		g.Go(func() error {
-			if err := s.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			if err := s.Serve(n.connLimits[i].Listen(n.listeners[i])); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				return fmt.Errorf("serve %s: %w", n.listeners[i].Addr(), err)
 			}
 			return nil
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -17,33 +17,46 @@
 // wireServers builds the servers of the listeners.
 func (n *Node) wireServers() {
 	maxBodyMemory := n.maxBodyMemory()
-	n.callerServer = &h1.Server{Handler: n.ingress.Serve, Limits: n.callerLimits, RefusalResponse: refusalResponse, MaxBufferedBytes: maxBodyMemory}
+	maxHeld := n.maxHeldPerConn()
+	n.callerServer = &h1.Server{
+		Handler: n.ingress.Serve, Limits: n.callerLimits, RefusalResponse: n.refuseCaller, MaxBufferedBytes: maxBodyMemory,
+		Budget: n.budget, MaxHeldBytes: maxHeld, ConnLimit: n.connLimits[callerListener],
+	}
 	peerLimits := func() h1.Limits {
 		return h1.Limits{HeaderBytes: 64 << 10, BodyBytes: maxPeerBodyBytes, HeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout}
 	}
-	n.gateServer = &h1.Server{Handler: n.gate.Serve, Limits: peerLimits, RefusalResponse: refusalResponse, MaxBufferedBytes: maxBodyMemory, DeferContinue: true}
-	n.readyServer = &h1.Server{Handler: n.serveReady, Limits: peerLimits, RefusalResponse: refusalResponse, MaxBufferedBytes: maxBodyMemory}
+	n.gateServer = &h1.Server{
+		Handler: n.gate.Serve, Limits: peerLimits, RefusalResponse: n.refusePeer, MaxBufferedBytes: maxBodyMemory, DeferContinue: true,
+		Budget: n.budget, MaxHeldBytes: maxHeld, ConnLimit: n.connLimits[gateListener],
+	}
+	readyLimits := func() h1.Limits {
+		return h1.Limits{HeaderBytes: 16 << 10, HeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout}
+	}
+	n.readyServer = &h1.Server{Handler: n.serveReady, Limits: readyLimits, RefusalResponse: refusalResponse, Budget: n.budget, ConnLimit: n.connLimits[readyListener]}
 	peerMux := http.NewServeMux()
 	peerMux.Handle(link.Path, n.gossip)
 	peerMux.Handle(rpc.PathPrefix+probeMethod, rpc.Handle(n.handleProbe))
 	peerMux.Handle(rpc.PathPrefix+departures.MethodHold, rpc.Handle(n.departures.HandleHold))
 	peerMux.Handle(rpc.PathPrefix+departures.MethodRecall, rpc.Handle(n.departures.HandleRecall))
-	n.peerServer = newServer(n.requirePeerKey(peerMux))
+	n.peerServer = newServer(n.requirePeerKey(peerMux), n.connLimits[peerListener])
 	operatorMux := http.NewServeMux()
 	n.adapter.RegisterReportHandlers(operatorMux, n.applyReport)
 	operatorMux.Handle("GET /metrics", n.requests.Handler())
 	operatorMux.Handle("/", n.operatorHandler(peerMux))
-	n.operatorServer = newServer(operatorMux)
+	n.operatorServer = newServer(operatorMux, n.connLimits[operatorListener])
 	n.publishMetrics()
 }
 
 // newServer returns a server for HTTP/1.1 and cleartext HTTP/2, which RPC
-// requests between nodes use.
-func newServer(h http.Handler) *http.Server {
+// requests between nodes use. Its connections are those of limit.
+func newServer(h http.Handler, limit *h1.ConnLimit) *http.Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, Protocols: &p, ReadHeaderTimeout: peerHeaderTimeout}
+	return &http.Server{
+		Handler: h, Protocols: &p, ReadHeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+		ConnState: limit.ConnState,
+	}
 }
 
 // requirePeerKey refuses requests without the peer key.
@@ -92,9 +105,18 @@
 		"request_panics": {"Requests whose handler panicked.", func() float64 {
 			return float64(n.callerServer.Panics() + n.gateServer.Panics() + n.readyServer.Panics())
 		}},
+		"message_bytes":           {"Bytes held for request bodies and responses.", func() float64 { return float64(n.budget.Used()) }},
+		"held_response_bytes":     {"Bytes of responses that callers have not received.", func() float64 { return float64(n.budget.Responses()) }},
+		"disconnected_for_memory": {"Connections that were closed because the memory for messages was exhausted.", func() float64 { return float64(n.budget.Disconnected()) }},
+		"refused_for_memory":      {"Requests that were refused because the memory for messages was exhausted.", func() float64 { return float64(n.budget.Refused()) }},
 	} {
 		n.requests.AddGauge(name, g.help, g.read)
 	}
+	for _, l := range n.connLimits {
+		n.requests.AddGauge("connections_"+l.Name, "Open connections of the listener.", func() float64 { return float64(l.Open()) })
+		n.requests.AddGauge("connections_closed_"+l.Name, "Connections that were closed because the listener had reached its limit.", func() float64 { return float64(l.Closed()) })
+		n.requests.AddGauge("accept_errors_"+l.Name, "Accepts of the listener that failed.", func() float64 { return float64(l.AcceptErrors()) })
+	}
 	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
 }
 
