--- a/internal/conn/h1/pace.go
+++ b/internal/conn/h1/pace.go
@@ -28,6 +28,22 @@
 	return time.Duration(float64(bytes) / p.BytesPerSecond * float64(time.Second))
 }
 
+// chunk returns how much of a message is written together; unpaced if p is nil.
+func (p *Pace) chunk(unpaced int) int {
+	if p == nil || p.BytesPerSecond <= 0 {
+		return unpaced
+	}
+	return min(unpaced, max(minPaceChunk, int(p.BytesPerSecond*paceInterval.Seconds())))
+}
+
+// wait waits until the next part of a message may be written, of which sent bytes were
+// written since began.
+func (p *Pace) wait(began time.Time, sent int) {
+	if p != nil {
+		time.Sleep(time.Until(began.Add(p.timeFor(sent))))
+	}
+}
+
 // write writes b, all at once if p is nil.
 func (p *Pace) write(conn net.Conn, b []byte) error {
 	if p.timeFor(len(b)) == 0 {
@@ -35,14 +51,14 @@
 		return err
 	}
 	began := time.Now()
-	chunk := max(minPaceChunk, int(p.BytesPerSecond*paceInterval.Seconds()))
+	chunk := p.chunk(len(b))
 	for sent := 0; sent < len(b); {
 		n, err := conn.Write(b[sent:min(sent+chunk, len(b))])
 		if err != nil {
 			return err
 		}
 		if sent += n; sent < len(b) {
-			time.Sleep(time.Until(began.Add(p.timeFor(sent))))
+			p.wait(began, sent)
 		}
 	}
 	return nil
--- a/internal/conn/h1/server.go
+++ b/internal/conn/h1/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -64,6 +63,14 @@
 	// its limit.
 	BufferedBytes    atomic.Int64
 	MaxBufferedBytes int64
+	// Budget bounds what the server holds in memory, together with other servers and
+	// clients; nil sets no bound.
+	Budget *Budget
+	// MaxHeldBytes bounds the responses that one connection has not received before no
+	// further request of it is read; 0 sets no bound.
+	MaxHeldBytes int64
+	// ConnLimit bounds the connections; nil sets no bound.
+	ConnLimit *ConnLimit
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
@@ -77,17 +84,16 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	limit := s.ConnLimit
+	if limit == nil {
+		limit = &ConnLimit{Name: l.Addr().String()}
+	}
 	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
+		conn, slot, err := limit.accept(l)
 		if err != nil {
-			klog.Warningf(logPrefix+"accept a connection: %v", err)
-			time.Sleep(acceptRetryDelay)
-			continue
+			return nil
 		}
-		c := s.addConn(conn)
+		c := s.addConn(conn, slot)
 		if s.refusing.Load() {
 			// CloseIdle may have missed it.
 			c.startNoMore()
@@ -139,10 +145,13 @@
 	}
 }
 
-func (s *Server) addConn(conn net.Conn) *serverConn {
-	limiter := &headerLimiter{r: conn}
+func (s *Server) addConn(conn net.Conn, slot *connSlot) *serverConn {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &serverConn{server: s, conn: conn, remoteIP: remoteIP(conn), limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferSize), ctx: ctx, cancel: cancel}
+	c := &serverConn{server: s, conn: conn, remoteIP: remoteIP(conn), ctx: ctx, cancel: cancel, slot: slot}
+	c.writerIdle.L = &c.mu
+	c.holder = s.Budget.hold(conn, c.abort)
+	c.limiter = &headerLimiter{r: conn, holder: c.holder}
+	c.br = bufio.NewReaderSize(c.limiter, readBufferSize)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
@@ -161,6 +170,8 @@
 }
 
 func (s *Server) removeConn(c *serverConn) {
+	c.slot.release()
+	s.Budget.forget(c.holder)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/internal/process/quota/limiter.go
+++ b/internal/process/quota/limiter.go
@@ -22,9 +22,10 @@
 const logPrefix = "quota: "
 
 const (
-	// maxAskWait is how long a request waits for an owner's reply. It is ten round
-	// trips between data centres that are 0.5 ms apart.
-	maxAskWait = 10 * time.Millisecond
+	// maxAskWait is how long a request waits for an owner's reply. The reply usually
+	// comes after a round trip, but later from a host that is short of CPU time or
+	// whose link is full. A refusal costs the caller more than the wait.
+	maxAskWait = 100 * time.Millisecond
 	// askTimeout bounds a message to an owner.
 	askTimeout = 300 * time.Millisecond
 	// fleetInterval is the time between two looks at the members.
