Wait in a test for the notification that a response was written

The server calls Response.Written after its last write, so the client can have read the response before. It now waits for the call, at most 5 s.

--- a/internal/conn/h1/pace_test.go
+++ b/internal/conn/h1/pace_test.go
@@ -53,6 +53,11 @@
 	if took := time.Since(began); took < 250*time.Millisecond {
 		t.Errorf("took %v", took)
 	}
+	// The server calls Written after the last byte is sent, which the client may have
+	// read before.
+	for end := time.Now().Add(5 * time.Second); written.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 	if before.Load() != 1 || after.Load() != 1 || written.Load() != 1 {
 		t.Errorf("before %d, after %d, written %d", before.Load(), after.Load(), written.Load())
 	}
