--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -74,8 +74,8 @@
 	FieldRunningAtCrash = "died_with"
 	// FieldWarmupRate is the number of requests per second to which a gate limits its
 	// cold upstream, and FieldWarmupLeft for how long, in milliseconds.
-	FieldWarmupRate = "warmup_per_s"
-	FieldWarmupLeft = "warmup_ms"
+	FieldWarmupRate = "warmup_rate"
+	FieldWarmupLeft = "warmup_left"
 	// FieldAccount is the name of a client account, and FieldRefused the number of its
 	// requests that were refused while it was limited.
 	FieldAccount = "account"
