--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -23,6 +23,8 @@
 	// deadline is how long the client waits.
 	deadline time.Duration
 	pause    time.Duration
+	// onSent, if set, is called before each request is sent.
+	onSent func(id string, at time.Time)
 }
 
 // callerCounts counts how the requests of ordinary clients ended.
@@ -61,6 +63,9 @@
 		}
 		id := fmt.Sprintf("%s-%d", c.name, i)
 		_ = conn.SetDeadline(time.Now().Add(c.deadline + 500*time.Millisecond))
+		if c.onSent != nil {
+			c.onSent(id, time.Now())
+		}
 		_, err := fmt.Fprintf(conn, "%s %s%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 			c.method, c.prefix, id, c.fleet.host, id, c.deadline.Milliseconds(), len(c.body), c.body)
 		status, closes := 0, true
