--- a/review/standin2/backend.go
+++ b/review/standin2/backend.go
@@ -8,24 +8,27 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
 
 // backend is a sound backend with slots, a short queue and heartbeats.
 type backend struct {
-	node     *node
-	id       string
-	version  string
-	born     int64
-	slots    int
-	work     time.Duration
-	server   *http.Server
-	cancel   context.CancelFunc
-	mu       sync.Mutex
-	running  int
-	sequence uint64
-	runs     []run
+	node    *node
+	id      string
+	version string
+	born    int64
+	slots   int
+	work    time.Duration
+	// answerBytes is the least size of an answer.
+	answerBytes int
+	server      *http.Server
+	cancel      context.CancelFunc
+	mu          sync.Mutex
+	running     int
+	sequence    uint64
+	runs        []run
 	// quiet stops the heartbeats.
 	quiet bool
 }
@@ -152,6 +155,9 @@
 		return
 	}
 	answer := fmt.Sprintf("%s %s %d\n", b.id, id, len(body))
+	if len(answer) < b.answerBytes {
+		answer += strings.Repeat("a", b.answerBytes-len(answer))
+	}
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Signature", fmt.Sprintf("%s.%s.%d", b.id, id, len(answer)))
 	_, _ = io.WriteString(w, answer)
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,12 +69,13 @@
 		}
 		_, err := fmt.Fprintf(conn, "%s %s%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 			c.method, c.prefix, id, c.fleet.host, id, c.deadline.Milliseconds(), len(c.body), c.body)
-		status, closes := 0, true
+		status, closes, after := 0, true, 0.0
 		if err == nil {
 			var resp *http.Response
 			if resp, err = http.ReadResponse(br, &http.Request{Method: c.method}); err == nil {
 				_, err = io.Copy(io.Discard, resp.Body)
 				status, closes = resp.StatusCode, resp.Close
+				after, _ = strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 			}
 		}
 		switch {
@@ -89,6 +91,13 @@
 			counts.answered.Add(1)
 		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 			counts.refused.Add(1)
+			// A client honours the delay up to a third of the time that it has left.
+			wait := min(time.Duration(after*float64(time.Second)), c.deadline/3)
+			select {
+			case <-stop:
+				return
+			case <-time.After(wait):
+			}
 		default:
 			counts.failed.Add(1)
 		}
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -25,6 +25,7 @@
 type fleet struct {
 	dir      string
 	memoryMB int
+	linkMbps float64
 	ports    ports
 	store    *store
 	storeIP  string
@@ -87,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, memoryMB: memoryMB, store: newStore(), rec: rec, host: "review.example"}
+	f := &fleet{dir: dir, memoryMB: memoryMB, linkMbps: 1000, store: newStore(), rec: rec, host: "review.example"}
 	for range 50 {
 		net := fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), rand.IntN(250))
 		base := 20000 + rand.IntN(10000)
@@ -153,7 +154,7 @@
 		"provider.address": address(f.storeIP, f.ports.store), "bounds.grace_s": "6", "bounds.retry_budget_ratio": "0.2",
 		"bounds.budget_slack": "62", "service": n.service, "app_addr": address(n.ip, f.ports.upstream),
 		"seed_nodes": strings.Join(seeds, ","), "bootstrap": strconv.FormatBool(n.first),
-		"limits.memory_mb": strconv.Itoa(f.memoryMB), "limits.link_mbps": "1000.0",
+		"limits.memory_mb": strconv.Itoa(f.memoryMB), "limits.link_mbps": strconv.FormatFloat(f.linkMbps, 'f', 1, 64),
 	}
 	missing := ""
 	text := placeholder.ReplaceAllStringFunc(string(template), func(s string) string {
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -83,10 +83,16 @@
 	}
 	close(stop)
 	running.Wait()
-	rec.line("ordinary clients: %s", counts)
+	return f.judgeMemory(kills, counts), nil
+}
+
+// judgeMemory returns what the ends of processes broke. kills counts those over the
+// memory, by machine, and counts is of the ordinary clients.
+func (f *fleet) judgeMemory(kills []int, counts *callerCounts) []string {
+	f.rec.line("ordinary clients: %s", counts)
 	for i, n := range f.nodes {
 		_, peak := n.memoryKB()
-		rec.line("machine %d: %d times over its memory, ended by itself otherwise %d times, peak of the last process %d kB", i+1, kills[i], len(n.ends), peak)
+		f.rec.line("machine %d: %d times over its memory, ended by itself otherwise %d times, peak of the last process %d kB", i+1, kills[i], len(n.ends), peak)
 	}
 	machines := 0
 	for i, n := range f.nodes {
@@ -104,7 +110,7 @@
 	for _, id := range counts.cutIDs {
 		if ran[id] {
 			lost++
-			rec.line("%s ran, came on a kept connection and got no answer", id)
+			f.rec.line("%s ran, came on a kept connection and got no answer", id)
 		}
 	}
 	var broken []string
@@ -114,7 +120,7 @@
 	if lost > 3 {
 		broken = append(broken, fmt.Sprintf("LOST: %d requests of ordinary clients on kept connections ran and got no answer", lost))
 	}
-	return broken, nil
+	return broken
 }
 
 // enforceMemory is the platform: it ends the process of a machine that exceeds the
