--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -36,20 +36,19 @@
 
 // node is one machine with its daisytided process and its backend.
 type node struct {
-	fleet         *fleet
-	index         int
-	ip, zone      string
-	service       string
-	first         bool
-	settings      string
-	mu            sync.Mutex
-	cmd           *exec.Cmd
-	waited        chan struct{}
-	expectedEnd   bool
-	ends          []string
-	backend       *backend
-	starts        int
-	environmentOK bool
+	fleet       *fleet
+	index       int
+	ip, zone    string
+	service     string
+	first       bool
+	settings    string
+	mu          sync.Mutex
+	cmd         *exec.Cmd
+	waited      chan struct{}
+	expectedEnd bool
+	ends        []string
+	backend     *backend
+	starts      int
 }
 
 // record is the file of what was sent, answered and run.
