--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -26,6 +26,8 @@
 	pause    time.Duration
 	// onSent, if set, is called before each request is sent.
 	onSent func(id string, at time.Time)
+	// onAnswer, if set, is called with the status of each answer.
+	onAnswer func(id string, status int)
 }
 
 // callerCounts counts how the requests of ordinary clients ended.
@@ -78,6 +80,9 @@
 				after, _ = strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 			}
 		}
+		if err == nil && c.onAnswer != nil {
+			c.onAnswer(id, status)
+		}
 		switch {
 		case err != nil:
 			counts.cut.Add(1)
