Doubt a report that may precede a departure nobody remembers

Cause: with the store away a departure is acknowledged when a peer holds it in memory. After the loss of all processes the recall took "the store has no entry" and the reply of a peer that had just started, too, for proof that nothing had left, and applied the late ready report that it had held back.

Evidence, from a trial build of the old code with more log lines: "not stored after 500ms" at the departure and never "stored", "store read: revision 0" after the restart, then the instance ready under the sequence of the late report. So the entry was neither missed nor expired, and no member record revived it.

Change: a node that finds no peer that remembers believes a ready report of a start from before its own process only when it arrives 5 s after the process started, or, while the store shows no trouble, when the instance confirms it on its health path. A peer remembers if it has run for 5 s longer than the node. A peer that holds a departure writes it to the store as well, and the first peers that are asked are of several data centres. Lines "departure held", "recalled", "report confirmed"; a gauge upstream_doubted.

The stand-in upstreams of the tests have a start of their own in place of 5 milliseconds after 1970, and answer health requests with their ID, as the platform's do: with the old start every report would be doubted.

--- a/internal/process/departures/departure.go
+++ b/internal/process/departures/departure.go
@@ -23,6 +23,10 @@
 // longer lease.
 const TTL = 10 * time.Minute
 
+// MaxReportDelay is how late a report may arrive. A process that has run for longer
+// receives no report that was sent before it started.
+const MaxReportDelay = 5 * time.Second
+
 // Bounds of a valid departure.
 const (
 	// maxClockSkew bounds what the clocks of two hosts may differ by. A departure
--- a/internal/process/departures/keeper.go
+++ b/internal/process/departures/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/daisytide/daisytide/internal/conn/rpc"
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/ctxtime"
+	"github.com/daisytide/daisytide/internal/logs"
 )
 
 const logPrefix = "departures: "
@@ -63,8 +65,13 @@
 	// FirstStart is set when the whole fleet starts for the first time, so that nothing
 	// has left before.
 	FirstStart bool
-	// OnRecalled is called once, when the departures of earlier processes are known.
-	OnRecalled func()
+	// OnStored is called when only those departures of earlier processes are known that
+	// the store has; OnRecalled follows.
+	OnStored func()
+	// OnRecalled is called once: with true when the departures of earlier processes are
+	// known, and with false MaxReportDelay after the start, when one may be missing but
+	// reports that arrive from then on were sent after the start.
+	OnRecalled func(complete bool)
 
 	startedAt time.Time
 	// complete is set when this process can't have missed a departure of the fleet.
@@ -74,12 +81,14 @@
 	cancel context.CancelFunc
 
 	mu sync.Mutex
-	// held is the latest departure that the store or a peer is known to hold.
+	// held is the latest departure beside this node that the store or a peer is known
+	// to hold.
 	held Departure
-	// pending is the write in progress, nil if there is none.
-	pending *storeWrite
-	// revision is the revision of this node's key in the store as known here.
-	revision uint64
+	// writes holds the latest write to the store for each node, and revisions the
+	// revision of its key as known here: this node's own, and those that it holds for
+	// others.
+	writes    map[string]*storeWrite
+	revisions map[string]uint64
 }
 
 // storeWrite is the write of one departure to the store; done is closed when the
@@ -92,6 +101,7 @@
 // Start prepares a keeper whose exported fields are set.
 func (k *Keeper) Start() {
 	k.startedAt = time.Now()
+	k.writes, k.revisions = map[string]*storeWrite{}, map[string]uint64{}
 	k.complete.Store(k.FirstStart)
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 }
@@ -116,15 +126,18 @@
 	k.publish(d)
 	timer := time.NewTimer(storeWriteTimeout)
 	defer timer.Stop()
+	holder := "store"
 	select {
 	case <-k.startWrite(d).done:
 	case <-timer.C:
+		holder = "peer"
 		if err := k.holdAtPeers(ctx, d); err != nil {
 			return err
 		}
 	case <-ctx.Done():
 		return api.Errorf(api.StoreNotReached, "record the departure of %q: %w", d.Instance, ctx.Err())
 	}
+	slog.Info(logPrefix+"departure held", logs.FieldInstance, d.Instance, logs.FieldStarted, d.StartedMillis, logs.FieldFrom, holder)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if d.compare(k.held) > 0 {
@@ -152,22 +165,25 @@
 }
 
 // startWrite starts writing a departure to the store, unless a write of it or of a
-// later one is in progress.
+// later one beside the same node was started.
 func (k *Keeper) startWrite(d Departure) *storeWrite {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.pending == nil || d.compare(k.pending.departure) > 0 {
-		k.pending = &storeWrite{departure: d, done: make(chan struct{})}
-		go k.writeUntilStored(k.pending)
+	w := k.writes[d.Node]
+	if w == nil || d.compare(w.departure) > 0 {
+		w = &storeWrite{departure: d, done: make(chan struct{})}
+		k.writes[d.Node] = w
+		go k.writeUntilStored(w)
 	}
-	return k.pending
+	return w
 }
 
 // writeUntilStored tries to write a departure until the store has it, a later one
 // takes its place, it expires or the node stops.
 func (k *Keeper) writeUntilStored(w *storeWrite) {
+	defer k.forgetWriteFor(w)
 	lease := kvstore.Lease{}
-	for k.ctx.Err() == nil && k.isPending(w) && time.Now().Unix() < w.departure.ExpiresUnix {
+	for k.ctx.Err() == nil && k.isLatest(w) && time.Now().Unix() < w.departure.ExpiresUnix {
 		var err error
 		if lease, err = k.write(w.departure, lease); err == nil {
 			close(w.done)
@@ -181,10 +197,21 @@
 	}
 }
 
-func (k *Keeper) isPending(w *storeWrite) bool {
+// forgetWriteFor drops a write for another node that has ended, so that the maps stay as
+// small as the number of writes in progress.
+func (k *Keeper) forgetWriteFor(w *storeWrite) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.pending == w
+	if node := w.departure.Node; node != k.Self && k.writes[node] == w {
+		delete(k.writes, node)
+		delete(k.revisions, node)
+	}
+}
+
+func (k *Keeper) isLatest(w *storeWrite) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.writes[w.departure.Node] == w
 }
 
 // write makes one attempt to write a departure under a lease, which is granted unless
@@ -205,9 +232,9 @@
 		return lease, err
 	}
 	k.mu.Lock()
-	revision := k.revision
+	revision := k.revisions[d.Node]
 	k.mu.Unlock()
-	e, err := k.Store.CompareAndSwap(ctx, k.key(k.Self), revision, value, lease.ID)
+	e, err := k.Store.CompareAndSwap(ctx, k.key(d.Node), revision, value, lease.ID)
 	switch kvstore.OutcomeOf(err) {
 	case kvstore.OutcomeConflict:
 		var conflict *kvstore.Error
@@ -226,7 +253,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.revision = e.Revision
+	k.revisions[d.Node] = e.Revision
 	return lease, err
 }
 
--- a/internal/process/departures/keeper_test.go
+++ b/internal/process/departures/keeper_test.go
@@ -50,10 +50,12 @@
 // node is one process.
 type node struct {
 	*Keeper
-	// recalled is closed by OnRecalled.
-	recalled chan struct{}
-	stop     context.CancelFunc
-	done     chan struct{}
+	// recalled is closed by OnRecalled, whose argument complete is, and usable by the
+	// first of OnStored and OnRecalled: an upstream that confirms is used from then on.
+	recalled, usable chan struct{}
+	complete         bool
+	stop             context.CancelFunc
+	done             chan struct{}
 	// storeRefused makes every call to the store fail.
 	storeRefused bool
 
@@ -145,12 +147,17 @@
 
 // start starts a process of a node; refused keeps it from the store.
 func (f *fleet) start(address string, firstStart, refused bool) *node {
-	n := &node{recalled: make(chan struct{}), done: make(chan struct{}), storeRefused: refused}
+	n := &node{recalled: make(chan struct{}), usable: make(chan struct{}), done: make(chan struct{}), storeRefused: refused}
+	usable := sync.OnceFunc(func() { close(n.usable) })
 	set := NewSet(time.Now)
 	set.NotifyOwn(address, n.addLeft)
 	n.Keeper = &Keeper{
 		Self: address, Store: refusableStore{f.store, n}, Set: set, Publisher: f, RPC: f, FirstStart: firstStart,
-		Peers: f.addresses, OnRecalled: func() { close(n.recalled) },
+		Peers: f.addresses, OnStored: usable, OnRecalled: func(complete bool) {
+			n.complete = complete
+			usable()
+			close(n.recalled)
+		},
 	}
 	n.Start()
 	f.mu.Lock()
@@ -363,7 +370,7 @@
 			f.kill("b", "c")
 			f.store.SetFaults(store.Faults{Down: true})
 			f.start("b", false, false)
-		}, maxHold + 2*recallInterval},
+		}, MaxReportDelay + 2*recallInterval},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -375,7 +382,7 @@
 				tc.play(f)
 				began := time.Now()
 				a := f.start("a", f.firstStart, false)
-				<-a.recalled
+				<-a.usable
 				if took := time.Since(began); took > tc.limit {
 					t.Errorf("recalled after %v, want at most %v", took, tc.limit)
 				}
--- a/internal/process/departures/recall.go
+++ b/internal/process/departures/recall.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/ctxtime"
+	"github.com/daisytide/daisytide/internal/logs"
 )
 
 // Timeouts of reading back the departures of earlier processes.
@@ -18,17 +20,21 @@
 	// The second covers a read of the store that the peer makes.
 	storeReadTimeout  = 500 * time.Millisecond
 	peerRecallTimeout = 700 * time.Millisecond
-	// peerSearchTime is how long a node that has read the store waits for a peer. A
-	// node finds others sooner; after a loss of power they may not be back yet, and
-	// each upstream is missed meanwhile. Gossip brings what a later peer holds.
+	// promptReadTime bounds a read of a store that is not slow: the two calls that
+	// write a departure are then done before peers are asked to hold it.
+	promptReadTime = storeWriteTimeout / 2
+	// peerSearchTime is how long a node that has read the store waits for a peer that
+	// remembers before it has its upstream confirm that it is there. A node finds others
+	// sooner; after a loss of power they may not be back yet, and each upstream is missed
+	// meanwhile.
 	peerSearchTime = 150 * time.Millisecond
 	// furtherReplyTime is how long the other peers are waited for after the first
 	// reply.
 	furtherReplyTime = 50 * time.Millisecond
-	// maxHold is how long an upstream is not used because departures may be unknown.
-	maxHold = 5 * time.Second
-	// recallInterval is the mean time between two rounds.
-	recallInterval = 50 * time.Millisecond
+	// recallInterval is the mean time between two rounds. After peerSearchTime it is
+	// lateRecallInterval: peers that started at the same time learn nothing soon.
+	recallInterval     = 50 * time.Millisecond
+	lateRecallInterval = 500 * time.Millisecond
 )
 
 // Query asks a peer for the departure beside a node.
@@ -46,70 +52,160 @@
 	// Departures are the one beside the node, if any, and all others as well if the
 	// peer is complete and the node holds different ones.
 	Departures []Departure `cbor:"1,keyasint,omitempty"`
-	// Certain is set if the peer can't have missed the departure beside the node, and
-	// Complete if it can't have missed any.
+	// Certain is set if the peer can't have missed the departure beside the node, or
+	// has read the node's entry in the store, and Complete if it can't have missed any.
 	Certain  bool `cbor:"2,keyasint,omitempty"`
 	Complete bool `cbor:"3,keyasint,omitempty"`
+	// RunningMillis is for how long the peer has received departures, in milliseconds.
+	RunningMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// evidence is what the peers that were asked in one round have said.
-type evidence uint8
+// remembers reports whether the peer has heard of every departure that a report may
+// precede which this node has received since its start, the given time ago. The peer may
+// have missed departures from before its own start. A report from before one of them has
+// reached an earlier process here if the peer has run for MaxReportDelay longer than this
+// node; a peer that started with this node knows no more than it.
+func (r Reply) remembers(sinceStart time.Duration) bool {
+	return time.Duration(r.RunningMillis)*time.Millisecond-sinceStart >= MaxReportDelay
+}
+
+// evidence is what a node that starts has found out about the departures that earlier
+// processes of it acknowledged.
+type evidence struct {
+	// storeRead is set when the node's entry was read, by the node or by a peer, and
+	// storePrompt if the store has not been away or slow since the start.
+	storeRead, storePrompt bool
+	// peerRemembers is set when a peer has replied that remembers, and peerComplete when
+	// one that can't have missed a departure.
+	peerRemembers, peerComplete bool
+}
+
+// knowledge is how much a node knows of the departures that earlier processes of it
+// acknowledged.
+type knowledge uint8
 
 const (
-	// noPeer: no peer has answered.
-	noPeer evidence = iota
-	// peerUncertain: peers have answered that may have missed the departure.
-	peerUncertain
-	// peerCertain: a peer has answered that can't have missed it.
-	peerCertain
+	// unknown: a departure may be missing.
+	unknown knowledge = iota
+	// storedOnly: those that the store has are known. One that peers alone held, as the
+	// store was away when it was acknowledged, may be missing, if all of them have ended.
+	storedOnly
+	// complete: none is missing.
+	complete
 )
 
-// isRecalled reports whether every departure of earlier processes is known, from what
-// has been read within the given time. A departure was acknowledged when the store
-// had it, or when a peer had it while the store was away, so both are asked. A node
-// that the store does not serve relies on a peer that is certain.
+// String returns the names of the sources that have answered.
+func (e evidence) String() string {
+	var sources []string
+	if e.storeRead {
+		sources = append(sources, "store")
+	}
+	if e.storeRead && e.storePrompt {
+		sources = append(sources, "at once")
+	}
+	if e.peerRemembers {
+		sources = append(sources, "peer")
+	}
+	if e.peerComplete {
+		sources = append(sources, "complete peer")
+	}
+	return strings.Join(sources, ", ")
+}
+
+// String returns the name that log lines use.
+func (k knowledge) String() string { return [...]string{"unknown", "stored only", "complete"}[k] }
+
+// assess returns what the evidence of the given time since the start amounts to. A
+// departure was acknowledged when the store had it, or when a peer had it while the
+// store was away. The second kind is lost when all processes end before the store is
+// back, and nothing in a report tells whether it was sent before.
 //
-// Both waits have an end, since an upstream that has not left is missed meanwhile. After
-// the store has answered, only a departure from while it was away can be unknown; peers
-// are waited for until peerSearchTime. A node with neither the store nor a certain peer
-// uses its upstream after maxHold; reports seldom arrive so late. Gossip still brings
-// what a peer holds, and ends the instance then.
-func isRecalled(storeRead bool, peers evidence, elapsed time.Duration) bool {
-	if storeRead {
-		return peers != noPeer || elapsed >= peerSearchTime
+// A node that is not complete believes a ready report of an earlier start when it can't
+// be late any more, MaxReportDelay after the node's own start, or when the upstream
+// confirms it. That second way is open only while the store shows no trouble: a lost
+// departure then needs an outage that ended while the node was down, and an upstream
+// that wrongly says that it stays.
+func (e evidence) assess(elapsed time.Duration) knowledge {
+	switch {
+	case e.peerComplete, e.peerRemembers && e.storeRead:
+		return complete
+	case e.storeRead && e.storePrompt && elapsed >= peerSearchTime:
+		return storedOnly
+	default:
+		return unknown
 	}
-	return peers == peerCertain || elapsed >= maxHold
 }
 
-// recall reads back the departures of earlier processes of this node, calls
-// OnRecalled, and goes on until the store was read as well.
+// recollection is the progress of a node that reads back departures.
+type recollection struct {
+	evidence
+	began time.Time
+	// ownRead is set when this node has read its entry itself.
+	ownRead bool
+	known   knowledge
+	// ended is set when OnRecalled was called.
+	ended bool
+}
+
+// pause returns the mean time until the next round.
+func (r *recollection) pause() time.Duration {
+	switch {
+	case r.ended:
+		return storeRetryInterval
+	case r.storeRead && time.Since(r.began) >= peerSearchTime:
+		return lateRecallInterval
+	default:
+		return recallInterval
+	}
+}
+
+// recall reads back the departures of earlier processes of this node, calls OnStored
+// and OnRecalled, and goes on until the store was read as well.
 func (k *Keeper) recall(ctx context.Context) {
-	began, storeRead, recalled := time.Now(), false, false
 	if k.FirstStart {
 		// Nothing has left before, and a read by each node of a new fleet would cost
 		// the store as many calls as there are nodes.
-		k.OnRecalled()
+		k.OnRecalled(true)
 		return
 	}
-	for ctx.Err() == nil {
-		if !storeRead {
-			storeRead = k.readStore(ctx, k.Self) == nil
-		}
-		if !recalled {
-			recalled = isRecalled(storeRead, k.askPeersUntil(ctx, storeRead, began.Add(peerSearchTime)), time.Since(began))
-			if recalled {
-				klog.V(1).Infof(logPrefix+"read back after %v, from the store: %v", time.Since(began), storeRead)
-				k.OnRecalled()
-			}
+	r := &recollection{began: time.Now(), evidence: evidence{storePrompt: true}}
+	for ctx.Err() == nil && !(r.ended && (r.ownRead || time.Since(r.began) > TTL)) {
+		if !r.ownRead {
+			k.readOwnEntry(ctx, r)
 		}
-		switch {
-		case recalled && (storeRead || time.Since(began) > TTL):
-			return
-		case recalled:
-			ctxtime.Sleep(ctx, jittered(storeRetryInterval))
-		default:
-			ctxtime.Sleep(ctx, jittered(recallInterval))
+		if !r.ended {
+			k.advance(ctx, r)
 		}
+		ctxtime.Sleep(ctx, jittered(r.pause()))
+	}
+}
+
+// readOwnEntry reads this node's entry in the store.
+func (k *Keeper) readOwnEntry(ctx context.Context, r *recollection) {
+	began := time.Now()
+	r.ownRead = k.readStore(ctx, k.Self) == nil
+	r.storeRead = r.storeRead || r.ownRead
+	r.storePrompt = r.storePrompt && r.ownRead && time.Since(began) <= promptReadTime
+}
+
+// advance asks peers and reports a change of what is known.
+func (k *Keeper) advance(ctx context.Context, r *recollection) {
+	if r.known == unknown {
+		// After that, gossip brings what a later peer holds.
+		k.askPeersUntil(ctx, r, r.began.Add(peerSearchTime))
+	}
+	elapsed, before := time.Since(r.began), r.known
+	r.known = r.assess(elapsed)
+	r.ended = r.known == complete || elapsed >= MaxReportDelay
+	if r.known != before || r.ended {
+		slog.Info(logPrefix+"recalled", logs.FieldState, r.known.String(), logs.FieldFrom, r.evidence.String(), logs.FieldTook, elapsed.Milliseconds())
+	}
+	switch {
+	case ctx.Err() != nil:
+	case r.ended:
+		k.OnRecalled(r.known == complete)
+	case r.known == storedOnly && before != storedOnly:
+		k.OnStored()
 	}
 }
 
@@ -123,7 +219,7 @@
 	}
 	if node == k.Self {
 		k.mu.Lock()
-		k.revision = max(k.revision, e.Revision)
+		k.revisions[node] = max(k.revisions[node], e.Revision)
 		k.mu.Unlock()
 	}
 	if e.Revision == 0 {
@@ -139,40 +235,37 @@
 	return err
 }
 
-// askPeersUntil asks some peers for the departure beside this node, and stops waiting at
-// the given time if the store was read.
-func (k *Keeper) askPeersUntil(ctx context.Context, storeRead bool, end time.Time) evidence {
-	if storeRead {
+// askPeersUntil asks some peers for the departure beside this node, and adds what they
+// reply to the evidence. It stops waiting at the given time if the store was read.
+func (k *Keeper) askPeersUntil(ctx context.Context, r *recollection, end time.Time) {
+	if r.storeRead && time.Now().Before(end) {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, end)
 		defer cancel()
 	}
-	return k.askPeers(ctx, !storeRead)
+	k.askPeers(ctx, r)
 }
 
 // askPeers asks some peers for the departure beside this node.
-func (k *Keeper) askPeers(ctx context.Context, readStore bool) evidence {
-	replies := callPeers[Reply](ctx, k, MethodRecall, Query{Node: k.Self, Checksum: k.Set.Checksum(), ReadStore: readStore}, peerRecallTimeout)
-	best := noPeer
+func (k *Keeper) askPeers(ctx context.Context, r *recollection) {
+	query := Query{Node: k.Self, Checksum: k.Set.Checksum(), ReadStore: !r.storeRead}
+	replies := callPeers[Reply](ctx, k, MethodRecall, query, peerRecallTimeout)
 	var enough <-chan time.Time
 	for {
 		select {
 		case <-enough:
-			return best
+			return
 		case reply, more := <-replies:
 			if !more {
-				return best
+				return
 			}
 			if err := k.receive(reply); err != nil {
 				klog.Warningf(logPrefix+"%v", err)
 				continue
 			}
-			switch {
-			case reply.Certain:
-				best = peerCertain
-			case best == noPeer:
-				best = peerUncertain
-			}
+			r.peerRemembers = r.peerRemembers || reply.remembers(time.Since(r.began))
+			r.peerComplete = r.peerComplete || reply.Complete
+			r.storeRead = r.storeRead || reply.Certain
 			if enough == nil {
 				enough = time.After(furtherReplyTime)
 			}
@@ -203,7 +296,7 @@
 // HandleRecall answers the query of a node that has started.
 func (k *Keeper) HandleRecall(ctx context.Context, q Query) (Reply, error) {
 	complete := k.isComplete()
-	reply := Reply{Certain: complete, Complete: complete}
+	reply := Reply{Certain: complete, Complete: complete, RunningMillis: time.Since(k.startedAt).Milliseconds()}
 	if q.ReadStore && !complete {
 		reply.Certain = k.readStore(ctx, q.Node) == nil
 	}
@@ -215,29 +308,6 @@
 	return reply, nil
 }
 
-// HandleHold holds a departure for another node.
-func (k *Keeper) HandleHold(_ context.Context, d Departure) (bool, error) {
-	changed, err := k.Set.receive(d)
-	if err != nil {
-		return false, err
-	}
-	if changed {
-		k.publish(d)
-	}
-	held, ok := k.Set.Get(d.Node)
-	return ok && d.compare(held) <= 0, nil
-}
-
-// holdAtPeers returns nil when a peer holds a departure.
-func (k *Keeper) holdAtPeers(ctx context.Context, d Departure) error {
-	for held := range callPeers[bool](ctx, k, MethodHold, d, peerHoldTimeout) {
-		if held {
-			return nil
-		}
-	}
-	return api.Errorf(api.StoreNotReached, "neither the store nor a peer has taken the departure of %q", d.Instance)
-}
-
 // callPeers calls a method of the first maxPeersAsked peers and returns the replies as
 // they arrive.
 func callPeers[Out any](ctx context.Context, k *Keeper, method string, in any, timeout time.Duration) <-chan Out {
--- a/internal/process/localupstream/tracker.go
+++ b/internal/process/localupstream/tracker.go
@@ -57,36 +57,93 @@
 	// healthWarmupEnd is the end of the warm-up by the latest health response of the
 	// current start.
 	healthWarmupEnd time.Time
-	// holding is set while reports of a ready instance are held back, and heldReport
-	// is the latest of them, if any.
-	holding    bool
-	heldReport *heldReport
+	// holding is set while all reports of a ready instance are held back. Those of a
+	// start before doubtedBefore, in Unix milliseconds, are held back as well; 0 is
+	// none. heldReport is the latest of the reports held back, if any.
+	holding       bool
+	doubtedBefore int64
+	heldReport    *heldReport
 }
 
-// heldReport is a report that waits for Release.
+// heldReport is a report that waits for Release or for the end of the doubt.
 type heldReport struct {
 	report     Report
 	receivedAt time.Time
 }
 
-// HoldReady holds back reports of a ready instance until Release: a node that has
-// just started may not know yet that the instance has left. All other reports take
-// effect.
+// HoldReady holds back reports of a ready instance until Release. All other reports
+// take effect.
 func (t *Tracker) HoldReady() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.holding = true
 }
 
-// Release ends HoldReady and applies the latest report that was held back.
+// Release ends HoldReady and applies the latest report that was held back, unless it is
+// doubted.
 func (t *Tracker) Release() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.holding = false
+	t.applyHeldLocked()
+}
+
+// DoubtReady holds back reports of a ready instance that was started before the given
+// time, until Trust or TrustLaterReports: a process that has just started may not know
+// that the instance has left. An instance that started later has not left before.
+func (t *Tracker) DoubtReady(startedBefore time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.doubtedBefore = startedBefore.UnixMilli()
+}
+
+// Trust ends DoubtReady and applies the latest report that was held back.
+func (t *Tracker) Trust() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.doubtedBefore = 0
+	t.applyHeldLocked()
+}
+
+// TrustLaterReports ends DoubtReady and drops the doubted report that was held back:
+// only reports that arrive from now on were sent after the process started.
+func (t *Tracker) TrustLaterReports() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if held := t.heldReport; held != nil && t.isDoubtedLocked(held.report) {
+		t.heldReport = nil
+		slog.Info(logPrefix+"unconfirmed report dropped",
+			logs.FieldInstance, held.report.ID, logs.FieldStarted, held.report.StartedMillis, logs.FieldSequence, held.report.Sequence)
+	}
+	t.doubtedBefore = 0
+	t.applyHeldLocked()
+}
+
+// Doubted returns the latest doubted report that is held back; false if there is none.
+func (t *Tracker) Doubted() (Report, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.heldReport == nil || !t.isDoubtedLocked(t.heldReport.report) {
+		return Report{}, false
+	}
+	return t.heldReport.report, true
+}
+
+// isDoubtedLocked reports whether a report of a ready instance is doubted; the caller
+// holds mu.
+func (t *Tracker) isDoubtedLocked(r Report) bool {
+	return t.doubtedBefore != 0 && r.StartedMillis < t.doubtedBefore
+}
+
+// applyHeldLocked applies the report that was held back if nothing holds it any more;
+// the caller holds mu.
+func (t *Tracker) applyHeldLocked() {
 	held := t.heldReport
-	t.holding, t.heldReport = false, nil
-	if held != nil {
-		t.mergeLocked(held.report, held.receivedAt)
+	if held == nil || t.holding || t.isDoubtedLocked(held.report) {
+		return
 	}
+	t.heldReport = nil
+	t.mergeLocked(held.report, held.receivedAt)
 }
 
 // RestoreDeparture applies the departure of an instance, which another process of
@@ -157,7 +214,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.holding && r.State == api.UpstreamReady {
+	if r.State == api.UpstreamReady && (t.holding || t.isDoubtedLocked(r)) {
 		if held := t.heldReport; held == nil || r.supersedes(held.report) {
 			t.heldReport = &heldReport{report: r, receivedAt: now}
 		}
--- a/internal/process/localupstream/tracker_test.go
+++ b/internal/process/localupstream/tracker_test.go
@@ -245,3 +245,55 @@
 		t.Errorf("after a new start: %v", end)
 	}
 }
+
+// A process that may have forgotten a departure must not take a report of that start for
+// news; a start since then, and what takes an upstream out of use, apply at once.
+func TestDoubtedReportsTakeEffectOnlyWhenTrusted(t *testing.T) {
+	started := now.UnixMilli()
+	doubting := func() *Tracker {
+		tracker := &Tracker{Service: "s", Address: "h:1"}
+		tracker.DoubtReady(now)
+		_ = tracker.Apply(report("a", started-1, 3, api.UpstreamReady), now)
+		return tracker
+	}
+	for name, tc := range map[string]struct {
+		play    func(*Tracker)
+		ready   bool
+		doubted bool
+	}{
+		"doubted":            {func(*Tracker) {}, false, true},
+		"unknown start":      {func(tr *Tracker) { _ = tr.Apply(report("a", 0, 9, api.UpstreamReady), now) }, false, true},
+		"trusted":            {(*Tracker).Trust, true, false},
+		"only later reports": {(*Tracker).TrustLaterReports, false, false},
+		"a later report": {func(tr *Tracker) {
+			tr.TrustLaterReports()
+			_ = tr.Apply(report("a", started-1, 4, api.UpstreamReady), now)
+		}, true, false},
+		"a later start":         {func(tr *Tracker) { _ = tr.Apply(report("a", started, 1, api.UpstreamReady), now) }, true, true},
+		"draining, then trust":  {func(tr *Tracker) { _ = tr.Apply(report("a", started-1, 2, api.UpstreamDraining), now); tr.Trust() }, false, false},
+		"departure, then trust": {func(tr *Tracker) { tr.RestoreDeparture("a", started-1, now); tr.Trust() }, false, false},
+		"trusted while held": {func(tr *Tracker) {
+			tr.HoldReady()
+			_ = tr.Apply(report("a", started-1, 4, api.UpstreamReady), now)
+			tr.Trust()
+		}, false, false},
+		"released while doubted": {func(tr *Tracker) { tr.HoldReady(); tr.Release() }, false, true},
+		"later start held, only later reports": {func(tr *Tracker) {
+			tr.HoldReady()
+			_ = tr.Apply(report("a", started, 1, api.UpstreamReady), now)
+			tr.TrustLaterReports()
+			tr.Release()
+		}, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := doubting()
+			tc.play(tracker)
+			if c := tracker.Current(); (c != nil && c.Ready()) != tc.ready {
+				t.Errorf("instance %+v, want ready %v", c, tc.ready)
+			}
+			if _, doubted := tracker.Doubted(); doubted != tc.doubted {
+				t.Errorf("doubted %v, want %v", doubted, tc.doubted)
+			}
+		})
+	}
+}
--- a/internal/process/operated/departures.go
+++ b/internal/process/operated/departures.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/h1"
 	"github.com/daisytide/daisytide/internal/process/departures"
 	"github.com/daisytide/daisytide/internal/process/localupstream"
 )
@@ -19,15 +23,81 @@
 	})
 	n.departures = &departures.Keeper{
 		Self: n.cfg.Peers.Listen, Store: n.store, Set: set, Publisher: n.gossip, RPC: n.peerRPC,
-		FirstStart: n.cfg.Operated.FirstStart, Peers: n.knownPeers, OnRecalled: n.releaseUpstream,
+		FirstStart: n.cfg.Operated.FirstStart, Peers: n.knownPeers, OnStored: n.departuresStored, OnRecalled: n.departuresRecalled,
 	}
 	n.departures.Start()
 	n.gossip.RegisterTopic(set)
-	n.localUpstream.HoldReady()
+	n.confirmer = &localupstream.Confirmer{Tracker: n.localUpstream, Ask: n.askHealth}
+	n.confirmations, n.endConfirmation = context.WithCancel(context.Background())
+	n.localUpstream.DoubtReady(n.startedAt.Add(-startSlack))
+}
+
+// startSlack is how long before this process an instance may have been started whose
+// departure no earlier process can have acknowledged. After a loss of power a host's
+// node and upstream start together; an instance runs for longer than this before it
+// leaves.
+const startSlack = time.Second
+
+// upstreamDoubted returns 1 while a ready report of the upstream is doubted, else 0.
+func (n *Node) upstreamDoubted() float64 {
+	if _, doubted := n.localUpstream.Doubted(); doubted {
+		return 1
+	}
+	return 0
+}
+
+// departuresStored has the upstream confirm that it is there: a departure that no
+// process remembers may be missing in the store.
+func (n *Node) departuresStored() { go n.confirmer.Run(n.confirmations) }
+
+// departuresRecalled ends the doubt whether the upstream has left: no departure is
+// missing, or a report that was sent before this process started can't arrive any more.
+func (n *Node) departuresRecalled(complete bool) {
+	n.endConfirmation()
+	if complete {
+		n.localUpstream.Trust()
+	} else {
+		n.localUpstream.TrustLaterReports()
+	}
+}
+
+// askHealth asks the upstream that a report describes on its health path whether it is
+// there and stays.
+func (n *Node) askHealth(ctx context.Context, r localupstream.Report) localupstream.Health {
+	resp, noPath := n.getHealth(ctx, r.Service, r.Address)
+	if resp == nil {
+		return localupstream.Health{NoPath: noPath}
+	}
+	return localupstream.Health{Instance: n.adapter.HealthyInstance(resp)}
 }
 
-// knownPeers returns the addresses of the other members in random order, those of the
-// own data centre first, or those found for bootstrapping if there are no members yet.
+// getHealth makes a health request, and returns nil if there is no response. noPath is
+// set if the configuration in force gives the service no health path. The connection is
+// not kept, so that the response cannot be confused with one to a request.
+func (n *Node) getHealth(ctx context.Context, service, address string) (resp *h1.Response, noPath bool) {
+	snap := n.holder.Current()
+	if snap == nil || snap.Traffic == nil {
+		return nil, false
+	}
+	s := snap.Traffic.Service(service)
+	if s == nil {
+		return nil, false
+	}
+	if s.HealthPath == "" {
+		return nil, true
+	}
+	client := h1.Client{DialTimeout: upstreamDialTimeout}
+	resp, err := client.Do(ctx, address, &h1.ClientRequest{Method: http.MethodGet, Target: s.HealthPath, Host: address, Header: http.Header{}})
+	if err != nil {
+		klog.V(1).Infof(logPrefix+"health of %s: %v", address, err)
+		return nil, false
+	}
+	return resp, false
+}
+
+// knownPeers returns the addresses of the other members in random order, or those found
+// for bootstrapping if there are no members yet. Those of the own data centre and of
+// others take turns, so that the loss of a data centre leaves some of the first few.
 func (n *Node) knownPeers() []string {
 	var near, far []string
 	for _, r := range n.members.Index().Members {
@@ -45,7 +115,22 @@
 	for _, peers := range [][]string{near, far} {
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	}
-	return append(near, far...)
+	return alternate(near, far)
+}
+
+// alternate returns the elements of two lists in turn, beginning with the first list,
+// and the rest of the longer list at the end.
+func alternate(a, b []string) []string {
+	out := make([]string, 0, len(a)+len(b))
+	for i := range max(len(a), len(b)) {
+		if i < len(a) {
+			out = append(out, a[i])
+		}
+		if i < len(b) {
+			out = append(out, b[i])
+		}
+	}
+	return out
 }
 
 // applyReport applies a report of the upstream here. The acknowledgement of a
@@ -54,6 +139,7 @@
 func (n *Node) applyReport(ctx context.Context, r localupstream.Report) error {
 	now := time.Now()
 	if err := n.localUpstream.Apply(r, now); err != nil || r.State == api.UpstreamReady {
+		n.confirmer.Wake()
 		return err
 	}
 	current := n.localUpstream.Current()
--- a/internal/process/operated/evacuations.go
+++ b/internal/process/operated/evacuations.go
@@ -15,19 +15,9 @@
 	n.evacuationStart = &evacuation.Starter{
 		DataCentre: n.cfg.Node.DataCentre, Key: n.adapter.OperatorKeys().Evacuations + n.cfg.Node.DataCentre,
 		Store: n.store, Set: n.evacuations, RPC: n.peerRPC, Peers: n.knownPeers,
-		FirstStart: n.cfg.Operated.FirstStart, OnKnown: n.releaseUpstream,
-	}
-}
-
-// upstreamHolds is the number of parts that a starting node waits for before it uses
-// its upstream: the recall of departures and that of evacuations.
-const upstreamHolds = 2
-
-// releaseUpstream is called once by each part that holds the upstream back.
-func (n *Node) releaseUpstream() {
-	if n.released.Add(1) == upstreamHolds {
-		n.localUpstream.Release()
+		FirstStart: n.cfg.Operated.FirstStart, OnKnown: n.localUpstream.Release,
 	}
+	n.localUpstream.HoldReady()
 }
 
 // isEvacuated reports whether the data centre of this node is evacuated.
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -113,6 +113,9 @@
 	// WarmupLeft returns how long an upstream stays cold by a response of its health
 	// path; false if the response does not tell.
 	WarmupLeft(resp *h1.Response) (time.Duration, bool)
+	// HealthyInstance returns the ID of the instance that says by a response of its
+	// health path that it is healthy and not leaving; empty if the response does not.
+	HealthyInstance(resp *h1.Response) string
 	// ReadyPath returns the path of the platform's readiness probe.
 	ReadyPath() string
 }
@@ -135,6 +138,7 @@
 	quarantineEvents *quarantine.EventSet
 	localUpstream    *localupstream.Tracker
 	departures       *departures.Keeper
+	confirmer        *localupstream.Confirmer
 	evacuations      *evacuation.Set
 	evacuationStart  *evacuation.Starter
 	quota            *quota.Limiter
@@ -152,8 +156,9 @@
 	listeners                             [listenerCount]net.Listener
 	startedAt                             time.Time
 	stopping                              atomic.Bool
-	// released counts the calls of releaseUpstream.
-	released atomic.Int32
+	// confirmations is the time in which the upstream may confirm a doubted report.
+	confirmations   context.Context
+	endConfirmation context.CancelFunc
 }
 
 // Indexes of the listeners, in the order in which they are opened.
@@ -343,20 +348,10 @@
 }
 
 // askWarmup asks an upstream on its health path how long it stays cold; false if it
-// does not tell. The connection is not kept, so that the response cannot be confused
-// with one to a request.
+// does not tell.
 func (n *Node) askWarmup(ctx context.Context, i egress.Instance) (time.Duration, bool) {
-	snap := n.holder.Current()
-	if snap == nil || snap.Traffic == nil {
-		return 0, false
-	}
-	s := snap.Traffic.Service(i.Service)
-	if s == nil || s.HealthPath == "" {
-		return 0, false
-	}
-	client := h1.Client{DialTimeout: upstreamDialTimeout}
-	resp, err := client.Do(ctx, i.Address, &h1.ClientRequest{Method: http.MethodGet, Target: s.HealthPath, Host: i.Address, Header: http.Header{}})
-	if err != nil {
+	resp, _ := n.getHealth(ctx, i.Service, i.Address)
+	if resp == nil {
 		return 0, false
 	}
 	return n.adapter.WarmupLeft(resp)
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -37,7 +37,8 @@
 	address       string
 	reportAddress string
 	workTime      time.Duration
-	seq           int
+	// born is the start in Unix milliseconds.
+	born, seq int
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -47,12 +48,19 @@
 	// extraWork one that is added to workTime.
 	warmupLeft, extraWork, healthRequests atomic.Int64
 	runsByID                              map[string]int
+	// leaving makes health responses say that the upstream leaves.
+	leaving atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		b.healthRequests.Add(1)
+		if b.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set(platform.HeaderInstanceID, b.id)
 		w.Header().Set(platform.HeaderWarmupMillis, strconv.FormatInt(time.Duration(b.warmupLeft.Load()).Milliseconds(), 10))
 		return
 	}
@@ -90,7 +98,7 @@
 // heartbeat reports a state and returns the status of the response.
 func (b *backend) heartbeat(state string) int {
 	b.seq++
-	return b.heartbeatOf(5, b.seq, state)
+	return b.heartbeatOf(b.born, b.seq, state)
 }
 
 // heartbeatOf reports a state of the start at born.
@@ -100,6 +108,11 @@
 	return b.call(platform.PathHeartbeat+b.id, body)
 }
 
+// deregister reports the end of the start.
+func (b *backend) deregister() int {
+	return b.call(platform.PathDeregister+b.id, fmt.Sprintf(`{"born":%d}`, b.born))
+}
+
 func (b *backend) call(path, body string) int {
 	resp, err := http.Post("http://"+b.reportAddress+path, "application/json", strings.NewReader(body))
 	if err != nil {
@@ -162,7 +175,7 @@
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
-	b := &backend{t: t, service: service, id: id, address: a[5], reportAddress: a[2], runsByID: map[string]int{}}
+	b := &backend{t: t, service: service, id: id, born: int(time.Now().UnixMilli()), address: a[5], reportAddress: a[2], runsByID: map[string]int{}}
 	l, err := net.Listen("tcp", a[5])
 	if err != nil {
 		t.Fatal(err)
@@ -324,7 +337,7 @@
 	s := store.New(1)
 	for name, leave := range map[string]func(b *backend) int{
 		"draining":         func(b *backend) int { return b.heartbeat("draining") },
-		"without draining": func(b *backend) int { return b.call(platform.PathDeregister+b.id, `{"born":5}`) },
+		"without draining": func(b *backend) int { return b.deregister() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			near, far := startHost(t, s, "near", "i-near-"+name[:1]), startHost(t, s, "far", "i-far-"+name[:1])
@@ -356,7 +369,7 @@
 		awayAtDeparture, awayAtStart bool
 	}{
 		"draining":                            {leave: func(b *backend) int { return b.heartbeat("draining") }},
-		"deregistered":                        {leave: func(b *backend) int { return b.call(platform.PathDeregister+b.id, `{"born":5}`) }},
+		"deregistered":                        {leave: func(b *backend) int { return b.deregister() }},
 		"deregistered, start unknown":         {leave: func(b *backend) int { return b.call(platform.PathDeregister+b.id, "") }},
 		"store away at the departure":         {leave: func(b *backend) int { return b.heartbeat("draining") }, awayAtDeparture: true},
 		"store away when the node is started": {leave: func(b *backend) int { return b.heartbeat("draining") }, awayAtStart: true},
@@ -378,7 +391,7 @@
 			<-far.done
 			s.SetFaults(store.Faults{Down: tc.awayAtStart})
 			far.startNode()
-			if status := far.heartbeatOf(5, 100, "ready"); status != http.StatusOK {
+			if status := far.heartbeatOf(far.born, 100, "ready"); status != http.StatusOK {
 				t.Errorf("status of the late heartbeat: %d", status)
 			}
 			waitFor(t, "readiness", func() bool { return far.readiness() == http.StatusOK })
@@ -396,6 +409,70 @@
 	}
 }
 
+// An upstream whose departure peers alone held, as the store was away, was used again
+// once all processes had ended: its late heartbeat was taken for news when the store was
+// back. A start since then is used with its first report.
+func TestUpstreamThatLeftIsNotUsedAfterAllNodesRestarted(t *testing.T) {
+	deregister := func(b *backend) int { return b.deregister() }
+	for name, tc := range map[string]struct {
+		leave func(b *backend) int
+		// late are the sequences of the heartbeats that arrive after the restart.
+		late []int
+		// atDeparture is the trouble of the store when the upstream leaves.
+		atDeparture store.Faults
+		// endsBeforeStart is set if the trouble ends before the nodes are started.
+		endsBeforeStart bool
+	}{
+		"deregistered":                           {leave: deregister, late: []int{50}, atDeparture: store.Faults{Down: true}},
+		"draining":                               {leave: func(b *backend) int { return b.heartbeat("draining") }, late: []int{50}, atDeparture: store.Faults{Down: true}},
+		"several late reports":                   {leave: deregister, late: []int{50, 51, 52}, atDeparture: store.Faults{Down: true}},
+		"store slow":                             {leave: deregister, late: []int{50}, atDeparture: store.Faults{Delay: 700 * time.Millisecond}},
+		"the store is back when the nodes start": {leave: deregister, late: []int{50, 51}, atDeparture: store.Faults{Down: true}, endsBeforeStart: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := store.New(1)
+			near, far := startHost(t, s, "near", "i-near"), startHost(t, s, "far", "i-far")
+			writeConfig(t, s, 3)
+			served := func() bool { status, _, _ := send("GET", near.url("/far/1"), nil); return status == http.StatusOK }
+			waitFor(t, "a response", served)
+			s.SetFaults(tc.atDeparture)
+			if status := tc.leave(far.backend); status != http.StatusOK {
+				t.Fatalf("status of the acknowledgement: %d", status)
+			}
+			// Where the store is in trouble at the start, the health response is wrong.
+			far.leaving.Store(tc.endsBeforeStart)
+			before := far.totalRuns()
+			near.stop()
+			far.stop()
+			<-near.done
+			<-far.done
+			http.DefaultClient.CloseIdleConnections()
+			if tc.endsBeforeStart {
+				s.SetFaults(store.Faults{})
+			}
+			near.startNode()
+			far.startNode()
+			for _, sequence := range tc.late {
+				if status := far.heartbeatOf(far.born, sequence, "ready"); status != http.StatusOK {
+					t.Errorf("status of the late heartbeat: %d", status)
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			s.SetFaults(store.Faults{})
+			for end := time.Now().Add(7 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				served()
+			}
+			if far.totalRuns() != before {
+				t.Errorf("%d requests reached the upstream that had left", far.totalRuns()-before)
+			}
+			far.leaving.Store(false)
+			far.heartbeatOf(int(time.Now().UnixMilli()), 1, "ready")
+			waitFor(t, "a response of the next start", served)
+		})
+	}
+}
+
 // A report that does not apply binds nobody, so it must not be acknowledged; least of
 // all may it end a later start under the same ID.
 func TestLateDepartureOfAnEarlierStartIsNotAcknowledged(t *testing.T) {
@@ -404,19 +481,19 @@
 	writeConfig(t, s, 3)
 	served := func() bool { status, _, _ := send("GET", near.url("/far/1"), nil); return status == http.StatusOK }
 	waitFor(t, "a response", served)
-	if status := far.heartbeatOf(6, 1, "ready"); status != http.StatusOK {
+	if status := far.heartbeatOf(far.born+1, 2, "ready"); status != http.StatusOK {
 		t.Fatalf("the later start: %d", status)
 	}
-	if status := far.heartbeatOf(5, 9, "draining"); status == http.StatusOK {
+	if status := far.heartbeatOf(far.born, 9, "draining"); status == http.StatusOK {
 		t.Error("the draining of the earlier start was acknowledged")
 	}
-	if status := far.call(platform.PathDeregister+"i-far", `{"born":5}`); status == http.StatusOK {
+	if status := far.deregister(); status == http.StatusOK {
 		t.Error("the deregistration of the earlier start was acknowledged")
 	}
 	if !served() {
 		t.Error("the later start is not used")
 	}
-	if status := far.heartbeatOf(6, 2, "draining"); status != http.StatusOK {
+	if status := far.heartbeatOf(far.born+1, 3, "draining"); status != http.StatusOK {
 		t.Errorf("its own draining: %d", status)
 	}
 }
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -148,6 +148,9 @@
 	nodeSignal syscall.Signal
 }
 
+// healthPath is the path on which a backend says whether it is there and stays.
+const healthPath = "/healthz"
+
 const (
 	// lateHeartbeatInterval is the time between two arrivals of a late heartbeat.
 	lateHeartbeatInterval = 200 * time.Millisecond
@@ -211,6 +214,13 @@
 	arrived := time.Now()
 	id := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, id)
+	if r.URL.Path == healthPath {
+		w.Header().Set(platform.HeaderInstanceID, up.id)
+		if up.drainAckedAt.Load() != 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	if r.Header.Get(platform.HeaderTargetInstance) != up.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -189,7 +189,7 @@
 	}
 	c := traffic.Config{Callers: traffic.CallerLimits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}}
 	for _, name := range services {
-		c.Services = append(c.Services, traffic.Service{Name: name, Connections: 100, HealthPath: "/healthz"})
+		c.Services = append(c.Services, traffic.Service{Name: name, Connections: 100, HealthPath: healthPath})
 	}
 	c.Routes = append(c.Routes,
 		route("read", "/read/", traffic.Idempotent, services[s.configCount%len(services)]),
