Believe a report that the upstream confirms earlier

Cause: while the store shows trouble a health response counted for nothing, as it may be wrong, and a single late report would be believed with it.

Change: in that state a health response confirms a report that arrives 3 s after the start. A copy of a report that was dropped, or an earlier one, says nothing.

TestEarlyReportIsNotConfirmed; the restart tests of operated pass.

--- a/internal/process/departures/departure.go
+++ b/internal/process/departures/departure.go
@@ -27,6 +27,10 @@
 // receives no report that was sent before it started.
 const MaxReportDelay = 5 * time.Second
 
+// confirmedReportDelay is how late a report may arrive that the upstream confirms by its
+// health response, which may be wrong, while the store shows trouble.
+const confirmedReportDelay = 3 * time.Second
+
 // Bounds of a valid departure.
 const (
 	// maxClockSkew bounds what the clocks of two hosts may differ by. A departure
--- a/internal/process/departures/keeper.go
+++ b/internal/process/departures/keeper.go
@@ -65,9 +65,10 @@
 	// FirstStart is set when the whole fleet starts for the first time, so that nothing
 	// has left before.
 	FirstStart bool
-	// OnStored is called when only those departures of earlier processes are known that
-	// the store has; OnRecalled follows.
-	OnStored func()
+	// OnConfirmable is called once, unless OnRecalled is called first: a departure may be
+	// missing, but an upstream that confirms that it stays may be used by a report that
+	// arrived at the given time or later.
+	OnConfirmable func(receivedFrom time.Time)
 	// OnRecalled is called once: with true when the departures of earlier processes are
 	// known, and with false MaxReportDelay after the start, when one may be missing but
 	// reports that arrive from then on were sent after the start.
--- a/internal/process/departures/recall.go
+++ b/internal/process/departures/recall.go
@@ -122,9 +122,9 @@
 //
 // A node that is not complete believes a ready report of an earlier start when it can't
 // be late any more, MaxReportDelay after the node's own start, or when the upstream
-// confirms it. That second way is open only while the store shows no trouble: a lost
-// departure then needs an outage that ended while the node was down, and an upstream
-// that wrongly says that it stays.
+// confirms it. While the store shows trouble, that second way is open to reports only
+// that arrive confirmedReportDelay after the start. Without trouble, a lost departure
+// needs an outage that ended while the node was down.
 func (e evidence) assess(elapsed time.Duration) knowledge {
 	switch {
 	case e.peerComplete, e.peerRemembers && e.storeRead:
@@ -143,8 +143,8 @@
 	// ownRead is set when this node has read its entry itself.
 	ownRead bool
 	known   knowledge
-	// ended is set when OnRecalled was called.
-	ended bool
+	// confirmable is set when OnConfirmable was called, and ended when OnRecalled was.
+	confirmable, ended bool
 }
 
 // pause returns the mean time until the next round.
@@ -159,8 +159,8 @@
 	}
 }
 
-// recall reads back the departures of earlier processes of this node, calls OnStored
-// and OnRecalled, and goes on until the store was read as well.
+// recall reads back the departures of earlier processes of this node, calls
+// OnConfirmable and OnRecalled, and goes on until the store was read as well.
 func (k *Keeper) recall(ctx context.Context) {
 	if k.FirstStart {
 		// Nothing has left before, and a read by each node of a new fleet would cost
@@ -204,8 +204,13 @@
 	case ctx.Err() != nil:
 	case r.ended:
 		k.OnRecalled(r.known == complete)
-	case r.known == storedOnly && before != storedOnly:
-		k.OnStored()
+	case r.confirmable:
+	case r.known == storedOnly:
+		r.confirmable = true
+		k.OnConfirmable(r.began)
+	case elapsed >= confirmedReportDelay:
+		r.confirmable = true
+		k.OnConfirmable(time.Now())
 	}
 }
 
--- a/internal/process/localupstream/confirmer.go
+++ b/internal/process/localupstream/confirmer.go
@@ -56,12 +56,12 @@
 
 func (c *Confirmer) init() { c.once.Do(func() { c.changed = make(chan struct{}, 1) }) }
 
-// Run waits for a doubted report and asks the upstream until it confirms one, which ends
-// the doubt, or until ctx ends.
-func (c *Confirmer) Run(ctx context.Context) {
+// Run waits for a doubted report that is received at the given time or later, and asks
+// the upstream until it confirms one, which ends the doubt, or until ctx ends.
+func (c *Confirmer) Run(ctx context.Context, receivedFrom time.Time) {
 	c.init()
 	for pause := firstHealthPause; ctx.Err() == nil; {
-		r, doubted := c.Tracker.Doubted()
+		r, doubted := c.Tracker.Doubted(receivedFrom)
 		if !doubted {
 			select {
 			case <-ctx.Done():
--- a/internal/process/localupstream/tracker.go
+++ b/internal/process/localupstream/tracker.go
@@ -63,6 +63,9 @@
 	holding       bool
 	doubtedBefore int64
 	heldReport    *heldReport
+	// unconfirmed is the doubted report that was dropped, if any. A copy of it or an
+	// earlier report of its start says nothing new.
+	unconfirmed *Report
 }
 
 // heldReport is a report that waits for Release or for the end of the doubt.
@@ -106,12 +109,13 @@
 }
 
 // TrustLaterReports ends DoubtReady and drops the doubted report that was held back:
-// only reports that arrive from now on were sent after the process started.
+// only reports that arrive from now on, and are later than that one, were sent after the
+// process started.
 func (t *Tracker) TrustLaterReports() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if held := t.heldReport; held != nil && t.isDoubtedLocked(held.report) {
-		t.heldReport = nil
+		t.heldReport, t.unconfirmed = nil, &held.report
 		slog.Info(logPrefix+"unconfirmed report dropped",
 			logs.FieldInstance, held.report.ID, logs.FieldStarted, held.report.StartedMillis, logs.FieldSequence, held.report.Sequence)
 	}
@@ -119,14 +123,16 @@
 	t.applyHeldLocked()
 }
 
-// Doubted returns the latest doubted report that is held back; false if there is none.
-func (t *Tracker) Doubted() (Report, bool) {
+// Doubted returns the latest doubted report that is held back, if it was received at the
+// given time or later; false if there is none.
+func (t *Tracker) Doubted(receivedFrom time.Time) (Report, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.heldReport == nil || !t.isDoubtedLocked(t.heldReport.report) {
+	held := t.heldReport
+	if held == nil || !t.isDoubtedLocked(held.report) || held.receivedAt.Before(receivedFrom) {
 		return Report{}, false
 	}
-	return t.heldReport.report, true
+	return held.report, true
 }
 
 // isDoubtedLocked reports whether a report of a ready instance is doubted; the caller
@@ -214,6 +220,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if r.State == api.UpstreamReady && t.unconfirmed != nil && !r.supersedes(*t.unconfirmed) {
+		return nil
+	}
 	if r.State == api.UpstreamReady && (t.holding || t.isDoubtedLocked(r)) {
 		if held := t.heldReport; held == nil || r.supersedes(held.report) {
 			t.heldReport = &heldReport{report: r, receivedAt: now}
--- a/internal/process/operated/departures.go
+++ b/internal/process/operated/departures.go
@@ -23,7 +23,7 @@
 	})
 	n.departures = &departures.Keeper{
 		Self: n.cfg.Peers.Listen, Store: n.store, Set: set, Publisher: n.gossip, RPC: n.peerRPC,
-		FirstStart: n.cfg.Operated.FirstStart, Peers: n.knownPeers, OnStored: n.departuresStored, OnRecalled: n.departuresRecalled,
+		FirstStart: n.cfg.Operated.FirstStart, Peers: n.knownPeers, OnConfirmable: n.confirmUpstream, OnRecalled: n.departuresRecalled,
 	}
 	n.departures.Start()
 	n.gossip.RegisterTopic(set)
@@ -40,15 +40,17 @@
 
 // upstreamDoubted returns 1 while a ready report of the upstream is doubted, else 0.
 func (n *Node) upstreamDoubted() float64 {
-	if _, doubted := n.localUpstream.Doubted(); doubted {
+	if _, doubted := n.localUpstream.Doubted(time.Time{}); doubted {
 		return 1
 	}
 	return 0
 }
 
-// departuresStored has the upstream confirm that it is there: a departure that no
-// process remembers may be missing in the store.
-func (n *Node) departuresStored() { go n.confirmer.Run(n.confirmations) }
+// confirmUpstream has the upstream confirm the reports that are received at the given time
+// or later: a departure that no process remembers may be missing in the store.
+func (n *Node) confirmUpstream(receivedFrom time.Time) {
+	go n.confirmer.Run(n.confirmations, receivedFrom)
+}
 
 // departuresRecalled ends the doubt whether the upstream has left: no departure is
 // missing, or a report that was sent before this process started can't arrive any more.
