Trace the evacuation tests that wait for an upstream in vain

An entry weighs an upstream by the service time that its gate reported last, which does not age. An upstream whose host was busy at that moment is not tried while another is idle.

Done: TestUpstreamThatWasSlowOnceIsTriedAgain shows it without a network and fails.

--- a/internal/request/balancer/expected_time_test.go
+++ b/internal/request/balancer/expected_time_test.go
@@ -333,3 +333,20 @@
 		t.Errorf("the second caller selects the node: %v, %d probes, %d decisions", ok, probes, decisions)
 	}
 }
+
+// An upstream that once reported a long service time, as its host was busy, must get a
+// request again while another one is idle: without one it cannot report that it is fast.
+func TestUpstreamThatWasSlowOnceIsTriedAgain(t *testing.T) {
+	fast := gate.Load{Slots: 10, ServiceTime: time.Millisecond}
+	p := newPickerFixture("a", "a")
+	p.reportLoads(t, map[string]gate.Load{"a0": {Slots: 10, ServiceTime: 50 * time.Millisecond}, "a1": fast})
+	for range 2000 {
+		p.now = p.now.Add(10 * time.Millisecond)
+		picked, _ := p.pick(t, nil, Requirements{MeanRunTime: time.Millisecond})
+		if picked.Record.Address == "a0" {
+			return
+		}
+		picked.Done(p.now, Success, fast, true)
+	}
+	t.Error("no request of 2,000 in 20 s reached it")
+}
