Confirm reports of the first moments and of unknown starts

Cause, found by reading the diff: a report that came between the opening of the listeners and the begin of the recall could not be confirmed, and one that was dropped hid the reports of another instance where neither tells its start.

Change: reports since the start of the keeper may be confirmed; a dropped report hides only copies and earlier reports of its own instance and start.

Measured: TestDroppedReportDoesNotHideAnotherInstanceOfUnknownStart; the tests of departures and localupstream pass.

--- a/internal/process/departures/recall.go
+++ b/internal/process/departures/recall.go
@@ -207,7 +207,7 @@
 	case r.confirmable:
 	case r.known == storedOnly:
 		r.confirmable = true
-		k.OnConfirmable(r.began)
+		k.OnConfirmable(k.startedAt)
 	case elapsed >= confirmedReportDelay:
 		r.confirmable = true
 		k.OnConfirmable(time.Now())
--- a/internal/process/localupstream/tracker.go
+++ b/internal/process/localupstream/tracker.go
@@ -220,7 +220,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.State == api.UpstreamReady && t.unconfirmed != nil && !r.supersedes(*t.unconfirmed) {
+	if u := t.unconfirmed; u != nil && r.State == api.UpstreamReady && r.ID == u.ID && r.StartedMillis == u.StartedMillis && r.Sequence <= u.Sequence {
 		return nil
 	}
 	if r.State == api.UpstreamReady && (t.holding || t.isDoubtedLocked(r)) {
--- a/internal/process/localupstream/tracker_test.go
+++ b/internal/process/localupstream/tracker_test.go
@@ -301,3 +301,20 @@
 		})
 	}
 }
+
+// Instances that do not tell their start differ by their ID alone: after one whose report
+// was dropped, the first report of the next one counts.
+func TestDroppedReportDoesNotHideAnotherInstanceOfUnknownStart(t *testing.T) {
+	tracker := &Tracker{Service: "s", Address: "h:1"}
+	tracker.DoubtReady(now)
+	_ = tracker.Apply(report("a", 0, 9, api.UpstreamReady), now)
+	tracker.TrustLaterReports()
+	_ = tracker.Apply(report("a", 0, 9, api.UpstreamReady), now)
+	if tracker.Current() != nil {
+		t.Errorf("a copy of the dropped report applied: %+v", tracker.Current())
+	}
+	_ = tracker.Apply(report("b", 0, 1, api.UpstreamReady), now)
+	if c := tracker.Current(); c == nil || !c.Ready() {
+		t.Errorf("the next instance: %+v", c)
+	}
+}
