Let the soak kill all nodes while they alone hold a departure

Cause: no fault of the soak loses what peers hold in memory.

Done: "backend goes, store away, all nodes killed": the store is down, a backend deregisters, all nodes are killed once it is acknowledged, and its last ready heartbeat arrives again and again.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -142,10 +142,11 @@
 type departure struct {
 	// skipDrain deregisters at once, without draining.
 	skipDrain bool
-	// nodeSignal, if set, is sent to the node after the acknowledgement. The latest
-	// ready heartbeat then arrives again and again, as if it had been delayed, and the
-	// backend serves for longer.
+	// nodeSignal, if set, is sent to the node after the acknowledgement, and to the nodes
+	// of others. The latest ready heartbeat then arrives again and again, as if it had
+	// been delayed, and the backend serves for longer.
 	nodeSignal syscall.Signal
+	others     []*host
 }
 
 // healthPath is the path on which a backend says whether it is there and stays.
@@ -181,10 +182,12 @@
 		sleep(ctx, heartbeatInterval)
 	}
 	if d.nodeSignal != 0 && up.drainAckedAt.Load() > 0 {
-		if d.nodeSignal == syscall.SIGKILL {
-			b.host.markDisturbed(time.Now(), recoveryTime)
+		for _, h := range append([]*host{b.host}, d.others...) {
+			if d.nodeSignal == syscall.SIGKILL {
+				h.markDisturbed(time.Now(), recoveryTime)
+			}
+			h.signal(d.nodeSignal)
 		}
-		b.host.signal(d.nodeSignal)
 		b.repeatLateHeartbeat(ctx, up)
 	}
 	sleep(ctx, drainServeTime)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -358,7 +358,18 @@
 		// Their late heartbeats reach the next process of the node.
 		"backend leaves, node stopped": leave(departure{nodeSignal: syscall.SIGTERM}),
 		"backend goes, node killed":    leave(departure{skipDrain: true, nodeSignal: syscall.SIGKILL}),
-		"configuration":                func() { s.applyNextConfig(ctx) },
-		"evacuation":                   func() { s.evacuate(ctx, h.dataCentre, d) },
+		// Only the memory of the nodes holds this departure, until it is lost with all of
+		// them.
+		"backend goes, store away, all nodes killed": func() {
+			storeFault(store.Faults{Down: true})()
+			leave(departure{skipDrain: true, nodeSignal: syscall.SIGKILL, others: without(s.hosts, h)})()
+		},
+		"configuration": func() { s.applyNextConfig(ctx) },
+		"evacuation":    func() { s.evacuate(ctx, h.dataCentre, d) },
 	}
 }
+
+// without returns the hosts but one.
+func without(hosts []*host, h *host) []*host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(o *host) bool { return o == h })
+}
