--- a/internal/process/departures/recall_test.go
+++ b/internal/process/departures/recall_test.go
@@ -139,3 +139,28 @@
 		f.stopAll()
 	})
 }
+
+// A missing departure must not be ruled out by a source that can't know of it: the store
+// while it may have been away, and a peer that is as young as the node.
+func TestKnowledgeFollowsFromTheEvidence(t *testing.T) {
+	old, young := Reply{RunningMillis: 6000}, Reply{RunningMillis: 5500}
+	for _, tc := range []struct {
+		name    string
+		e       evidence
+		elapsed time.Duration
+		want    knowledge
+	}{
+		{"nothing", evidence{storePrompt: true}, MaxReportDelay, unknown},
+		{"store at once, peers may still answer", evidence{storeRead: true, storePrompt: true}, peerSearchTime - 1, unknown},
+		{"store at once, no peer", evidence{storeRead: true, storePrompt: true}, peerSearchTime, storedOnly},
+		{"store after an outage", evidence{storeRead: true}, MaxReportDelay, unknown},
+		{"complete peer", evidence{peerComplete: true}, 0, complete},
+		{"store, and a peer that has run on", evidence{storeRead: true, peerRemembers: old.remembers(time.Second)}, time.Second, complete},
+		{"store, and a peer that is hardly older", evidence{storeRead: true, peerRemembers: young.remembers(time.Second)}, time.Second, unknown},
+		{"a peer that has run on, no store", evidence{peerRemembers: old.remembers(time.Second)}, time.Second, unknown},
+	} {
+		if got := tc.e.assess(tc.elapsed); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
