--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -226,6 +226,25 @@
 	h.startNode()
 }
 
+// gauge returns the value of a gauge of the node, as text; empty if there is none.
+func (h *host) gauge(name string) string {
+	resp, err := http.Get("http://" + h.cfg.Operators.Listen + "/metrics")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "daisytide_"+name+" "); ok {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
+
 func writeConfig(t testing.TB, s *store.Store, version int) {
 	t.Helper()
 	writeConfigWithWarmup(t, s, version, 0)
@@ -462,6 +481,9 @@
 				}
 				time.Sleep(300 * time.Millisecond)
 			}
+			if got := far.gauge("upstream_doubted"); got != "1" {
+				t.Errorf("the gauge of doubted reports is %q", got)
+			}
 			s.SetFaults(store.Faults{})
 			for end := time.Now().Add(7 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 				served()
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -108,6 +108,7 @@
 		"gossip_handler_panics":  {"Messages of peers whose handler panicked.", func() float64 { return float64(n.gossip.Counters().HandlerPanics) }},
 		"registry_invalid":       {"Entries of nodes that the last list of the store left out as invalid.", func() float64 { return float64(n.registry.InvalidEntries()) }},
 		"operator_invalid":       {"Configurations and orders in the store that were not usable.", func() float64 { return float64(n.provider.InvalidEntries()) }},
+		"upstream_doubted":       {"1 while a ready report of the upstream is not believed, as its departure may have been forgotten.", n.upstreamDoubted},
 		"evacuated_data_centres": {"Data centres that are evacuated.", func() float64 { return float64(len(n.evacuations.View().Set())) }},
 		"evacuation_refusals": {"Requests that the gate refused because its data centre is evacuated.", func() float64 {
 			return float64(n.gate.EvacuationRefusals())
