Read what other goroutines write under a lock in two new tests

The product's code is not concerned.

Done: the keeper's lock, an atomic counter. The checks are the same.

--- a/internal/process/departures/recall_test.go
+++ b/internal/process/departures/recall_test.go
@@ -127,7 +127,10 @@
 		f.kill("a")
 		f.store.SetFaults(store.Faults{})
 		time.Sleep(2 * storeRetryInterval)
-		if n := len(b.writes) + len(b.revisions); n != 0 {
+		b.Keeper.mu.Lock()
+		n := len(b.writes) + len(b.revisions)
+		b.Keeper.mu.Unlock()
+		if n != 0 {
 			t.Errorf("%d writes for other nodes are kept after their end", n)
 		}
 		f.kill("b")
--- a/internal/process/localupstream/confirmer_test.go
+++ b/internal/process/localupstream/confirmer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,13 +26,16 @@
 			synctest.Test(t, func(t *testing.T) {
 				tracker := &Tracker{Service: "s", Address: "h:1"}
 				tracker.DoubtReady(time.Now())
-				asked := 0
-				c := &Confirmer{Tracker: tracker, Ask: func(context.Context, Report) Health { asked++; return tc.health }}
+				var asked atomic.Int64
+				c := &Confirmer{Tracker: tracker, Ask: func(context.Context, Report) Health {
+					asked.Add(1)
+					return tc.health
+				}}
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
 				go c.Run(ctx, time.Now())
 				synctest.Wait()
-				if asked != 0 {
+				if asked.Load() != 0 {
 					t.Error("asked without a report")
 				}
 				if err := tracker.Apply(report("a", time.Now().UnixMilli()-1, 1, api.UpstreamReady), time.Now()); err != nil {
@@ -44,8 +48,8 @@
 				}
 				time.Sleep(10 * time.Second)
 				// Each request costs a slot of the upstream: 5 s hold 10 of them.
-				if tc.ready && asked != 1 || asked > 10 {
-					t.Errorf("%d health requests", asked)
+				if n := asked.Load(); tc.ready && n != 1 || n > 10 {
+					t.Errorf("%d health requests", n)
 				}
 				if tc.ready != tracker.Current().Ready() {
 					t.Errorf("after 10 s: %+v", tracker.Current())
