End the confirmation of a report with its node, and explain it better

Cause, found by reading the diff: a node that stopped within 5 s of its start left a goroutine waiting for a report; two comments needed a second reading.

Done: Run ends the confirmation; the comments say what is known by whom, and why the shorter delay is not 0.

--- a/internal/process/departures/departure.go
+++ b/internal/process/departures/departure.go
@@ -27,8 +27,9 @@
 // receives no report that was sent before it started.
 const MaxReportDelay = 5 * time.Second
 
-// confirmedReportDelay is how late a report may arrive that the upstream confirms by its
-// health response, which may be wrong, while the store shows trouble.
+// confirmedReportDelay takes the place of MaxReportDelay for a report that the upstream
+// confirms by its health response while the store shows trouble. It is not 0, since the
+// response may be wrong.
 const confirmedReportDelay = 3 * time.Second
 
 // Bounds of a valid departure.
--- a/internal/process/departures/recall.go
+++ b/internal/process/departures/recall.go
@@ -60,11 +60,11 @@
 	RunningMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// remembers reports whether the peer has heard of every departure that a report may
-// precede which this node has received since its start, the given time ago. The peer may
-// have missed departures from before its own start. A report from before one of them has
-// reached an earlier process here if the peer has run for MaxReportDelay longer than this
-// node; a peer that started with this node knows no more than it.
+// remembers reports whether the peer knows every departure that matters for the reports
+// that this node has received since its start, the given time ago. The peer may have
+// missed departures from before its own start. If it has run for MaxReportDelay longer
+// than this node, reports from before those have arrived before this node started. A
+// peer that started with this node knows no more than it.
 func (r Reply) remembers(sinceStart time.Duration) bool {
 	return time.Duration(r.RunningMillis)*time.Millisecond-sinceStart >= MaxReportDelay
 }
@@ -115,7 +115,7 @@
 // String returns the name that log lines use.
 func (k knowledge) String() string { return [...]string{"unknown", "stored only", "complete"}[k] }
 
-// assess returns what the evidence of the given time since the start amounts to. A
+// assess returns what the evidence amounts to after the given time since the start. A
 // departure was acknowledged when the store had it, or when a peer had it while the
 // store was away. The second kind is lost when all processes end before the store is
 // back, and nothing in a report tells whether it was sent before.
@@ -188,7 +188,7 @@
 	r.storePrompt = r.storePrompt && r.ownRead && time.Since(began) <= promptReadTime
 }
 
-// advance asks peers and reports a change of what is known.
+// advance asks peers, and calls OnConfirmable and OnRecalled when their time has come.
 func (k *Keeper) advance(ctx context.Context, r *recollection) {
 	if r.known == unknown {
 		// After that, gossip brings what a later peer holds.
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -444,6 +444,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	runnerCtx, stopRunners := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopRunners()
+	defer n.endConfirmation()
 	for i, s := range map[int]*h1.Server{callerListener: n.callerServer, gateListener: n.gateServer, readyListener: n.readyServer} {
 		g.Go(func() error { return s.Serve(n.listeners[i]) })
 	}
