--- /dev/null
+++ b/internal/conn/h1/exchange.go
@@ -0,0 +1,247 @@
+package h1
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// exchange is a request and its response on a connection.
+type exchange struct {
+	ctx    context.Context
+	client *Client
+	conn   *clientConn
+	req    *ClientRequest
+	// sent and fullySent say how much of the request may have been written. mu
+	// guards them, since a large body is written while the response is read.
+	mu              sync.Mutex
+	sent, fullySent bool
+	gotFirstByte    bool
+	reusable        bool
+	keepAliveTime   time.Duration
+}
+
+// markSent records that writing the header, or with allSent the whole
+// request, has started.
+func (x *exchange) markSent(allSent bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sent = true
+	x.fullySent = x.fullySent || allSent
+}
+
+// exchangeError wraps err in an *Error with the reason and with what was sent.
+func (x *exchange) exchangeError(ctx context.Context, err error) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := &Error{Failure: ExchangeFailed, Sent: x.sent, FullySent: x.fullySent, Err: err}
+	switch {
+	case ctx.Err() != nil:
+		e.Failure = ContextEnded
+	case !x.gotFirstByte && errors.Is(err, os.ErrDeadlineExceeded):
+		e.Failure = FirstByteTimedOut
+	}
+	return e
+}
+
+func (x *exchange) run() (*Response, error) {
+	var head bytes.Buffer
+	x.encode(&head)
+	body := x.req.Body
+	if len(body) > 0 && len(body) <= maxInlineBody && !x.req.ExpectContinue {
+		head.Write(body)
+		body = nil
+	}
+	x.markSent(len(body) == 0)
+	if _, err := x.conn.Write(head.Bytes()); err != nil {
+		return nil, err
+	}
+	if x.req.FirstByteTimeout > 0 {
+		x.setReadDeadline(time.Now().Add(x.req.FirstByteTimeout))
+	}
+	if len(body) == 0 {
+		return x.readFinalResponse(nil)
+	}
+	if !x.req.ExpectContinue {
+		return x.sendBody(body)
+	}
+	resp, err := x.readResponse(true)
+	if err != nil || resp != nil {
+		return resp, err
+	}
+	if x.req.BeforeBody != nil {
+		if err := x.req.BeforeBody(x.ctx); err != nil {
+			return nil, err
+		}
+	}
+	return x.sendBody(body)
+}
+
+// setReadDeadline sets the read deadline. If the context has ended, it is set to the
+// past again, since the one that Do set at that moment may have been replaced.
+func (x *exchange) setReadDeadline(at time.Time) {
+	_ = x.conn.SetReadDeadline(at)
+	if x.ctx.Err() != nil {
+		_ = x.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// sendBody writes the body while it reads the response, which may arrive first.
+func (x *exchange) sendBody(body []byte) (*Response, error) {
+	written := make(chan error, 1)
+	go func() {
+		x.markSent(true)
+		err := x.req.Pace.write(x.conn, body)
+		if x.req.AfterBody != nil {
+			x.req.AfterBody()
+		}
+		written <- err
+	}()
+	return x.readFinalResponse(written)
+}
+
+// readFinalResponse reads the response. If it arrives before the body is written,
+// the connection is not reused, so that the rest of the body cannot be taken for
+// another request.
+func (x *exchange) readFinalResponse(written chan error) (*Response, error) {
+	resp, err := x.readResponse(false)
+	if err != nil || written == nil {
+		return resp, err
+	}
+	select {
+	case writeErr := <-written:
+		x.reusable = x.reusable && writeErr == nil
+	default:
+		x.reusable = false
+	}
+	return resp, nil
+}
+
+// readResponse reads responses until one belongs to the request. With
+// awaitContinue it returns nil when it reads 100 Continue.
+func (x *exchange) readResponse(awaitContinue bool) (*Response, error) {
+	req := &http.Request{Method: x.req.Method}
+	for mismatches, interim := 0, 0; ; {
+		resp, err := x.readHeader(req)
+		if err != nil {
+			return nil, err
+		}
+		if !x.gotFirstByte {
+			x.gotFirstByte = true
+			if x.req.OnFirstByte != nil {
+				x.req.OnFirstByte()
+			}
+			if x.req.FirstByteTimeout > 0 {
+				x.setReadDeadline(time.Time{})
+			}
+		}
+		if resp.StatusCode < 200 {
+			if awaitContinue && resp.StatusCode == http.StatusContinue {
+				return nil, nil
+			}
+			if interim++; interim > maxInterimResponses {
+				return nil, fmt.Errorf("received more than %d interim responses", maxInterimResponses)
+			}
+			continue
+		}
+		out, err := x.readResponseBody(resp)
+		if err != nil {
+			return nil, err
+		}
+		echoed, err := x.attribute(out, mismatches > 0)
+		if errors.Is(err, ErrForeignResponse) {
+			if mismatches++; mismatches > maxForeignResponses {
+				return nil, errors.New("received responses to other requests")
+			}
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		x.reusable = !resp.Close && mismatches == 0 && echoed
+		x.keepAliveTime = keepAliveTimeOf(resp.Header)
+		return out, nil
+	}
+}
+
+// attribute decides whether a response belongs to the request; ErrForeignResponse
+// means that it does not. echoed is set unless the response lacks the ID. Nothing
+// tells such a response from a copy of it that comes later, so its connection is not
+// reused; and one that comes after a foreign response is taken for foreign, too.
+func (x *exchange) attribute(resp *Response, foreignBefore bool) (echoed bool, err error) {
+	echoed = true
+	if x.req.IDHeader != "" && x.req.ID != "" {
+		id := resp.Header.Get(x.req.IDHeader)
+		echoed = id == x.req.ID
+		if id != "" && !echoed || id == "" && foreignBefore {
+			return echoed, ErrForeignResponse
+		}
+	}
+	if x.req.Judge == nil {
+		return echoed, nil
+	}
+	return echoed, x.req.Judge(resp, echoed)
+}
+
+// readHeader reads the status line and the headers of a response.
+func (x *exchange) readHeader(req *http.Request) (*http.Response, error) {
+	l := x.conn.limiter
+	l.limiting, l.remaining = true, maxResponseHeaderBytes+readBufferSize
+	resp, err := http.ReadResponse(x.conn.br, req)
+	l.limiting = false
+	return resp, err
+}
+
+// readResponseBody reads a response's body. A body without a length ends with the
+// connection: it is complete if the server closed the connection, and cut short
+// if the connection was reset.
+func (x *exchange) readResponseBody(resp *http.Response) (*Response, error) {
+	in := &bodyBuffer{total: &x.client.buffered, limit: x.client.MaxBufferedBytes, budget: x.client.Budget}
+	defer in.release()
+	body, err := in.readAll(resp.Body, resp.ContentLength, MaxResponseBytes)
+	if err != nil {
+		// The connection will be closed. Closing the body would first read it to
+		// its end, which may never come.
+		return nil, err
+	}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// keepAliveTimeOf returns how long a connection may be kept for reuse after a
+// response with the given headers.
+func keepAliveTimeOf(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if n, err := strconv.Atoi(v); err == nil {
+				return time.Duration(float64(n) * keepAliveFraction * float64(time.Second))
+			}
+		}
+	}
+	return defaultKeepAlive
+}
+
+func (x *exchange) encode(b *bytes.Buffer) {
+	b.WriteString(x.req.Method)
+	b.WriteByte(' ')
+	b.WriteString(x.req.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(x.req.Host)
+	b.WriteString("\r\n")
+	writeHeader(b, x.req.Header)
+	if len(x.req.Body) > 0 || x.req.Method != http.MethodGet && x.req.Method != http.MethodHead {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(x.req.Body)))
+		b.WriteString("\r\n")
+	}
+	if x.req.ExpectContinue {
+		b.WriteString("Expect: 100-continue\r\n")
+	}
+	b.WriteString("\r\n")
+}
