Accept a response without a length only if its connection was closed

What callers saw: an upstream answered a long upload at once with a 200 without a length and reset the connection; the caller got the part that had arrived as a complete response, on 2 to 6 of 80 uploads, through one node and through two.

Cause: the kernel reports a lost connection once, to the read or the write that comes first. The body is written while the response is read; when the writer met the reset, the reader saw an ordinary end, and readFinalResponse dropped the writer's error. A server that stops reading, whose connection times out after 1.2 s, passed in the same way.

Change: at the end of a response that ends with its connection, the client ends the writing and looks at its error. None, or the one that ending it causes, means that the server closed; so does EPIPE, which the kernel gives for a reset after the server's close. Any other error fails the exchange. Responses whose length or chunks have arrived are served as before.

--- a/internal/conn/h1/exchange.go
+++ b/internal/conn/h1/exchange.go
@@ -26,6 +26,9 @@
 	gotFirstByte    bool
 	reusable        bool
 	keepAliveTime   time.Duration
+	// bodyWriter is set while a body is written that was not written together with the
+	// header.
+	bodyWriter *bodyWriter
 }
 
 // markSent records that writing the header, or with allSent the whole
@@ -67,7 +70,7 @@
 		x.setReadDeadline(time.Now().Add(x.req.FirstByteTimeout))
 	}
 	if len(body) == 0 {
-		return x.readFinalResponse(nil)
+		return x.readFinalResponse()
 	}
 	if !x.req.ExpectContinue {
 		return x.sendBody(body)
@@ -95,33 +98,23 @@
 
 // sendBody writes the body while it reads the response, which may arrive first.
 func (x *exchange) sendBody(body []byte) (*Response, error) {
-	written := make(chan error, 1)
-	go func() {
+	x.bodyWriter = startBodyWriter(x.conn, func() error {
 		x.markSent(true)
-		err := x.req.Pace.write(x.conn, body)
 		if x.req.AfterBody != nil {
-			x.req.AfterBody()
+			defer x.req.AfterBody()
 		}
-		written <- err
-	}()
-	return x.readFinalResponse(written)
+		return x.req.Pace.write(x.conn, body)
+	})
+	return x.readFinalResponse()
 }
 
 // readFinalResponse reads the response. If it arrives before the body is written,
 // the connection is not reused, so that the rest of the body cannot be taken for
 // another request.
-func (x *exchange) readFinalResponse(written chan error) (*Response, error) {
+func (x *exchange) readFinalResponse() (*Response, error) {
 	resp, err := x.readResponse(false)
-	if err != nil || written == nil {
-		return resp, err
-	}
-	select {
-	case writeErr := <-written:
-		x.reusable = x.reusable && writeErr == nil
-	default:
-		x.reusable = false
-	}
-	return resp, nil
+	x.reusable = x.reusable && x.bodyWriter.wroteAll()
+	return resp, err
 }
 
 // readResponse reads responses until one belongs to the request. With
@@ -201,7 +194,7 @@
 
 // readResponseBody reads a response's body. A body without a length ends with the
 // connection: it is complete if the server closed the connection, and cut short
-// if the connection was reset.
+// if the connection was lost.
 func (x *exchange) readResponseBody(resp *http.Response) (*Response, error) {
 	in := &bodyBuffer{total: &x.client.buffered, limit: x.client.MaxBufferedBytes, budget: x.client.Budget}
 	defer in.release()
@@ -211,9 +204,20 @@
 		// its end, which may never come.
 		return nil, err
 	}
+	if endsWithConnection(resp) {
+		if err := x.bodyWriter.checkClosed(); err != nil {
+			return nil, err
+		}
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// endsWithConnection reports whether nothing but the end of the connection marks the end
+// of a response's body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // keepAliveTimeOf returns how long a connection may be kept for reuse after a
 // response with the given headers.
 func keepAliveTimeOf(h http.Header) time.Duration {
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -68,14 +68,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
 	id := r.Header.Get(platform.HeaderRequestID)
+	if r.URL.Query().Get("early") == "" {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	b.mu.Lock()
 	b.requests = append(b.requests, r)
 	b.arrivals = append(b.arrivals, time.Now())
 	b.runsByID[id]++
 	b.mu.Unlock()
-	if serveCut(w, r) {
+	if serveCut(w, r) || serveEarly(w, r) {
 		return
 	}
 	time.Sleep(b.workTime + time.Duration(b.extraWork.Load()))
