Refuse responses in which the name of a field is not a token

What callers saw: an upstream in trouble sent heads with "X Y: 1", "X : 1", "Content-Length : 5" or "Transfer-Encoding : chunked". Callers got a 200 with that line, or with a body that ran to the end of the connection.

Cause: the parser of net/http refuses all other bytes that no token has, but lets blanks in names through. The same parser reads the answers of upstreams, of other nodes, of the store, of health probes, the handshakes of links, and what the command line gets; all of them were believed.

Change: header.CheckNames checks heads, interim ones included, and trailers. h1.Client calls it; clients of net/http go through dial.CheckResponse, which also closes a connection that net/http has kept already. A malformed response is a failure that names the field, and the request may have run. RPC is HTTP/2, whose frames net/http checks.

--- a/internal/conn/h1/exchange.go
+++ b/internal/conn/h1/exchange.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/header"
 )
 
 // exchange is a request and its response on a connection.
@@ -183,13 +185,19 @@
 	return echoed, x.req.Judge(resp, echoed)
 }
 
-// readHeader reads the status line and the headers of a response.
+// readHeader reads the status line and the headers of a response, and checks them.
 func (x *exchange) readHeader(req *http.Request) (*http.Response, error) {
 	l := x.conn.limiter
 	l.limiting, l.remaining = true, maxResponseHeaderBytes+readBufferSize
 	resp, err := http.ReadResponse(x.conn.br, req)
 	l.limiting = false
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if err := header.CheckNames(resp.Header); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // readResponseBody reads a response's body. A body without a length ends with the
@@ -209,6 +217,9 @@
 			return nil, err
 		}
 	}
+	if err := header.CheckNames(resp.Trailer); err != nil {
+		return nil, err
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
--- a/internal/conn/link/conn.go
+++ b/internal/conn/link/conn.go
@@ -11,6 +11,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/dial"
 	"github.com/daisytide/daisytide/internal/request/call"
 )
 
@@ -111,12 +112,15 @@
 // Dial opens a link to the peer listener at address.
 func (d *Dialer) Dial(ctx context.Context, address string) (Conn, error) {
 	scheme := "ws"
-	options := &websocket.DialOptions{HTTPHeader: http.Header{call.HeaderPeerKey: {d.PeerKey}}}
+	var transport http.RoundTripper
 	if d.TLS != nil {
 		scheme = "wss"
-		options.HTTPClient = &http.Client{Transport: &http.Transport{TLSClientConfig: d.TLS}}
+		transport = &http.Transport{TLSClientConfig: d.TLS}
 	}
-	ws, _, err := websocket.Dial(ctx, scheme+"://"+address+Path, options)
+	ws, _, err := websocket.Dial(ctx, scheme+"://"+address+Path, &websocket.DialOptions{
+		HTTPHeader: http.Header{call.HeaderPeerKey: {d.PeerKey}},
+		HTTPClient: &http.Client{Transport: dial.CheckResponses(transport)},
+	})
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
 	}
--- a/internal/process/operated/early_response_test.go
+++ b/internal/process/operated/early_response_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/daisytide/daisytide/internal/standin/store"
 	"github.com/daisytide/daisytide/platform"
 )
 
@@ -61,17 +60,10 @@
 // reset before it read. Responses that arrived whole are served, however the connection
 // ends. A request that ran must not be refused as not run.
 func TestEarlyResponseCutByAResetIsNoSuccessForTheCaller(t *testing.T) {
-	s := store.New(1)
-	near, far := startHost(t, s, "near", "i-near"), startHostWithLink(t, s, "far", "i-far", 200)
-	writeConfig(t, s, 3)
-	for _, from := range []*host{near, far} {
-		for _, path := range []string{"/near/1", "/far/1"} {
-			waitFor(t, "a response", func() bool { status, _, _ := send("GET", from.url(path), nil); return status == http.StatusOK })
-		}
-	}
 	const plays = 60
-	for _, from := range []*host{near, far} {
-		for _, to := range []*host{near, far} {
+	hosts := startHostPair(t, 200)
+	for _, from := range hosts {
+		for _, to := range hosts {
 			for _, framing := range []string{"unframed", "length", "chunked"} {
 				for _, end := range []string{"reset", "close"} {
 					t.Run(fmt.Sprintf("%s to %s, %s, %s", from.service, to.service, framing, end), func(t *testing.T) {
--- a/internal/process/operated/operated_test.go
+++ b/internal/process/operated/operated_test.go
@@ -50,12 +50,18 @@
 	runsByID                              map[string]int
 	// leaving makes health responses say that the upstream leaves.
 	leaving atomic.Bool
+	// rawHealth, if set, is sent as it is in response to health requests.
+	rawHealth atomic.Pointer[string]
 }
 
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		b.healthRequests.Add(1)
+		if text := b.rawHealth.Load(); text != nil {
+			sendRaw(w, *text)
+			return
+		}
 		if b.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -77,7 +83,7 @@
 	b.arrivals = append(b.arrivals, time.Now())
 	b.runsByID[id]++
 	b.mu.Unlock()
-	if serveCut(w, r) || serveEarly(w, r) {
+	if serveCut(w, r) || serveEarly(w, r) || serveRaw(w, r) {
 		return
 	}
 	time.Sleep(b.workTime + time.Duration(b.extraWork.Load()))
--- a/internal/process/operator/client/apply_test.go
+++ b/internal/process/operator/client/apply_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"testing/synctest"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/standin/rawserver"
 	"github.com/daisytide/daisytide/internal/version/document"
 )
 
@@ -97,6 +99,21 @@
 	}
 }
 
+// A response with a blank in the name of a field must not tell an operator that a
+// document is in force: the outcome is unknown.
+func TestMalformedResponseOfTheNodeIsNotBelieved(t *testing.T) {
+	accepted := encode(&api.ApplyResponse{Outcome: api.ApplyAccepted, Number: 8})
+	for line, want := range map[string]api.ApplyOutcome{"X-Y: 1": api.ApplyAccepted, "X Y: 1": api.ApplyUnknown, "Content-Length : 5": api.ApplyUnknown} {
+		s := rawserver.Start(t, func(*http.Request) (string, bool) {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(accepted), accepted), false
+		})
+		node := Client{BaseURL: "http://" + s.Address, HTTP: &http.Client{Transport: &http.Transport{}}}
+		if out := node.ApplyOnce(context.Background(), []byte("{}"), 0); out.Outcome != want {
+			t.Errorf("%q: %+v, want %s", line, out, want)
+		}
+	}
+}
+
 func encode(out *api.ApplyResponse) string {
 	b, err := json.Marshal(out)
 	if err != nil {
--- a/internal/process/operator/client/client.go
+++ b/internal/process/operator/client/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/dial"
 )
 
 // maxResponseBytes is the maximum size of a response that is read.
@@ -89,9 +90,9 @@
 	}
 	req.Header.Set(api.HeaderToken, c.Token)
 	req.Header.Set(api.HeaderOperator, c.Operator)
-	resp, err := c.HTTP.Do(req)
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	resp, err := dial.Do(c.HTTP, req)
+	var dialError *net.OpError
+	if errors.As(err, &dialError) && dialError.Op == "dial" {
 		return api.Errorf(api.OperatorNoAnswer, "%w", err)
 	}
 	if err != nil {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/dial"
 	"github.com/daisytide/daisytide/internal/conn/header"
 	"github.com/daisytide/daisytide/internal/request/call"
 )
@@ -46,6 +47,9 @@
 	var tracker sentTracker
 	body := a.trackBodyErrors()
 	resp, err := a.Transport.RoundTrip(a.buildRequest(tracker.trace(ctx), r))
+	if err == nil {
+		err = dial.CheckResponse(resp, tracker.conn())
+	}
 	if err == nil {
 		return resp, call.Result{}
 	}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/daisytide/daisytide/api"
 	"github.com/daisytide/daisytide/internal/conn/dial"
 	"github.com/daisytide/daisytide/internal/request/call"
+	"github.com/daisytide/daisytide/internal/standin/rawserver"
 )
 
 // rawUpstream answers every request, except that it closes the connection after
@@ -197,6 +199,35 @@
 	}
 }
 
+// A response with a blank in the name of a field was forwarded, with that line or, where
+// the name without the blank frames the message, with another body.
+func TestMalformedResponsesAreFailures(t *testing.T) {
+	for _, line := range []string{"X Y: 1", "X : 1", "Content-Length : 5", "Transfer-Encoding : chunked", "X\x01: 1"} {
+		for _, text := range []string{
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 5\r\n\r\nhello",
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+			"HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		} {
+			s := rawserver.Start(t, func(*http.Request) (string, bool) { return text, false })
+			tr := dial.UpstreamTransport(1)
+			for n := int64(1); n <= 2; n++ {
+				res := send(t, tr, s.Address, http.MethodPost, "/x", "body", false)
+				if res.Code != api.CallCut || res.Ran != api.RanUnknown || !strings.Contains(fmt.Sprint(res.Err), "malformed") {
+					t.Errorf("%q: %+v", text, res)
+				}
+				if s.Conns() != n {
+					t.Errorf("%q: %d connections after %d responses", text, s.Conns(), n)
+				}
+			}
+		}
+	}
+	res, _ := forwardRaw(t, "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX Y: 1\r\n\r\n")
+	if res.Code != api.CallShortAnswer || !res.HeaderSent {
+		t.Errorf("malformed trailer: %+v", res)
+	}
+}
+
 func TestTrailersAreForwardedAndHopHeadersDropped(t *testing.T) {
 	_, w := forwardRaw(t, "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n"+
 		"Connection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nX-Kept: 1\r\n\r\n2\r\nok\r\n0\r\nSum: 7\r\n\r\n")
--- a/internal/request/forward/sent_tracker.go
+++ b/internal/request/forward/sent_tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptrace"
 	"sync"
 
@@ -25,14 +26,26 @@
 	wroteEarlier bool
 }
 
-// trace returns ctx with the tracker's trace hooks.
+// trace returns ctx with the tracker's trace hooks, and one that fails the request if an
+// interim response is malformed.
 func (s *sentTracker) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      s.gotConn,
-		WroteHeaders: s.wroteHeaders,
+		GotConn:        s.gotConn,
+		WroteHeaders:   s.wroteHeaders,
+		Got1xxResponse: dial.CheckInterimResponse,
 	})
 }
 
+// conn returns the counted connection that the request was sent on; nil if there is none.
+func (s *sentTracker) conn() net.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counted == nil {
+		return nil
+	}
+	return s.counted
+}
+
 func (s *sentTracker) gotConn(info httptrace.GotConnInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
