Refuse requests in which the name of a field is not a token

What callers saw: a POST with "Content-Length : 86" or "Transfer-Encoding : chunked" ran without its body, and a body in the form of a request ran as a second one on the same connection.

Cause: h1.Server reads heads with the parser of net/http, which lets blanks in names through and does not know the length or the encoding in such a field.

Change: the server checks names with header.CheckNames, in heads and in trailers of chunked bodies. It answers 400, closes the connection and handles nothing of the request. The listeners of net/http's server did so already.

--- a/internal/conn/h1/server_conn.go
+++ b/internal/conn/h1/server_conn.go
@@ -15,6 +15,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/daisytide/daisytide/internal/conn/header"
 )
 
 // headerLimiter limits the bytes that are read from a connection while a header is
@@ -236,6 +238,9 @@
 		// its deadline.
 		defer c.releaseHeader(headerBytes)
 	}
+	if err := header.CheckNames(r.Header); err != nil {
+		return c.handleReadError(err)
+	}
 	req := &Request{Method: r.Method, Target: originTarget(r), Host: r.Host, Header: r.Header, ReceivedAt: time.Now(), RemoteIP: c.remoteIP}
 	expectsContinue := strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	_ = c.conn.SetReadDeadline(time.Time{})
@@ -267,6 +272,10 @@
 		c.cancel()
 		return false
 	}
+	if err := header.CheckNames(r.Trailer); err != nil {
+		release()
+		return c.handleReadError(err)
+	}
 	req.Body = body
 	return c.start(req, r.Close, release, nil)
 }
@@ -301,7 +310,7 @@
 	return r.URL.RequestURI()
 }
 
-// handleReadError responds to a request header that could not be read. A caller
+// handleReadError responds to a request that could not be read or is malformed. A caller
 // that sent nothing or disconnected gets no response.
 func (c *serverConn) handleReadError(err error) bool {
 	switch {
@@ -478,6 +487,10 @@
 		return false
 	}
 	defer release()
+	if err := header.CheckNames(r.Trailer); err != nil {
+		result <- bodyResult{err: err}
+		return false
+	}
 	result <- bodyResult{body: body}
 	return c.watchDisconnect(finished)
 }
