Have nodes that the store serves watch it

Callers of a node that reached the store were served by an old configuration for as long as the store refused the nodes that watch it, or was silent to them.

Cause: which nodes watch the store was decided by a hash of their addresses alone, whether the store serves them or not. The others neither ask it nor learn that the watchers hear nothing.

Change: each member's record says whether the store serves the node. A watcher whose calls fail twice, or time out once, says that it has lost the store, and the next member of its data centre takes its place; up to twice as many try at once until enough are served. When a node says so, every watcher replaces its watch by a read, because the reply of one that hears nothing is long in coming, and as many nodes again that do not watch read the store once. A node that has lost the store tries it again after a second; if more have lost it than watch, each tries less often, so that an outage costs the same calls at any size. After a change, which ends all watches at once, the next ones are spread over their whole duration, so that one ends every 350 ms again. After a failed watch all keys are listed, as it may have missed changes.

--- a/internal/process/gossip/fleet_test.go
+++ b/internal/process/gossip/fleet_test.go
@@ -122,10 +122,13 @@
 	n.guard = kvstore.NewRateLimitedStore(pausedStore{Store: f.store, net: f.net, address: address}, storeRate)
 	n.provider = &provider.Provider{
 		Store: n.guard, Holder: n.holder, RolloutEnded: func(string) bool { return false },
-		IsWatcher: func() bool {
-			return provider.WatcherRank(n.members.Index().Members, n.self.Record()) < provider.WatchersPerDataCentre
+		View: func() provider.WatchView {
+			return provider.NewWatchView(n.members.Index().Members, n.self.Record(), n.gossip.LinkCount(), provider.WatchersPerDataCentre)
 		},
+		PublishAccess: n.self.SetStoreAccess,
 	}
+	n.provider.Start()
+	n.members.OnStoreLost = n.provider.StoreLostElsewhere
 	n.gossip = gossip.NewManager(gossip.Config{
 		Self: n.self.Record, Members: n.members, Holder: n.holder, ConfigStore: n.provider, RandomSeed: f.starts,
 		Dialer:        f.net.Dialer(address),
--- a/internal/process/membership/record.go
+++ b/internal/process/membership/record.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// StoreAccess is what a node tells of its access to the platform's store.
+type StoreAccess uint8
+
+// Values of StoreAccess.
+const (
+	// StoreUnknown means that the node does not watch the store.
+	StoreUnknown StoreAccess = iota
+	// StoreServes means that the node watches the store and had a reply.
+	StoreServes
+	// StoreLost means that the node's calls fail.
+	StoreLost
+)
+
 // Record describes one node and its upstream.
 type Record struct {
 	// Address is the node's peer listener (IP and port); it identifies the node.
@@ -61,6 +74,9 @@
 	// Gate is the address that receives other nodes' requests; empty means
 	// the peer listener.
 	Gate string `cbor:"12,keyasint,omitempty"`
+	// Store is the node's access to the store. Values that this version does not know
+	// count as StoreUnknown.
+	Store StoreAccess `cbor:"13,keyasint,omitempty"`
 }
 
 // Supersedes reports whether r replaces old: the higher incarnation wins, then
--- a/internal/process/membership/self.go
+++ b/internal/process/membership/self.go
@@ -59,6 +59,11 @@
 	s.update(func(r *Record) { r.State = state })
 }
 
+// SetStoreAccess publishes the node's access to the store.
+func (s *Self) SetStoreAccess(a StoreAccess) {
+	s.update(func(r *Record) { r.Store = a })
+}
+
 // refute raises the incarnation above a record of this address that peers hold
 // and that supersedes the node's own: a suspicion, or a record of an earlier start
 // whose clock was ahead.
--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -62,6 +62,10 @@
 // since the last read; the first reader after a change rebuilds it, so a burst
 // of changes costs one rebuild.
 type Table struct {
+	// OnStoreLost, if set, is called when the record of another node says that it has
+	// lost the store. It must not block and must not call the table.
+	OnStoreLost func()
+
 	index atomic.Pointer[Index]
 	stale atomic.Bool
 	// generation increases when the set of members, their locations or their
@@ -217,6 +221,9 @@
 		t.generation.Add(1)
 	}
 	t.stale.Store(true)
+	if e.record.Store == StoreLost && old.record.Store != StoreLost && e.record.Address != t.self && t.OnStoreLost != nil {
+		t.OnStoreLost()
+	}
 }
 
 // checksumPart returns the entry's contribution to its bucket's checksum.
--- a/internal/process/node/operator_node.go
+++ b/internal/process/node/operator_node.go
@@ -18,7 +18,7 @@
 		Members:    len(n.members.Index().Members),
 
 		Source:       string(n.provider.Source()),
-		Watcher:      n.isWatcher(),
+		Watcher:      n.watchView().Watches(),
 		StoreReached: n.storeReached(),
 	}
 }
--- a/internal/process/node/wire_gossip.go
+++ b/internal/process/node/wire_gossip.go
@@ -27,11 +27,14 @@
 		Rack:       n.cfg.Node.Rack,
 	}, n.members, uint64(time.Now().UnixMilli()))
 	n.provider = &provider.Provider{
-		Store:        n.store,
-		Holder:       n.holder,
-		RolloutEnded: func(string) bool { return false },
-		IsWatcher:    n.isWatcher,
+		Store:         n.store,
+		Holder:        n.holder,
+		RolloutEnded:  func(string) bool { return false },
+		View:          n.watchView,
+		PublishAccess: n.self.SetStoreAccess,
 	}
+	n.provider.Start()
+	n.members.OnStoreLost = n.provider.StoreLostElsewhere
 	seeds := &provider.Seeds{
 		Store:      n.store,
 		Members:    n.members,
@@ -60,10 +63,9 @@
 	n.addRunner(seeds.Run)
 }
 
-// isWatcher reports whether this node is one of the nodes of its data centre
-// that watch the store.
-func (n *Node) isWatcher() bool {
-	return provider.WatcherRank(n.members.Index().Members, n.self.Record()) < provider.WatchersPerDataCentre
+// watchView returns what decides whether this node watches the store.
+func (n *Node) watchView() provider.WatchView {
+	return provider.NewWatchView(n.members.Index().Members, n.self.Record(), n.gossip.LinkCount(), provider.WatchersPerDataCentre)
 }
 
 func (n *Node) handleProbe(_ context.Context, address string) (bool, error) {
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -248,10 +248,12 @@
 	})
 	n.registry.LinkCount, n.registry.OnList, n.registry.Publisher = n.gossip.LinkCount, n.gossip.Wake, n.gossip
 	n.store.OnRecovery = n.registry.StoreRecovered
-	n.provider.LinkCount = n.gossip.LinkCount
-	n.provider.IsWatcher = func() bool {
-		return provider.WatcherRank(n.members.Index().Members, n.self.Record()) < watchersPerDataCentre(n.dataCentreCount())
+	n.provider.View = func() provider.WatchView {
+		return provider.NewWatchView(n.members.Index().Members, n.self.Record(), n.gossip.LinkCount(), watchersPerDataCentre(n.dataCentreCount()))
 	}
+	n.provider.PublishAccess = n.self.SetStoreAccess
+	n.provider.Start()
+	n.members.OnStoreLost = n.provider.StoreLostElsewhere
 	// Each data centre has as many watchers as watchersPerDataCentre says; a small
 	// fleet has no more of them than members.
 	n.provider.WatcherCount = func() int {
--- a/internal/process/operated/operators.go
+++ b/internal/process/operated/operators.go
@@ -50,7 +50,7 @@
 		Address: n.cfg.Peers.Listen, Region: n.cfg.Node.Region, DataCentre: n.cfg.Node.DataCentre,
 		Number: n.holder.Current().Number(), Ready: n.holder.Current() != nil && !n.stopping.Load(),
 		Links: n.gossip.LinkCount(), Members: len(n.members.Index().Members),
-		Watcher: n.provider.IsWatcher(), StoreReached: n.store.Reachable(),
+		Watcher: n.provider.View().Watches(), StoreReached: n.store.Reachable(),
 		Evacuated: n.evacuations.View().Names(),
 	}
 }
--- a/internal/process/provider/follower.go
+++ b/internal/process/provider/follower.go
@@ -17,6 +17,8 @@
 	"github.com/daisytide/daisytide/internal/ctxtime"
 	"github.com/daisytide/daisytide/internal/logs"
 	"github.com/daisytide/daisytide/internal/process/evacuation"
+	"github.com/daisytide/daisytide/internal/process/loop"
+	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 	"github.com/daisytide/daisytide/internal/version/traffic"
@@ -34,6 +36,11 @@
 	minWatch          = 3 * time.Second
 	maxWatch          = 25 * time.Second
 	watchWithoutLinks = 2 * time.Second
+	// minFirstWatch is the shortest watch after a change.
+	minFirstWatch = 100 * time.Millisecond
+	// minCheckInterval is the minimum time between two reads, or between the start of a
+	// watch and a read, because another node has lost the store.
+	minCheckInterval = 500 * time.Millisecond
 	// followRetryJitter is the maximum random delay after a failed call, in
 	// addition to the backoff of the store's guard.
 	followRetryJitter = 200 * time.Millisecond
@@ -66,29 +73,45 @@
 	OnOrder func(e kvstore.Entry, listed bool) error
 	// Evacuations receives the keys under Keys.Evacuations; nil ignores them.
 	Evacuations *evacuation.Set
-	// LinkCount returns the number of established peer links, and WatcherCount that
-	// of watchers in the fleet, on which the duration of a watch depends.
-	LinkCount, WatcherCount func() int
-	// IsWatcher reports whether this node watches the store for its data centre.
+	// WatcherCount returns the number of watchers in the fleet, on which the duration of a
+	// watch depends.
+	WatcherCount func() int
+	// View returns what decides whether this node watches the store for its data centre.
 	// The other nodes receive changes from their peers.
-	IsWatcher func() bool
+	View func() WatchView
+	// PublishAccess tells the other nodes whether the store serves this one; nil does
+	// nothing.
+	PublishAccess func(membership.StoreAccess)
 	// FirstStart is set if the whole fleet starts for the first time.
 	FirstStart bool
 
+	access storeAccess
+	// lostElsewhere is woken when another node has lost the store.
+	lostElsewhere loop.Waker
 	// invalidEntries counts the entries that were not usable.
 	invalidEntries atomic.Int64
 }
 
-// shouldWatch reports whether this node should watch the store now. A node without
-// links must, since it receives nothing from peers.
-func (f *Follower) shouldWatch() bool { return f.LinkCount() == 0 || f.IsWatcher() }
+// Start prepares a follower whose exported fields are set.
+func (f *Follower) Start() {
+	f.lostElsewhere = loop.NewWaker()
+	f.access = storeAccess{publish: publisherOf(f.PublishAccess), maxRetestInterval: retestInterval}
+}
+
+// StoreLostElsewhere reports that another node has lost the store.
+func (f *Follower) StoreLostElsewhere() { f.lostElsewhere.Wake() }
 
-// watchDuration returns how long the next watch waits for changes.
-func (f *Follower) watchDuration() time.Duration {
-	if f.LinkCount() == 0 {
+// watchDuration returns how long the next watch waits for changes. A change ends all
+// watches of the fleet at once; the next ones, for which afterChange is set, are spread
+// over the whole duration, so that one ends every watchPerWatcher again.
+func (f *Follower) watchDuration(afterChange bool) time.Duration {
+	if f.View().Links == 0 {
 		return watchWithoutLinks
 	}
 	w := min(max(time.Duration(f.WatcherCount())*watchPerWatcher, minWatch), maxWatch)
+	if afterChange {
+		return minFirstWatch + rand.N(w)
+	}
 	return w/2 + rand.N(w)
 }
 
@@ -106,34 +129,55 @@
 
 // Run follows the operator's keys until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	if f.FirstStart && f.waitForPeers(ctx) || !f.FirstStart && f.suppliedAtRestart(ctx) {
-		f.waitUntilWatcher(ctx)
+	supplied := f.FirstStart && f.waitForPeers(ctx) || !f.FirstStart && f.suppliedAtRestart(ctx)
+	for ctx.Err() == nil && !supplied {
+		supplied = f.follow(ctx)
 	}
 	for ctx.Err() == nil {
-		if err := f.follow(ctx); err != nil {
-			klog.V(1).Infof(logPrefix+"follow the operator's keys: %v", err)
-			ctxtime.Sleep(ctx, rand.N(followRetryJitter))
-			continue
+		switch lostElsewhere := f.waitForDuty(ctx); {
+		case ctx.Err() != nil:
+		case f.access.due(f.View(), time.Now()):
+			f.follow(ctx)
+		case lostElsewhere && f.View().checks():
+			f.follow(ctx)
+			ctxtime.Sleep(ctx, minCheckInterval)
 		}
-		f.waitUntilWatcher(ctx)
 	}
 	return nil
 }
 
-// follow lists all keys and then watches them while this node should watch.
-func (f *Follower) follow(ctx context.Context) error {
-	after, err := f.list(ctx)
-	for err == nil && ctx.Err() == nil && f.shouldWatch() {
-		after, err = f.watch(ctx, after)
+// waitForDuty waits until this node is due to call the store, or another node has lost
+// it, which it reports.
+func (f *Follower) waitForDuty(ctx context.Context) (lostElsewhere bool) {
+	for ctx.Err() == nil && !f.access.due(f.View(), time.Now()) {
+		select {
+		case <-ctx.Done():
+		case <-f.lostElsewhere:
+			return true
+		case <-time.After(pollInterval):
+		}
 	}
-	return err
+	return false
 }
 
-// waitUntilWatcher waits until this node should watch the store.
-func (f *Follower) waitUntilWatcher(ctx context.Context) {
-	for ctx.Err() == nil && !f.shouldWatch() {
-		ctxtime.Sleep(ctx, pollInterval)
+// follow lists all keys and then watches them while this node should watch. It reports
+// whether the list succeeded. A watch that failed may have missed changes, so that the
+// next call lists all keys again.
+func (f *Follower) follow(ctx context.Context) (listed bool) {
+	after, err := f.list(ctx)
+	listed = err == nil
+	for afterChange := true; err == nil && f.access.served(f.View()); {
+		after, afterChange, err = f.watch(ctx, after, f.watchDuration(afterChange))
+	}
+	if err == nil || ctx.Err() != nil || errors.Is(err, errDoubted) {
+		return listed
+	}
+	klog.V(1).Infof(logPrefix+"follow the operator's keys: %v", err)
+	if kvstore.OutcomeOf(err) != kvstore.OutcomeHistoryLost {
+		f.access.failed(err, f.View(), time.Now())
 	}
+	ctxtime.Sleep(ctx, rand.N(followRetryJitter))
+	return listed
 }
 
 // waitForPeers waits for the configuration from peers when a fleet starts for the
@@ -141,7 +185,7 @@
 // store.
 func (f *Follower) waitForPeers(ctx context.Context) bool {
 	ctxtime.Sleep(ctx, rand.N(joinJitter))
-	for end := time.Now().Add(joinTimeout); time.Now().Before(end) && ctx.Err() == nil && !f.shouldWatch(); {
+	for end := time.Now().Add(joinTimeout); time.Now().Before(end) && ctx.Err() == nil && !f.View().Watches(); {
 		if f.HighestNumber() > 0 {
 			return true
 		}
@@ -154,7 +198,7 @@
 // reports whether they did and other nodes watch the store.
 func (f *Follower) suppliedAtRestart(ctx context.Context) bool {
 	for end := time.Now().Add(restartWait); time.Now().Before(end) && ctx.Err() == nil; {
-		if f.HighestNumber() > 0 && !f.shouldWatch() {
+		if f.HighestNumber() > 0 && !f.View().Watches() {
 			return true
 		}
 		ctxtime.Sleep(ctx, restartPoll)
@@ -180,24 +224,41 @@
 	return revision, nil
 }
 
-// watch waits for changes once. After an error it continues from the same revision
-// unless the store has dropped the history.
-func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
-	entries, revision, err := f.Store.Watch(ctx, f.Keys.Prefix, after, min(f.watchDuration(), kvstore.MaxWatchWait))
+// errDoubted ends a watch because another node has lost the store.
+var errDoubted = errors.New("another node has lost the store")
+
+// watch waits for changes once. It returns the revision to continue from and whether
+// there were changes.
+func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration) (uint64, bool, error) {
+	watchCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go f.cancelInDoubt(watchCtx, cancel)
+	entries, revision, err := f.Store.Watch(watchCtx, f.Keys.Prefix, after, min(wait, kvstore.MaxWatchWait))
 	if err != nil {
-		if kvstore.OutcomeOf(err) == kvstore.OutcomeHistoryLost {
-			return 0, err
+		if cause := context.Cause(watchCtx); errors.Is(cause, errDoubted) {
+			return 0, false, cause
 		}
-		klog.V(1).Infof(logPrefix+"watch the operator's keys: %v", err)
-		ctxtime.Sleep(ctx, rand.N(followRetryJitter))
-		return after, nil
+		return 0, false, err
 	}
 	f.applyChangedEvacuations(entries)
 	f.applyNewestConfig(entries)
 	for _, e := range entries {
 		f.applyOrder(e, false)
 	}
-	return revision, nil
+	return revision, len(entries) > 0, nil
+}
+
+// cancelInDoubt cancels a watch when another node has lost the store, since the reply of
+// one that hears nothing any more is long in coming.
+func (f *Follower) cancelInDoubt(ctx context.Context, cancel context.CancelCauseFunc) {
+	if !ctxtime.Sleep(ctx, minCheckInterval) {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.lostElsewhere:
+		cancel(errDoubted)
+	}
 }
 
 // applyNewestConfig puts the newest configuration among the entries into force. One
--- a/internal/process/provider/follower_test.go
+++ b/internal/process/provider/follower_test.go
@@ -34,14 +34,24 @@
 	orders atomic.Int64
 }
 
+// viewOf returns the view of a node that watches the store, or leaves it to another one.
+func viewOf(links int, watches bool) func() WatchView {
+	v := WatchView{Links: links, Watchers: 1}
+	if !watches {
+		v.Before, v.Served = 1, 1
+	}
+	return func() WatchView { return v }
+}
+
 func newFollower(s kvstore.Store) *followerHarness {
 	r := &followerHarness{}
 	r.Follower = &Follower{
 		Store: s, Holder: &snapshot.Holder{},
-		Keys:      traffic.OperatorKeys{Prefix: opPrefix, Config: opConfig, Orders: opOrders, Decode: decodeNumber},
-		OnOrder:   func(kvstore.Entry, bool) error { r.orders.Add(1); return nil },
-		LinkCount: func() int { return 0 }, WatcherCount: func() int { return 1 }, IsWatcher: func() bool { return true },
+		Keys:    traffic.OperatorKeys{Prefix: opPrefix, Config: opConfig, Orders: opOrders, Decode: decodeNumber},
+		OnOrder: func(kvstore.Entry, bool) error { r.orders.Add(1); return nil },
+		View:    viewOf(0, true), WatcherCount: func() int { return 1 },
 	}
+	r.Start()
 	return r
 }
 
@@ -147,13 +157,13 @@
 
 func TestNodeWithoutPeersUsesShorterWatches(t *testing.T) {
 	r := newFollower(store.New(1))
-	if r.watchDuration() > watchWithoutLinks {
+	if r.watchDuration(false) > watchWithoutLinks {
 		t.Error("a node without links watches longer than watchWithoutLinks")
 	}
-	r.LinkCount = func() int { return 3 }
+	r.View = viewOf(3, true)
 	r.WatcherCount = func() int { return 1000 }
 	for range 100 {
-		if w := r.watchDuration(); w < maxWatch/2 {
+		if w := r.watchDuration(false); w < maxWatch/2 {
 			t.Fatalf("a node in a fleet with 1,000 watchers starts a watch every %v", w)
 		}
 	}
@@ -165,8 +175,7 @@
 	r := newFollower(s)
 	var links atomic.Int64
 	links.Store(3)
-	r.LinkCount = func() int { return int(links.Load()) }
-	r.IsWatcher = func() bool { return false }
+	r.View = func() WatchView { return viewOf(int(links.Load()), false)() }
 	startFollower(t, r)
 	r.waitFor(t, "the first configuration", func() bool { return r.HighestNumber() == 7 })
 	putValue(t, s, opConfig, "8")
@@ -195,7 +204,7 @@
 				s := store.New(1)
 				putValue(t, s, opConfig, "7")
 				r := newFollower(s)
-				r.FirstStart, r.LinkCount, r.IsWatcher = true, func() int { return tc.links }, func() bool { return tc.watcher }
+				r.FirstStart, r.View = true, viewOf(tc.links, tc.watcher)
 				if tc.peersSupply {
 					if err := r.applyConfig([]byte("7")); err != nil {
 						t.Fatal(err)
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -12,6 +12,8 @@
 
 	"github.com/daisytide/daisytide/internal/conn/kvstore"
 	"github.com/daisytide/daisytide/internal/ctxtime"
+	"github.com/daisytide/daisytide/internal/process/loop"
+	"github.com/daisytide/daisytide/internal/process/membership"
 	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
@@ -31,6 +33,9 @@
 	// pollInterval is the interval at which the watcher rank and the peers are
 	// checked.
 	pollInterval = 250 * time.Millisecond
+	// maxRetestInterval is the longest mean time between the attempts of a node that has
+	// lost the store, unless many have.
+	maxRetestInterval = 30 * time.Second
 	// syncedPolls is the number of consecutive polls at which Synced must hold.
 	// Right after the first link, the other members are not known yet.
 	syncedPolls = 8
@@ -58,9 +63,12 @@
 	// RolloutDone reports whether a service's rollout is done and not withdrawn;
 	// nil means that none is.
 	RolloutDone func(service string) bool
-	// IsWatcher reports whether this node watches the store for its data centre;
+	// View returns what decides whether this node watches the store for its data centre;
 	// nil means that it always does.
-	IsWatcher func() bool
+	View func() WatchView
+	// PublishAccess tells the other nodes whether the store serves this one; nil does
+	// nothing.
+	PublishAccess func(membership.StoreAccess)
 	// Synced reports whether every reachable peer has announced its
 	// configuration; nil means that they never have.
 	Synced func() bool
@@ -73,8 +81,21 @@
 	pending *snapshot.Snapshot
 	// storeRevision is the store revision of the last configuration read.
 	storeRevision uint64
+
+	access storeAccess
+	// lostElsewhere is woken when another node has lost the store.
+	lostElsewhere loop.Waker
+}
+
+// Start prepares a provider whose exported fields are set; Run needs it if View is set.
+func (p *Provider) Start() {
+	p.lostElsewhere = loop.NewWaker()
+	p.access = storeAccess{publish: publisherOf(p.PublishAccess), maxRetestInterval: maxRetestInterval}
 }
 
+// StoreLostElsewhere reports that another node has lost the store.
+func (p *Provider) StoreLostElsewhere() { p.lostElsewhere.Wake() }
+
 // Source returns the origin of the first configuration.
 func (p *Provider) Source() Source {
 	p.mu.Lock()
@@ -132,17 +153,51 @@
 // Run loads the first configuration and then watches the store whenever this node
 // is a watcher, until ctx ends.
 func (p *Provider) Run(ctx context.Context) error {
+	if p.View == nil {
+		p.View = func() WatchView { return WatchView{} }
+	}
+	if p.lostElsewhere == nil {
+		p.Start()
+	}
 	ctxtime.Sleep(ctx, rand.N(startJitter))
 	p.start(ctx)
-	for ctx.Err() == nil {
-		if p.shouldWatch() {
-			p.watch(ctx)
+	for verify := false; ctx.Err() == nil; {
+		v := p.View()
+		switch {
+		case p.access.due(v, time.Now()):
+			p.watch(ctx, verify || v.Lost)
+		case verify && v.checks():
+			_ = p.verifyAccess(ctx)
 		}
-		ctxtime.Sleep(ctx, pollInterval)
+		verify = p.wait(ctx)
 	}
 	return nil
 }
 
+// wait waits for pollInterval, or until another node has lost the store, which it
+// reports.
+func (p *Provider) wait(ctx context.Context) (lostElsewhere bool) {
+	ctxtime.Sleep(ctx, pollInterval)
+	select {
+	case <-p.lostElsewhere:
+		return true
+	default:
+		return false
+	}
+}
+
+// verifyAccess reads the store, as the reply of a watch that hears nothing any more is
+// long in coming.
+func (p *Provider) verifyAccess(ctx context.Context) error {
+	err := p.read(ctx)
+	if err == nil {
+		p.access.served(p.View())
+	} else if ctx.Err() == nil {
+		p.access.failed(err, p.View(), time.Now())
+	}
+	return err
+}
+
 // start reads the store. If that fails repeatedly, the peers' highest
 // configuration ends the startup instead.
 func (p *Provider) start(ctx context.Context) {
@@ -225,16 +280,17 @@
 	p.storeRevision = max(p.storeRevision, revision)
 }
 
-func (p *Provider) shouldWatch() bool { return p.IsWatcher == nil || p.IsWatcher() }
-
-// watch follows the configuration key until this node is no longer a watcher.
-func (p *Provider) watch(ctx context.Context) {
+// watch follows the configuration key until this node is no longer a watcher or another
+// node has lost the store. With verify set it reads the key first.
+func (p *Provider) watch(ctx context.Context, verify bool) {
+	if verify && p.verifyAccess(ctx) != nil {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		defer cancel()
-		for ctx.Err() == nil && p.shouldWatch() {
-			ctxtime.Sleep(ctx, pollInterval)
+		for p.View().Watches() && len(p.lostElsewhere) == 0 && ctxtime.Sleep(ctx, pollInterval) {
 		}
 	}()
 	p.mu.Lock()
@@ -242,11 +298,16 @@
 	p.mu.Unlock()
 	for ctx.Err() == nil {
 		entries, revision, err := p.watchOnce(ctx, after)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"watch the configuration: %v", err)
+			p.access.failed(err, p.View(), time.Now())
 			ctxtime.Sleep(ctx, rand.N(pollInterval))
 			continue
 		}
+		p.access.served(p.View())
 		for _, e := range entries {
 			p.applyEntry(e)
 		}
--- a/internal/process/provider/restart_test.go
+++ b/internal/process/provider/restart_test.go
@@ -31,8 +31,7 @@
 				if err := peer.applyConfig([]byte("7")); err != nil {
 					t.Fatal(err)
 				}
-				r.LinkCount = func() int { return tc.links }
-				r.IsWatcher = func() bool { return tc.watcher }
+				r.View = viewOf(tc.links, tc.watcher)
 				ctx, cancel := context.WithCancel(context.Background())
 				done := make(chan struct{})
 				go func() {
