Give the provider's calls to the store limits of their own

A change came late at a node whose other calls were waiting for the store.

Cause: one token bucket and one backoff served all calls of a node to the store, first come first served. At four calls a second, the watch waited behind each caller for a quarter of a second; a list, whose limit is three seconds, failed behind twelve. Failing writes held the watch back as well.

Change: the provider has a bucket of the same rate and a backoff of its own. Only watchers use it often. The counters of calls add both up.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -145,9 +145,12 @@
 	gate             *egress.Gate
 	ingress          *ingress.Ingress
 	store            *kvstore.RateLimitedStore
-	peerRPC          *rpc.Client
-	fleetStatus      *fleetstatus.Collector
-	traffic          *link.Traffic
+	// providerStore is the store with limits of its own, so that the other calls of this
+	// node, their tokens and their failures, hold no change back.
+	providerStore *kvstore.RateLimitedStore
+	peerRPC       *rpc.Client
+	fleetStatus   *fleetstatus.Collector
+	traffic       *link.Traffic
 
 	callerServer, gateServer, readyServer *h1.Server
 	peerServer, operatorServer            *http.Server
@@ -177,9 +180,9 @@
 	n := &Node{
 		cfg: cfg, adapter: adapter, log: log, metrics: new(expvar.Map).Init(), requests: metrics.New(),
 		startedAt: time.Now(), holder: &snapshot.Holder{}, members: membership.NewTable(), traffic: &link.Traffic{},
-		store: kvstore.NewRateLimitedStore(store, cfg.Store.Rate),
+		store: kvstore.NewRateLimitedStore(store, cfg.Store.Rate), providerStore: kvstore.NewRateLimitedStore(store, cfg.Store.Rate),
 	}
-	n.store.MaxBackoff = maxStoreBackoff
+	n.store.MaxBackoff, n.providerStore.MaxBackoff = maxStoreBackoff, maxStoreBackoff
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -231,7 +234,7 @@
 	keys := n.adapter.OperatorKeys()
 	n.evacuations = &evacuation.Set{}
 	n.provider = &provider.Follower{
-		Store: n.store, Holder: n.holder, Keys: keys, OnOrder: n.handleOrder, Evacuations: n.evacuations, FirstStart: n.cfg.Operated.FirstStart,
+		Store: n.providerStore, Holder: n.holder, Keys: keys, OnOrder: n.handleOrder, Evacuations: n.evacuations, FirstStart: n.cfg.Operated.FirstStart,
 	}
 	n.registry = &registry.Registry{
 		Store: n.store, Self: n.self.Record, Members: n.members, TTL: n.cfg.Operated.LeaseTTL,
@@ -247,7 +250,7 @@
 		OnSent: n.requests.Traffic.Add,
 	})
 	n.registry.LinkCount, n.registry.OnList, n.registry.Publisher = n.gossip.LinkCount, n.gossip.Wake, n.gossip
-	n.store.OnRecovery = n.registry.StoreRecovered
+	n.store.OnRecovery, n.providerStore.OnRecovery = n.registry.StoreRecovered, n.registry.StoreRecovered
 	n.provider.View = func() provider.WatchView {
 		return provider.NewWatchView(n.members.Index().Members, n.self.Record(), n.gossip.LinkCount(), watchersPerDataCentre(n.dataCentreCount()))
 	}
@@ -437,10 +440,22 @@
 	for ctx.Err() == nil {
 		ctxtime.Sleep(ctx, trafficLogInterval)
 		slog.Info(logPrefix+"traffic with other data centres and the store",
-			logs.FieldBytes, n.requests.Traffic.Outside(n.cfg.Node.DataCentre), logs.FieldStoreCalls, fmt.Sprint(n.store.CallsByOperation()))
+			logs.FieldBytes, n.requests.Traffic.Outside(n.cfg.Node.DataCentre), logs.FieldStoreCalls, fmt.Sprint(n.storeCalls()))
 	}
 }
 
+// storeCalls returns the number of calls sent to the store by operation.
+func (n *Node) storeCalls() map[string]uint64 {
+	out := n.store.CallsByOperation()
+	for op, calls := range n.providerStore.CallsByOperation() {
+		out[op] += calls
+	}
+	return out
+}
+
+// totalStoreCalls returns the number of calls sent to the store.
+func (n *Node) totalStoreCalls() uint64 { return n.store.Calls() + n.providerStore.Calls() }
+
 // Run serves until ctx ends, then stops without interrupting requests.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -82,7 +82,7 @@
 		"configuration": func() any { return n.holder.Current().Number() },
 		"members":       func() any { return len(n.members.Index().Members) },
 		"links":         func() any { return n.gossip.LinkCount() },
-		"store_calls":   func() any { return n.store.Calls() },
+		"store_calls":   func() any { return n.totalStoreCalls() },
 		"requests":      func() any { return c.Requests.Load() },
 		"answered":      func() any { return c.Answered.Load() },
 		"refused":       func() any { return c.Refused.Load() },
@@ -132,7 +132,7 @@
 		n.requests.AddGauge("connections_closed_"+l.Name, "Connections that were closed because the listener had reached its limit.", func() float64 { return float64(l.Closed()) })
 		n.requests.AddGauge("accept_errors_"+l.Name, "Accepts of the listener that failed.", func() float64 { return float64(l.AcceptErrors()) })
 	}
-	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.store.Calls()) })
+	n.requests.AddGauge("store_calls", "Calls to the platform's store since the start.", func() float64 { return float64(n.totalStoreCalls()) })
 }
 
 // publishLinkMetrics adds the gauges of the large transfers on the host's link.
