Refuse responses whose status is below 100, or 101 unasked

What callers saw: an upstream in trouble sent "HTTP/1.1 000 Odd" or "001", and a whole 200 after it on the same connection. Callers got the 200 as the answer. The same after a 101 that the request had not asked for.

Cause: the parser of net/http takes any number of three characters as a status, also 000 and +99, and over HTTP/2 0200 and +200. h1.Client dropped each response below 200 as interim. Clients of net/http returned a status below 100 as that of the final response, with the next response as its body; in forward, WriteHeader panicked on 001. RPC took a reply with 0200 for a success.

Change: header.CheckStatus demands three digits from 100 on in the text of the status line, and no 101 unless the request has an Upgrade field. h1.Client calls it for each head, dial.CheckResponse for clients of net/http, and RPC goes through dial.Do now. Such a response fails as other malformed ones do: 502, it is unknown whether the request ran, and the connection is closed (over HTTP/2 the stream). The hook for interim responses refuses 101 over HTTP/2. Left: an interim response over HTTP/2 whose text is no status though its number is ("+103"), since net/http hides the text.

TestMalformedHealthResponseIsNotBelieved runs its old case unchanged beside the new one.

--- a/internal/conn/dial/check_response.go
+++ b/internal/conn/dial/check_response.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckResponse(resp, used.get()); err != nil {
+	if err := CheckResponse(req, resp, used.get()); err != nil {
 		return nil, err
 	}
 	return resp, nil
@@ -66,16 +66,24 @@
 }
 
 // CheckInterimResponse returns an error if an interim response is malformed. It is a hook
-// for httptrace.ClientTrace.
-func CheckInterimResponse(_ int, h textproto.MIMEHeader) error {
+// for httptrace.ClientTrace, which gets 101 over HTTP/2 alone: that has no such status (RFC
+// 9113, 8.6).
+func CheckInterimResponse(status int, h textproto.MIMEHeader) error {
+	if status == http.StatusSwitchingProtocols {
+		return header.ErrSwitch
+	}
 	return header.CheckNames(http.Header(h))
 }
 
-// CheckResponse returns an error if a response of net/http is malformed, and makes reads
-// of its body fail if a trailer is. It then closes the body and, if the response came over
-// HTTP/1.1 and conn is not nil, conn: the transport may have kept it for reuse already.
-func CheckResponse(resp *http.Response, conn net.Conn) error {
-	if err := header.CheckNames(resp.Header); err != nil {
+// CheckResponse returns an error if a response of net/http to req is malformed, and makes
+// reads of its body fail if a trailer is. It then closes the body and, if the response came
+// over HTTP/1.1 and conn is not nil, conn: the transport may have kept it for reuse already.
+func CheckResponse(req *http.Request, resp *http.Response, conn net.Conn) error {
+	err := header.CheckStatus(resp, req.Header.Get("Upgrade") != "")
+	if err == nil {
+		err = header.CheckNames(resp.Header)
+	}
+	if err != nil {
 		closeAfter(resp, conn)
 		return err
 	}
--- a/internal/conn/dial/check_response_test.go
+++ b/internal/conn/dial/check_response_test.go
@@ -29,9 +29,9 @@
 	"trailer":   {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n%s\r\n\r\n", false},
 }
 
-// receive sends a request to a server that responds with text, and reads the response.
-func receive(client *http.Client, s *rawserver.Server, method string) (string, error) {
-	req, err := http.NewRequest(method, "http://"+s.Address+"/", nil)
+// receive sends a request to the server at an address, and reads the response.
+func receive(client *http.Client, address, method string) (string, error) {
+	req, err := http.NewRequest(method, "http://"+address+"/", nil)
 	if err != nil {
 		return "", err
 	}
@@ -59,7 +59,7 @@
 				s := rawserver.Start(t, func(*http.Request) (string, bool) { return fmt.Sprintf(r.format, line), r.closeConn })
 				client := newClient(t)
 				for n := int64(1); n <= 3; n++ {
-					body, err := receive(client, s, r.method)
+					body, err := receive(client, s.Address, r.method)
 					if err == nil || !strings.Contains(err.Error(), "malformed") {
 						t.Errorf("body %q, error %v; want one with the word malformed", body, err)
 					}
@@ -73,7 +73,7 @@
 			s := rawserver.Start(t, func(*http.Request) (string, bool) { return fmt.Sprintf(r.format, "X-Y: 1"), r.closeConn })
 			client := newClient(t)
 			for range 3 {
-				if body, err := receive(client, s, r.method); err != nil || body != "hello" && strings.HasSuffix(r.format, "hello") {
+				if body, err := receive(client, s.Address, r.method); err != nil || body != "hello" && strings.HasSuffix(r.format, "hello") {
 					t.Errorf("body %q, error %v", body, err)
 				}
 			}
@@ -83,3 +83,45 @@
 		})
 	}
 }
+
+// A status below 100, or 101 that was not asked for, was returned with what followed as its
+// body, and its connection was used again.
+func TestStatusThatNetHTTPAcceptsThoughMalformedIsAnError(t *testing.T) {
+	for _, status := range []string{"000 Odd", "001 Odd", "099", "+99", "-00", "101 Odd", "103 Early Hints\r\n\r\nHTTP/1.1 000 Odd"} {
+		for _, r := range []struct {
+			format    string
+			closeConn bool
+		}{
+			{"HTTP/1.1 %s\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true},
+			{"HTTP/1.1 %s\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true},
+			{"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", false},
+		} {
+			text := fmt.Sprintf(r.format, status)
+			s := rawserver.Start(t, func(*http.Request) (string, bool) { return text, r.closeConn })
+			client := newClient(t)
+			for n := int64(1); n <= 2; n++ {
+				body, err := receive(client, s.Address, http.MethodGet)
+				if err == nil || !strings.Contains(err.Error(), "malformed") || s.Conns() != n {
+					t.Errorf("%q: body %q, error %v, %d connections after %d responses", text, body, err, s.Conns(), n)
+				}
+			}
+		}
+	}
+}
+
+// In HTTP/2 the parser of net/http accepts each number as a status, and 101 as that of an
+// interim response.
+func TestMalformedStatusOverHTTP2IsAnError(t *testing.T) {
+	for statuses, want := range map[string]bool{
+		"200": true, "404": true, "103 200": true, "101 200": false, "000": false, "001": false, "99": false,
+		"0200": false, "+200": false, "2000": false, "-200": false, "103 000": false,
+	} {
+		transport := PeerTransport(nil)
+		t.Cleanup(transport.CloseIdleConnections)
+		client := &http.Client{Transport: transport, Timeout: 10 * time.Second}
+		body, err := receive(client, rawserver.StartHTTP2(t, "hello", strings.Fields(statuses)...), http.MethodGet)
+		if want != (err == nil && body == "hello") || !want && !strings.Contains(fmt.Sprint(err), "malformed") {
+			t.Errorf("%q: body %q, error %v", statuses, body, err)
+		}
+	}
+}
--- a/internal/conn/h1/exchange.go
+++ b/internal/conn/h1/exchange.go
@@ -194,6 +194,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := header.CheckStatus(resp, false); err != nil {
+		return nil, err
+	}
 	if err := header.CheckNames(resp.Header); err != nil {
 		return nil, err
 	}
--- a/internal/conn/h1/fuzz_test.go
+++ b/internal/conn/h1/fuzz_test.go
@@ -67,11 +67,12 @@
 }
 
 // FuzzAnswer checks that the client never accepts a response that echoes another
-// request's ID, whatever bytes an upstream sends.
+// request's ID, nor one after a status below 100, whatever bytes an upstream sends.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 3\r\n\r\nabc"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nId: 7\r\n\r\nrest"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 3\r\n\r\nabc"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		clientEnd, serverEnd := net.Pipe()
 		go func() {
@@ -91,6 +92,9 @@
 			if id := resp.Header.Get("Id"); id != "" && id != "7" {
 				t.Errorf("the client accepted the response to request %q", id)
 			}
+			if bytes.HasPrefix(sent, []byte("HTTP/1.1 0")) {
+				t.Errorf("the client accepted %q", sent)
+			}
 		}
 	})
 }
--- a/internal/conn/h1/malformed_response_test.go
+++ b/internal/conn/h1/malformed_response_test.go
@@ -71,6 +71,33 @@
 	}
 }
 
+// A server in trouble sent a status below 100 ahead of a response. The client took it for
+// that of an interim response, as it did 101, and accepted what followed.
+func TestResponseWithMalformedStatusIsAnError(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 5\r\n\r\nhello"
+	for _, status := range []string{"000", "001", "010", "099", "+99", "-00", "", "20", "0200", "2000", "20x", "２００", "101"} {
+		for _, format := range []string{
+			"HTTP/1.1 %s\r\n\r\n",
+			"HTTP/1.1 %s Odd\r\nRequest-Id: 7\r\nUpgrade: other\r\nConnection: Upgrade\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 %s Odd\r\n\r\n",
+		} {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				text := fmt.Sprintf(format, status) + whole
+				t.Run(method+", "+text, func(t *testing.T) { expectMalformed(t, method, text) })
+			}
+		}
+	}
+	for text, want := range map[string]int{
+		"100 Continue\r\n\r\n" + whole: 200, "102\r\n\r\nHTTP/1.1 199 Odd\r\n\r\n" + whole: 200,
+		"200\r\n\r\n": 200, "404 Not Found\r\n\r\n": 404, "600\r\n\r\n": 600, "999 Odd\r\n\r\n": 999,
+	} {
+		address := (&scriptedServer{}).serveText(t, "HTTP/1.1 "+text)
+		if resp, err := doRequest(newTestClient(), address, newGet("7")); err != nil || resp.Status != want {
+			t.Errorf("%q: %+v, %v", text, resp, err)
+		}
+	}
+}
+
 // serveText answers each request with text, before it reads a body, and closes the
 // connection. It answers requests for /keep with an empty response and does not close.
 func (s *scriptedServer) serveText(t *testing.T, text string) string {
--- a/internal/conn/header/header.go
+++ b/internal/conn/header/header.go
@@ -1,5 +1,5 @@
-// Package header checks the names of HTTP headers, and distinguishes hop-by-hop headers
-// from end-to-end ones, which a proxy forwards.
+// Package header checks the names of HTTP headers and the statuses of responses, and
+// distinguishes hop-by-hop headers from end-to-end ones, which a proxy forwards.
 package header
 
 import (
--- a/internal/conn/rpc/rpc.go
+++ b/internal/conn/rpc/rpc.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"github.com/daisytide/daisytide/api"
+	"github.com/daisytide/daisytide/internal/conn/dial"
 	"github.com/daisytide/daisytide/internal/conn/wire"
 	"github.com/daisytide/daisytide/internal/request/call"
 )
@@ -56,7 +57,7 @@
 	// other peers are left to the users of this package.
 	req.GetBody = nil
 	req.Header.Set(call.HeaderPeerKey, c.PeerKey)
-	resp, err := c.HTTP.Do(req)
+	resp, err := dial.Do(c.HTTP, req)
 	if err != nil {
 		return fmt.Errorf("call peer %s, method %s: %w", address, method, err)
 	}
--- a/internal/process/operated/malformed_response_test.go
+++ b/internal/process/operated/malformed_response_test.go
@@ -94,9 +94,35 @@
 	}
 }
 
+// Guards against a status below 100, or a switch of protocols that nobody asked for, that is
+// skipped like an interim response, so that what follows it reaches a caller.
+func TestResponseWithMalformedStatusIsNoSuccessForTheCaller(t *testing.T) {
+	hosts := startHostPair(t, 0)
+	const whole = rawHead + "Content-Length: 5\r\n\r\nhello"
+	for _, head := range []string{"000 Odd\r\n", "001\r\nContent-Length: 0\r\n", "101 Switching Protocols\r\n", "101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n"} {
+		expectNoSuccess(t, hosts, "HTTP/1.1 "+head+"\r\n"+whole)
+		expectNoSuccess(t, hosts, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+head+"\r\n"+whole)
+	}
+	for _, to := range hosts {
+		status, body, _ := send(http.MethodGet, hosts[0].url("/"+to.service+"/1?raw="+url.QueryEscape("HTTP/1.1 103 Early Hints\r\n\r\n"+whole)), nil)
+		if status != http.StatusOK || body != "hello" {
+			t.Errorf("after an interim response: status %d, body %q", status, body)
+		}
+	}
+}
+
 // Guards against a malformed health response that is believed: here it says that a warm
 // upstream is cold, and would limit its requests for a minute.
 func TestMalformedHealthResponseIsNotBelieved(t *testing.T) {
+	for name, head := range map[string]string{"name": "200 OK\r\nX Y: 1", "status": "000 Odd\r\n\r\nHTTP/1.1 200 OK"} {
+		t.Run(name, func(t *testing.T) { expectHealthNotBelieved(t, head) })
+	}
+}
+
+// expectHealthNotBelieved has a warm upstream send a health response with the given
+// beginning that says that it is cold, and checks that its requests are not limited.
+func expectHealthNotBelieved(t *testing.T, head string) {
+	t.Helper()
 	s := store.New(1)
 	near, far := startHost(t, s, "near", "i-near"), startHost(t, s, "far", "i-far")
 	far.workTime = 20 * time.Millisecond
@@ -105,7 +131,7 @@
 	for range 20 {
 		send("GET", near.url("/far/1"), nil)
 	}
-	health := fmt.Sprintf("HTTP/1.1 200 OK\r\nX Y: 1\r\n%s: %s\r\n%s: 60000\r\nContent-Length: 0\r\n\r\n", platform.HeaderInstanceID, far.id, platform.HeaderWarmupMillis)
+	health := fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: 60000\r\nContent-Length: 0\r\n\r\n", head, platform.HeaderInstanceID, far.id, platform.HeaderWarmupMillis)
 	far.rawHealth.Store(&health)
 	far.extraWork.Store(int64(100 * time.Millisecond))
 	stop := loadFar(near)
--- a/internal/process/operator/client/apply_test.go
+++ b/internal/process/operator/client/apply_test.go
@@ -99,17 +99,20 @@
 	}
 }
 
-// A response with a blank in the name of a field must not tell an operator that a
-// document is in force: the outcome is unknown.
+// A response with a blank in the name of a field, or with a status below 100, must not tell
+// an operator that a document is in force: the outcome is unknown.
 func TestMalformedResponseOfTheNodeIsNotBelieved(t *testing.T) {
 	accepted := encode(&api.ApplyResponse{Outcome: api.ApplyAccepted, Number: 8})
-	for line, want := range map[string]api.ApplyOutcome{"X-Y: 1": api.ApplyAccepted, "X Y: 1": api.ApplyUnknown, "Content-Length : 5": api.ApplyUnknown} {
+	for lines, want := range map[string]api.ApplyOutcome{
+		"200 OK\r\nX-Y: 1": api.ApplyAccepted, "200 OK\r\nX Y: 1": api.ApplyUnknown, "200 OK\r\nContent-Length : 5": api.ApplyUnknown,
+		"000 Odd": api.ApplyUnknown,
+	} {
 		s := rawserver.Start(t, func(*http.Request) (string, bool) {
-			return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(accepted), accepted), false
+			return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", lines, len(accepted), accepted), false
 		})
 		node := Client{BaseURL: "http://" + s.Address, HTTP: &http.Client{Transport: &http.Transport{}}}
 		if out := node.ApplyOnce(context.Background(), []byte("{}"), 0); out.Outcome != want {
-			t.Errorf("%q: %+v, want %s", line, out, want)
+			t.Errorf("%q: %+v, want %s", lines, out, want)
 		}
 	}
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -46,9 +46,10 @@
 func (a *Attempt) Send(ctx context.Context, r *http.Request) (*http.Response, call.Result) {
 	var tracker sentTracker
 	body := a.trackBodyErrors()
-	resp, err := a.Transport.RoundTrip(a.buildRequest(tracker.trace(ctx), r))
+	out := a.buildRequest(tracker.trace(ctx), r)
+	resp, err := a.Transport.RoundTrip(out)
 	if err == nil {
-		err = dial.CheckResponse(resp, tracker.conn())
+		err = dial.CheckResponse(out, resp, tracker.conn())
 	}
 	if err == nil {
 		return resp, call.Result{}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -199,6 +199,22 @@
 	}
 }
 
+// A status below 100 or 101 unasked was forwarded, with the response after it as its body.
+func TestMalformedStatusesAreFailures(t *testing.T) {
+	for _, head := range []string{"000 Odd\r\n", "001 Odd\r\nContent-Length: 0\r\n", "+99\r\n", "101 Odd\r\n", "101 Odd\r\nUpgrade: other\r\nConnection: Upgrade\r\n"} {
+		s := rawserver.Start(t, func(*http.Request) (string, bool) {
+			return "HTTP/1.1 " + head + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false
+		})
+		tr := dial.UpstreamTransport(1)
+		for n := int64(1); n <= 2; n++ {
+			res := send(t, tr, s.Address, http.MethodPost, "/x", "body", false)
+			if res.Code != api.CallCut || res.Ran != api.RanUnknown || res.Status != http.StatusBadGateway || s.Conns() != n {
+				t.Errorf("%q: %+v, %d connections after %d responses", head, res, s.Conns(), n)
+			}
+		}
+	}
+}
+
 // A response with a blank in the name of a field was forwarded, with that line or, where
 // the name without the blank frames the message, with another body.
 func TestMalformedResponsesAreFailures(t *testing.T) {
--- a/internal/request/ingress/malformed_response_test.go
+++ b/internal/request/ingress/malformed_response_test.go
@@ -17,6 +17,8 @@
 		"HTTP/1.1 200 OK\r\nId: 7\r\nX Y: 1\r\nContent-Length: 5\r\n\r\nhello",
 		"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length : 5\r\nContent-Length: 5\r\n\r\nhello",
 		"HTTP/1.1 103 Early Hints\r\nX : 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 101 Odd\r\n\r\nHTTP/1.1 503 Busy\r\nDaisytide-Code: 4003\r\nDaisytide-Ran: no\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 Busy\r\nDaisytide-Code: 4003\r\nDaisytide-Ran: no\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		var reached atomic.Int64
