Return the number of a configuration that fails a check

A node that refused a configuration could say its number only in the text of the error, so that a refusal could not be compared with the number in force. Decode now returns the number with the error of a failed check.

--- a/internal/version/traffic/traffic.go
+++ b/internal/version/traffic/traffic.go
@@ -101,7 +101,8 @@
 	// Evacuations is the prefix of the keys that evacuate the data centre that the
 	// rest of the key names, as long as they exist.
 	Evacuations string
-	// Decode decodes a configuration.
+	// Decode decodes a configuration. With an error, number is 0 if it could not be
+	// read.
 	Decode func(value []byte) (number uint64, c Config, err error)
 }
 
