Report offers and refusals of peers' configurations to an observer

The logs and metrics of a node did not say which number its peers reported last. gossip.Config gets an optional ConfigObserver, which is told of each number that a peer reports and of each configuration that is refused. Without an observer the manager logs refusals itself, those of a failed build now as a warning with the address of the peer. Which peer is asked, and when, is unchanged.

--- a/internal/process/gossip/config_transfer.go
+++ b/internal/process/gossip/config_transfer.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -271,6 +272,9 @@
 	}
 	p.configNumber.Store(number)
 	now := time.Now()
+	if m.cfg.ConfigObserver != nil {
+		m.cfg.ConfigObserver.HeardFromPeer(p.address, number, now)
+	}
 	m.transfer.recordOffer(p.address, number, p.dataCentre != m.cfg.Self().DataCentre, outsidePullDelay+m.jitter(outsidePullJitter), now)
 	m.startNextPull(now)
 }
@@ -322,17 +326,17 @@
 		return
 	}
 	if !ok {
-		m.rejectBody(p, in.Number, "hash mismatch")
+		m.rejectBody(p, in.Number, errHashMismatch)
 		return
 	}
 	s, err := snapshot.BuildFrom(m.cfg.Holder.Current(), envelope)
 	if err != nil {
-		klog.Errorf(logPrefix+"configuration %d cannot be used here: %v", in.Number, err)
+		m.reportRefusal(p, in.Number, err)
 		m.transfer.reject(in.Number, time.Now())
 		return
 	}
 	if s.Number() != in.Number {
-		m.rejectBody(p, in.Number, "number mismatch")
+		m.rejectBody(p, in.Number, errNumberMismatch)
 		return
 	}
 	m.cfg.ConfigStore.Offer(s)
@@ -356,8 +360,22 @@
 	return out, err == nil && document.HashOf(out) == in.Hash
 }
 
-func (m *Manager) rejectBody(p *peer, number uint64, reason string) {
-	klog.Warningf(logPrefix+"configuration %d of %s is not usable: %s", number, p.address, reason)
+var (
+	errHashMismatch   = errors.New("hash mismatch")
+	errNumberMismatch = errors.New("number mismatch")
+)
+
+// reportRefusal passes a refusal to the observer, or logs it if there is none.
+func (m *Manager) reportRefusal(p *peer, number uint64, reason error) {
+	if m.cfg.ConfigObserver != nil {
+		m.cfg.ConfigObserver.RefusedFromPeer(p.address, number, reason, time.Now())
+		return
+	}
+	klog.Warningf(logPrefix+"configuration %d of %s is not usable: %v", number, p.address, reason)
+}
+
+func (m *Manager) rejectBody(p *peer, number uint64, reason error) {
+	m.reportRefusal(p, number, reason)
 	m.transfer.excludePeer(p.address, time.Now())
 	m.startNextPull(time.Now())
 }
--- a/internal/process/gossip/handlers_test.go
+++ b/internal/process/gossip/handlers_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/daisytide/daisytide/internal/conn/link"
 	"github.com/daisytide/daisytide/internal/process/membership"
+	"github.com/daisytide/daisytide/internal/version/document"
 	"github.com/daisytide/daisytide/internal/version/snapshot"
 )
 
@@ -185,3 +187,31 @@
 		}
 	}
 }
+
+// recordingObserver is a ConfigObserver that keeps the numbers it is told of.
+type recordingObserver struct{ heard, refused []uint64 }
+
+func (o *recordingObserver) HeardFromPeer(_ string, number uint64, _ time.Time) {
+	o.heard = append(o.heard, number)
+}
+
+func (o *recordingObserver) RefusedFromPeer(_ string, number uint64, _ error, _ time.Time) {
+	o.refused = append(o.refused, number)
+}
+
+// Without these reports an operator cannot tell a refused configuration from one that
+// no peer offers.
+func TestOffersAndRefusedBodiesOfPeersAreReported(t *testing.T) {
+	o := &recordingObserver{}
+	m := newStartedManager(&snapshot.Holder{})
+	m.cfg.ConfigObserver = o
+	notUsable := []byte("no configuration")
+	m.Accept(scriptedLink(
+		&link.Message{ConfigAnnouncement: &link.ConfigAnnouncement{Number: 7}},
+		&link.Message{ConfigBody: &link.ConfigBody{Number: 8, Full: notUsable, Hash: document.HashOf(nil)}},
+		&link.Message{ConfigBody: &link.ConfigBody{Number: 9, Full: notUsable, Hash: document.HashOf(notUsable)}},
+	))
+	if !slices.Equal(o.heard, []uint64{7}) || !slices.Equal(o.refused, []uint64{8, 9}) {
+		t.Errorf("heard %d and refused %d, want 7 and 8, 9", o.heard, o.refused)
+	}
+}
--- a/internal/process/gossip/manager.go
+++ b/internal/process/gossip/manager.go
@@ -41,6 +41,15 @@
 	Offer(s *snapshot.Snapshot)
 }
 
+// ConfigObserver is told of the configurations of peers. Its methods must not block.
+type ConfigObserver interface {
+	// HeardFromPeer reports the number of the configuration that a peer holds.
+	HeardFromPeer(peer string, number uint64, now time.Time)
+	// RefusedFromPeer reports that a configuration of a peer is not usable here. The
+	// observer logs it.
+	RefusedFromPeer(peer string, number uint64, reason error, now time.Time)
+}
+
 // Config holds the dependencies and settings of a Manager.
 type Config struct {
 	Self    func() membership.Record
@@ -57,6 +66,8 @@
 	// OnSent, if set, is called for each message sent, with its kind, the data
 	// centre of the peer and its size in bytes.
 	OnSent func(kind, dataCentre string, bytes int)
+	// ConfigObserver may be nil; the manager then logs refusals itself.
+	ConfigObserver ConfigObserver
 	// RandomSeed seeds the random generator; 0 draws a seed.
 	RandomSeed uint64
 }
