Log and measure how a configuration reaches a node

After the incident of changes that were not in force in time, the logs could not tell a store that no node hears from a refused document or a late watch.

provider.Progress records the numbers heard from the store and from peers, the number in force, the time between, refusals by source, and the store's last sound reply to a watch or list of the operator's keys. At most ten lines a second are written on numbers and refusals, since peers may report any. The delay counts from the first of the numbers that a configuration brings into force, so that a node that skips numbers does not look prompt. A number that was damaged on the way is forgotten when its peer reports another one, or after 10 s. No watch, pull or decision changes.

--- a/internal/logs/fields.go
+++ b/internal/logs/fields.go
@@ -80,6 +80,23 @@
 	// requests that were refused while it was limited.
 	FieldAccount = "account"
 	FieldRefused = "refused"
+	// FieldStoreConfig and FieldPeerConfig are the highest numbers of a configuration
+	// heard from the store and from peers. FieldDelay is the time from hearing of the
+	// last configuration to its being in force, and FieldWaiting the time for which one
+	// that was heard of has not been in force, both in milliseconds.
+	FieldStoreConfig = "store_config"
+	FieldPeerConfig  = "peer_config"
+	FieldDelay       = "delay_ms"
+	FieldWaiting     = "waiting_ms"
+	// FieldStoreAge is the age of the store's last sound reply on the operator's keys in
+	// milliseconds, negative if there was none, and FieldStoreFailures the number of
+	// failed calls since.
+	FieldStoreAge      = "store_age_ms"
+	FieldStoreFailures = "store_failures"
+	// FieldRevision is the store's revision of a configuration, and FieldRefusals the
+	// numbers of configurations that were refused, by source.
+	FieldRevision = "revision"
+	FieldRefusals = "refused_configs"
 	// FieldDropped counts the lines dropped because the queue was full, and
 	// FieldWithheld those not written because of the rate limit.
 	FieldDropped  = "dropped"
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -232,6 +232,7 @@
 	n.evacuations = &evacuation.Set{}
 	n.provider = &provider.Follower{
 		Store: n.store, Holder: n.holder, Keys: keys, OnOrder: n.handleOrder, Evacuations: n.evacuations, FirstStart: n.cfg.Operated.FirstStart,
+		Progress: &provider.Progress{},
 	}
 	n.registry = &registry.Registry{
 		Store: n.store, Self: n.self.Record, Members: n.members, TTL: n.cfg.Operated.LeaseTTL,
@@ -244,7 +245,7 @@
 		Self: n.self.Record, Members: n.members, Holder: n.holder, ConfigStore: n.provider,
 		Dialer:  &link.Dialer{PeerKey: n.cfg.Peers.Secret, Traffic: n.traffic},
 		Traffic: n.traffic, SeedAddresses: n.registry.Peers, IndirectProbe: n.requestProbe,
-		OnSent: n.requests.Traffic.Add,
+		OnSent: n.requests.Traffic.Add, ConfigObserver: n.provider.Progress,
 	})
 	n.registry.LinkCount, n.registry.OnList, n.registry.Publisher = n.gossip.LinkCount, n.gossip.Wake, n.gossip
 	n.store.OnRecovery = n.registry.StoreRecovered
@@ -436,6 +437,18 @@
 		ctxtime.Sleep(ctx, trafficLogInterval)
 		slog.Info(logPrefix+"traffic with other data centres and the store",
 			logs.FieldBytes, n.requests.Traffic.Outside(n.cfg.Node.DataCentre), logs.FieldStoreCalls, fmt.Sprint(n.store.CallsByOperation()))
+		n.provider.Progress.LogStatus(time.Now())
+	}
+}
+
+// lateCheckInterval is the time between two checks for a configuration that is late.
+const lateCheckInterval = 250 * time.Millisecond
+
+// warnOfLateConfig logs while a configuration is late, until ctx ends.
+func (n *Node) warnOfLateConfig(ctx context.Context) {
+	for ctx.Err() == nil {
+		ctxtime.Sleep(ctx, lateCheckInterval)
+		n.provider.Progress.WarnIfLate(time.Now())
 	}
 }
 
@@ -467,6 +480,10 @@
 		n.logTraffic(runnerCtx)
 		return nil
 	})
+	g.Go(func() error {
+		n.warnOfLateConfig(runnerCtx)
+		return nil
+	})
 	stopped := make(chan struct{})
 	g.Go(func() error {
 		<-ctx.Done()
--- a/internal/process/provider/follower.go
+++ b/internal/process/provider/follower.go
@@ -74,6 +74,8 @@
 	IsWatcher func() bool
 	// FirstStart is set if the whole fleet starts for the first time.
 	FirstStart bool
+	// Progress records how configurations arrive; nil records nothing.
+	Progress *Progress
 
 	// invalidEntries counts the entries that were not usable.
 	invalidEntries atomic.Int64
@@ -96,11 +98,12 @@
 func (f *Follower) HighestNumber() uint64 { return f.Holder.Current().Number() }
 
 // Offer implements gossip.ConfigStore.
-func (f *Follower) Offer(s *snapshot.Snapshot) { f.offerFrom(s, "a peer") }
+func (f *Follower) Offer(s *snapshot.Snapshot) { f.offerFrom(s, fromPeer) }
 
 func (f *Follower) offerFrom(s *snapshot.Snapshot, source string) {
 	if f.Holder.StoreIfNewer(s) {
-		slog.Info(logPrefix+"configuration in force", logs.FieldConfig, s.Number(), logs.FieldFrom, source)
+		slog.Info(logPrefix+"configuration in force", logs.FieldConfig, s.Number(), logs.FieldFrom, source,
+			logs.FieldDelay, f.Progress.InForce(s.Number(), time.Now()).Milliseconds())
 	}
 }
 
@@ -167,6 +170,7 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := f.Store.List(ctx, f.Keys.Prefix, false)
+	f.Progress.StoreReplied(err, time.Now())
 	if err != nil {
 		return 0, err
 	}
@@ -184,6 +188,7 @@
 // unless the store has dropped the history.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
 	entries, revision, err := f.Store.Watch(ctx, f.Keys.Prefix, after, min(f.watchDuration(), kvstore.MaxWatchWait))
+	f.Progress.StoreReplied(err, time.Now())
 	if err != nil {
 		if kvstore.OutcomeOf(err) == kvstore.OutcomeHistoryLost {
 			return 0, err
@@ -212,7 +217,8 @@
 			return
 		}
 		f.invalidEntries.Add(1)
-		klog.Errorf(logPrefix+"the store's configuration at revision %d is not usable: %.500v", e.Revision, err)
+		number, _, _ := f.Keys.Decode(e.Value)
+		f.Progress.RefusedFromStore(number, e.Revision, err, time.Now())
 	}
 }
 
@@ -275,6 +281,7 @@
 // higher than the current one.
 func (f *Follower) applyConfig(value []byte) error {
 	number, c, err := f.Keys.Decode(value)
+	f.Progress.HeardFromStore(number, time.Now())
 	if err != nil {
 		return err
 	}
@@ -291,6 +298,6 @@
 		return errors.Join(errors.New("build the snapshot of a configuration"), err)
 	}
 
-	f.offerFrom(s, "the store")
+	f.offerFrom(s, fromStore)
 	return nil
 }
