--- a/internal/process/provider/follower.go
+++ b/internal/process/provider/follower.go
@@ -84,6 +84,8 @@
 	PublishAccess func(membership.StoreAccess)
 	// FirstStart is set if the whole fleet starts for the first time.
 	FirstStart bool
+	// Progress records how configurations arrive; nil records nothing.
+	Progress *Progress
 
 	access storeAccess
 	// lostElsewhere is woken when another node has lost the store.
@@ -119,11 +121,12 @@
 func (f *Follower) HighestNumber() uint64 { return f.Holder.Current().Number() }
 
 // Offer implements gossip.ConfigStore.
-func (f *Follower) Offer(s *snapshot.Snapshot) { f.offerFrom(s, "a peer") }
+func (f *Follower) Offer(s *snapshot.Snapshot) { f.offerFrom(s, fromPeer) }
 
 func (f *Follower) offerFrom(s *snapshot.Snapshot, source string) {
 	if f.Holder.StoreIfNewer(s) {
-		slog.Info(logPrefix+"configuration in force", logs.FieldConfig, s.Number(), logs.FieldFrom, source)
+		slog.Info(logPrefix+"configuration in force", logs.FieldConfig, s.Number(), logs.FieldFrom, source,
+			logs.FieldDelay, f.Progress.InForce(s.Number(), time.Now()).Milliseconds())
 	}
 }
 
@@ -211,6 +214,7 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := f.Store.List(ctx, f.Keys.Prefix, false)
+	f.Progress.StoreReplied(err, time.Now())
 	if err != nil {
 		return 0, err
 	}
@@ -234,6 +238,7 @@
 	defer cancel(nil)
 	go f.cancelInDoubt(watchCtx, cancel)
 	entries, revision, err := f.Store.Watch(watchCtx, f.Keys.Prefix, after, min(wait, kvstore.MaxWatchWait))
+	f.Progress.StoreReplied(err, time.Now())
 	if err != nil {
 		if cause := context.Cause(watchCtx); errors.Is(cause, errDoubted) {
 			return 0, false, cause
@@ -273,7 +278,8 @@
 			return
 		}
 		f.invalidEntries.Add(1)
-		klog.Errorf(logPrefix+"the store's configuration at revision %d is not usable: %.500v", e.Revision, err)
+		number, _, _ := f.Keys.Decode(e.Value)
+		f.Progress.RefusedFromStore(number, e.Revision, err, time.Now())
 	}
 }
 
@@ -336,6 +342,7 @@
 // higher than the current one.
 func (f *Follower) applyConfig(value []byte) error {
 	number, c, err := f.Keys.Decode(value)
+	f.Progress.HeardFromStore(number, time.Now())
 	if err != nil {
 		return err
 	}
@@ -352,6 +359,6 @@
 		return errors.Join(errors.New("build the snapshot of a configuration"), err)
 	}
 
-	f.offerFrom(s, "the store")
+	f.offerFrom(s, fromStore)
 	return nil
 }
