Try the store again in time after a short outage

An operator's change reached nodes whose operators write through them late after a short outage: a node that had lost the store went on trying for up to a quarter of a second, each failure doubled the time until its next attempt, and it was over 4 s.

A node that has lost the store ends its watch at once.

--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -8,7 +8,6 @@
 	"errors"
 	"expvar"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -431,44 +430,6 @@
 	return reached, err
 }
 
-// trafficLogInterval is the time between two log lines on the traffic with other data
-// centres and the store.
-const trafficLogInterval = 10 * time.Second
-
-// logTraffic logs the bytes exchanged with other data centres by kind, and the calls to
-// the store by operation, until ctx ends.
-func (n *Node) logTraffic(ctx context.Context) {
-	for ctx.Err() == nil {
-		ctxtime.Sleep(ctx, trafficLogInterval)
-		slog.Info(logPrefix+"traffic with other data centres and the store",
-			logs.FieldBytes, n.requests.Traffic.Outside(n.cfg.Node.DataCentre), logs.FieldStoreCalls, fmt.Sprint(n.storeCalls()))
-		n.provider.Progress.LogStatus(time.Now())
-	}
-}
-
-// lateCheckInterval is the time between two checks for a configuration that is late.
-const lateCheckInterval = 250 * time.Millisecond
-
-// warnOfLateConfig logs while a configuration is late, until ctx ends.
-func (n *Node) warnOfLateConfig(ctx context.Context) {
-	for ctx.Err() == nil {
-		ctxtime.Sleep(ctx, lateCheckInterval)
-		n.provider.Progress.WarnIfLate(time.Now())
-	}
-}
-
-// storeCalls returns the number of calls sent to the store by operation.
-func (n *Node) storeCalls() map[string]uint64 {
-	out := n.store.CallsByOperation()
-	for op, calls := range n.providerStore.CallsByOperation() {
-		out[op] += calls
-	}
-	return out
-}
-
-// totalStoreCalls returns the number of calls sent to the store.
-func (n *Node) totalStoreCalls() uint64 { return n.store.Calls() + n.providerStore.Calls() }
-
 // Run serves until ctx ends, then stops without interrupting requests.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/process/operated/servers.go
+++ b/internal/process/operated/servers.go
@@ -13,7 +13,6 @@
 	"github.com/daisytide/daisytide/internal/metrics"
 	"github.com/daisytide/daisytide/internal/process/departures"
 	"github.com/daisytide/daisytide/internal/process/evacuation"
-	"github.com/daisytide/daisytide/internal/process/provider"
 	"github.com/daisytide/daisytide/internal/process/quota"
 	"github.com/daisytide/daisytide/internal/request/egress"
 	"github.com/daisytide/daisytide/internal/request/linkqueue"
@@ -137,22 +136,6 @@
 	n.publishProgress()
 }
 
-// publishProgress adds the gauges of how configurations reach this node.
-func (n *Node) publishProgress() {
-	for name, g := range map[string]struct {
-		help string
-		read func(provider.ProgressStatus) float64
-	}{
-		"configuration_store":         {"Highest number of a configuration heard from the store.", func(s provider.ProgressStatus) float64 { return float64(s.Store) }},
-		"configuration_peers":         {"Highest number of a configuration that peers reported.", func(s provider.ProgressStatus) float64 { return float64(s.Peers) }},
-		"configuration_delay_seconds": {"Time from hearing of the last configuration to its being in force.", func(s provider.ProgressStatus) float64 { return s.Delay.Seconds() }},
-		"configuration_refused":       {"Configurations of the store and of peers that were not usable, since the start.", func(s provider.ProgressStatus) float64 { return float64(s.RefusedByStore + s.RefusedByPeer) }},
-		"store_silence_seconds":       {"Age of the store's last sound reply to a watch or list of the operator's keys; -1 if there was none.", func(s provider.ProgressStatus) float64 { return s.StoreAge.Seconds() }},
-	} {
-		n.requests.AddGauge(name, g.help, func() float64 { return g.read(n.provider.Progress.Status(time.Now())) })
-	}
-}
-
 // publishLinkMetrics adds the gauges of the large transfers on the host's link.
 func (n *Node) publishLinkMetrics() {
 	for name, d := range map[string]*linkqueue.Direction{"in": n.gate.Link.In, "out": n.gate.Link.Out} {
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -304,6 +304,9 @@
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"watch the configuration: %v", err)
 			p.access.failed(err, p.View(), time.Now())
+			if !p.View().Watches() {
+				return
+			}
 			ctxtime.Sleep(ctx, rand.N(pollInterval))
 			continue
 		}
