Soak series of changes beside a store that serves few hosts

On users' machines a fleet stayed on an old version for over 4 s after a newer one had been acknowledged. The soak could not show it: its configurations only added routes and rotated services, each store fault excused all hosts, the bound was 7 s, and nodes made 20 calls a second to the store where the template has 4.

Nodes now have the settings of deploy/node.ini.tmpl. Configurations move routes, split them, change time limits, add and remove some, also in series. The store can turn away a share of the hosts with 503, resets or silence. Backends name their service in the body, and the checker judges each run and each 404 against all configurations sent by the end of the request: 2 s for calm hosts beside a calm store, 7 s while the store is disturbed, 0.25 s (2 s if not calm) after a newer one was seen. Routes that the newest configuration lacks count as served with 404 in "recover", since callers request removed routes as well.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Seeds   uint64        `long:"seeds" default:"1" description:"number of seeds, one after the other"`
 	Hosts   int           `long:"hosts" default:"6" description:"node processes, 3 at least"`
 	For     time.Duration `long:"for" default:"20s" description:"how long faults are injected, each seed"`
+	Mix     string        `long:"mix" default:"all" choice:"all" choice:"changes" description:"faults to draw: all alike, or every other one a series of changes or a store that serves few"`
 	Keep    string        `long:"keep" description:"directory for settings and logs; default is a new temporary one"`
 	Verbose bool          `long:"verbose" description:"print each fault"`
 }
@@ -53,6 +54,10 @@
 			return false, err
 		}
 	}
+	template, err := os.ReadFile("deploy/node.ini.tmpl")
+	if err != nil {
+		return false, err
+	}
 	binary := filepath.Join(dir, "daisytided")
 	if out, err := exec.Command("go", "build", "-o", binary, "./cmd/daisytided").CombinedOutput(); err != nil {
 		return false, fmt.Errorf("build cmd/daisytided: %w: %s", err, out)
@@ -64,7 +69,7 @@
 		if err := os.MkdirAll(seedDir, 0o700); err != nil {
 			return false, err
 		}
-		violations, err := soak.Run(ctx, soak.Options{Seed: seed, Hosts: o.Hosts, FaultDuration: o.For, Dir: seedDir, Binary: binary, Logf: func(format string, args ...any) {
+		violations, err := soak.Run(ctx, soak.Options{Seed: seed, Hosts: o.Hosts, FaultDuration: o.For, Changes: o.Mix == "changes", Dir: seedDir, Binary: binary, Template: string(template), Logf: func(format string, args ...any) {
 			if o.Verbose {
 				fmt.Printf(time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 			}
@@ -81,7 +86,7 @@
 		for _, v := range violations {
 			fmt.Printf("seed %d: %s\n", seed, v)
 		}
-		fmt.Printf("to repeat: go run ./cmd/soak --seed %d --hosts %d --for %v --verbose; logs in %s\n", seed, o.Hosts, o.For, seedDir)
+		fmt.Printf("to repeat: go run ./cmd/soak --seed %d --hosts %d --for %v --mix %s --verbose; logs in %s\n", seed, o.Hosts, o.For, o.Mix, seedDir)
 	}
 	return violated, nil
 }
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -243,7 +243,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(platform.HeaderSignature, "signed")
-	_, _ = io.WriteString(w, expectedBody(id))
+	_, _ = io.WriteString(w, expectedBody(id, b.service))
 }
 
 // writeEndlessly writes a body, or a header if inHeader is set, that ends only with the
@@ -265,9 +265,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// expectedBody is the complete response body to a request. With the id in it, a
-// caller notices a response that belongs to another request.
-func expectedBody(id string) string { return "whole answer to " + id }
+// expectedBody is the complete response body of a service to a request. With the id in
+// it, a caller notices a response that belongs to another request.
+func expectedBody(id, service string) string { return "whole answer of " + service + " to " + id }
 
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -27,11 +27,14 @@
 
 // caller sends requests to its own host over persistent connections.
 type caller struct {
-	host         *host
-	checker      *checker
-	latestConfig func() int
-	client       *http.Client
-	ids          *atomic.Int64
+	host    *host
+	checker *checker
+	client  *http.Client
+	ids     *atomic.Int64
+}
+
+func newCaller(h *host, c *checker, ids *atomic.Int64) *caller {
+	return &caller{host: h, checker: c, ids: ids, client: &http.Client{Transport: &http.Transport{}}}
 }
 
 func (c *caller) run(ctx context.Context, seed uint64) {
@@ -44,24 +47,26 @@
 
 // sendOne sends one request of a random kind and records its result.
 func (c *caller) sendOne(ctx context.Context, rng *rand.Rand) {
-	method, path, body := http.MethodGet, "/read/1", 0
-	switch rng.IntN(8) {
-	case 0, 1, 2:
-		method, path, body = http.MethodPost, "/once/1", 100
-	case 3:
-		method, path, body = http.MethodPost, "/up/1", uploadBytes
-	case 4, 5:
-		path = fmt.Sprintf("/v%d/1", max(1, c.latestConfig()-rng.IntN(3)))
+	prefix := c.checker.recentPrefix(rng)
+	if rng.IntN(2) == 0 {
+		prefix = fixedPrefixes[rng.IntN(len(fixedPrefixes))]
+	}
+	method, body := http.MethodGet, 0
+	switch prefix {
+	case prefixOnce:
+		method, body = http.MethodPost, 100
+	case prefixUpload:
+		method, body = http.MethodPost, uploadBytes
 	}
 	start, stopping := c.host.state()
 	observed := call{
-		id: fmt.Sprintf("%x", c.ids.Add(1)), path: path, host: c.host.number, start: start, atMostOnce: method == http.MethodPost,
+		id: fmt.Sprintf("%x", c.ids.Add(1)), path: prefix + "1", host: c.host.number, start: start, atMostOnce: method == http.MethodPost,
 		sentAt: time.Now(), stopping: stopping,
 	}
 	// The end of the run does not cancel a request in flight.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.host.callers+path, bytes.NewReader(make([]byte, body)))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.host.callers+observed.path, bytes.NewReader(make([]byte, body)))
 	if err != nil {
 		c.checker.addViolation("create a request: %v", err)
 		return
@@ -70,13 +75,15 @@
 	r.Header.Set(platform.HeaderRequestID, observed.id)
 	r.Header.Set(platform.HeaderDeadlineMillis, fmt.Sprint(callerTimeout.Milliseconds()))
 	resp, err := c.client.Do(r)
-	if err != nil {
-		observed.err = err.Error()
-		c.checker.addCall(observed, nil, "")
-		return
+	var text []byte
+	if err == nil {
+		text, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	observed.endedAt = time.Now()
+	if at, _ := c.host.state(); at != start {
+		observed.start = 0
 	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		observed.err = err.Error()
 		c.checker.addCall(observed, nil, "")
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -13,15 +14,19 @@
 	// drainGrace is drain_s: how long after an acknowledged drain requests may
 	// still arrive.
 	drainGrace = 2 * time.Second
-	// applyLimit is config_apply_s and max_stretch_s: a change is in force on
-	// every node that reaches the store within this time.
-	applyLimit = 7 * time.Second
+	// applyLimit is config_apply_s: a change is in force this long after its
+	// acknowledgement on every node that is in touch.
+	applyLimit = 2 * time.Second
+	// stretchedApplyLimit is config_apply_s and max_stretch_s: the bound while the
+	// store is disturbed, but neither down nor slow.
+	stretchedApplyLimit = applyLimit + 5*time.Second
 	// recoveryTime is stable_window_s: time limits hold for a node again this
 	// long after a disturbance.
 	recoveryTime = 3 * time.Second
-	// downgradeSlack is rollback_slack_s: how long a slowed node may still route
-	// requests by an older configuration.
-	downgradeSlack = 2 * time.Second
+	// downgradeSlack is rollback_slack_s: how long a node may still route requests by
+	// an older configuration; a disturbed one eight times that.
+	downgradeSlack          = 250 * time.Millisecond
+	disturbedDowngradeSlack = 8 * downgradeSlack
 	// evacuationLimit is how long after the acknowledgement of an order requests may
 	// still reach the data centre that it evacuates.
 	evacuationLimit = 5 * time.Second
@@ -33,10 +38,12 @@
 type call struct {
 	id, path string
 	host     int
-	// start numbers the starts of the host's process.
+	// start numbers the starts of the host's process; 0 if it was started anew before
+	// the end of the request.
 	start      int
 	atMostOnce bool
-	sentAt     time.Time
+	// endedAt is when the response was complete or the caller gave up.
+	sentAt, endedAt time.Time
 	// status is 0 if no complete response arrived; err is the reason then.
 	status int
 	err    string
@@ -48,29 +55,27 @@
 // guarantees.
 type checker struct {
 	mu         sync.Mutex
-	runs       map[string]int
+	runs       map[string][]run
 	calls      []call
 	violations []string
-	// highestSeen is the highest configuration whose route a node served, by host
-	// and start of its process.
-	highestSeen map[[2]int]seenConfig
-	// acked is when the store acknowledged each configuration.
-	acked map[int]time.Time
+	// configs are the configurations that were sent, oldest first.
+	configs []*configuration
 	// evacuatedSince is when the store acknowledged the order for each data centre that
 	// is evacuated. An order is dropped before the store is asked to remove it.
 	evacuatedSince map[string]time.Time
-	// undisturbed reports whether time limits held on a host between two times.
-	undisturbed func(host int, from, to time.Time) bool
+	// undisturbed reports whether time limits held on a host between two times, and calm
+	// whether host and store had been calm for recoveryTime at all times between them.
+	undisturbed, calm func(host int, from, to time.Time) bool
 }
 
-// seenConfig is a configuration's number and when its route was first served.
-type seenConfig struct {
-	number    int
-	firstSeen time.Time
+// run is one run of a request at a backend.
+type run struct {
+	service string
+	at      time.Time
 }
 
-func newChecker(undisturbed func(host int, from, to time.Time) bool) *checker {
-	return &checker{runs: map[string]int{}, highestSeen: map[[2]int]seenConfig{}, acked: map[int]time.Time{}, evacuatedSince: map[string]time.Time{}, undisturbed: undisturbed}
+func newChecker(undisturbed, calm func(host int, from, to time.Time) bool) *checker {
+	return &checker{runs: map[string][]run{}, evacuatedSince: map[string]time.Time{}, undisturbed: undisturbed, calm: calm}
 }
 
 // addViolation records a violated guarantee.
@@ -86,11 +91,8 @@
 func (c *checker) addRun(id, path string, b *backend) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs[id]++
-	if b == nil {
-		return
-	}
 	now := time.Now()
+	c.runs[id] = append(c.runs[id], run{b.service, now})
 	since, evacuated := c.evacuatedSince[b.host.dataCentre]
 	if from := now.Add(-evacuationLimit); evacuated && since.Before(from) && b.host.undisturbed(from, now) && b.host.undelayed(from, now) {
 		c.violations = append(c.violations, fmt.Sprintf("evacuated: request %s of %s reached host %d in %s, evacuated %v before", id, path, b.host.number, b.host.dataCentre, now.Sub(since)))
@@ -129,30 +131,10 @@
 	if resp == nil {
 		return
 	}
-	if observed.status == http.StatusOK && (body != expectedBody(observed.id) || resp.Header.Get(signatureHeader) == "") {
+	ranAt := func(r run) bool { return body == expectedBody(observed.id, r.service) }
+	if observed.status == http.StatusOK && (!slices.ContainsFunc(c.runs[observed.id], ranAt) || resp.Header.Get(signatureHeader) == "") {
 		c.violations = append(c.violations, fmt.Sprintf("mixed: request %s received the response %q", observed.id, body))
 	}
-	number, found := configOfPath(observed.path)
-	if !found {
-		return
-	}
-	key := [2]int{observed.host, observed.start}
-	switch {
-	case observed.status == http.StatusOK && number > c.highestSeen[key].number:
-		c.highestSeen[key] = seenConfig{number, time.Now()}
-	case observed.status == http.StatusNotFound && number <= c.highestSeen[key].number && observed.sentAt.Sub(c.highestSeen[key].firstSeen) > downgradeSlack:
-		c.violations = append(c.violations, fmt.Sprintf("config: host %d served configuration %d and then refused the route of configuration %d", observed.host, c.highestSeen[key].number, number))
-	case observed.status == http.StatusNotFound && !c.acked[number].IsZero() && observed.sentAt.Sub(c.acked[number]) > applyLimit &&
-		c.undisturbed(observed.host, c.acked[number], observed.sentAt):
-		c.violations = append(c.violations, fmt.Sprintf("config: host %d refused the route of configuration %d %v after its acknowledgement", observed.host, number, observed.sentAt.Sub(c.acked[number])))
-	}
-}
-
-// configOfPath returns the number in a path, such as 7 in /v7/1. Configurations from
-// that number on have the path's route.
-func configOfPath(path string) (number int, ok bool) {
-	n, err := fmt.Sscanf(path, "/v%d/", &number)
-	return number, err == nil && n == 1
 }
 
 // checkAtEnd checks the guarantees that depend on the whole run. Requests sent in
@@ -160,9 +142,10 @@
 func (c *checker) checkAtEnd(recovered timeRange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkConfigs()
 	served, sent := 0, 0
 	for _, observed := range c.calls {
-		runs := c.runs[observed.id]
+		runs := len(c.runs[observed.id])
 		switch {
 		case observed.atMostOnce && runs > 1:
 			c.violations = append(c.violations, fmt.Sprintf("twice: request %s ran %d times", observed.id, runs))
@@ -173,7 +156,7 @@
 		}
 		if observed.sentAt.After(recovered.from) && observed.sentAt.Before(recovered.to) {
 			sent++
-			if observed.status == http.StatusOK {
+			if observed.status == http.StatusOK || observed.status == http.StatusNotFound && c.lacksRoute(observed.path) {
 				served++
 			}
 		}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,8 @@
 	dataCentre string
 	dir        string
 	binary     string
+	// template is the text of the settings with the platform's placeholders.
+	template string
 
 	callers, peers, control, gate, ready string
 
@@ -67,12 +70,12 @@
 	return out
 }
 
-func newHost(number int, dir, binary, service, store string, c *checker) (*host, error) {
+func newHost(number int, o Options, service, store string, c *checker) (*host, error) {
 	a := addresses(number, 5)
 	h := &host{
 		// Each service is in more than one data centre, if there are more hosts than
 		// services, so that it is served during an evacuation.
-		number: number, dataCentre: fmt.Sprintf("c%d", (number+number/len(services))%3), dir: dir, binary: binary, checker: c,
+		number: number, dataCentre: fmt.Sprintf("c%d", (number+number/len(services))%3), dir: o.Dir, binary: o.Binary, template: o.Template, checker: c,
 		callers: a[0], peers: a[1], control: a[2], gate: a[3], ready: a[4],
 		heartbeatClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -92,10 +95,15 @@
 
 // writeSettings writes the node's settings file; first sets first-start.
 func (h *host) writeSettings(first bool) error {
-	text := fmt.Sprintf("[node]\nregion = r\ndata-centre = %s\n[callers]\nlisten = %s\n[peers]\nlisten = %s\nsecret = nodes-of-the-soak-share-this\n"+
-		"[operators]\nlisten = %s\ntoken = operators-of-the-soak-have-this\n[store]\naddress = http://%s\ntimeout = 1s\nrate = 20\n"+
-		"[upstream]\nstop-grace = %s\n[operated]\nenabled = true\ngate = %s\nready = %s\nservice = %s\nupstream = %s\nfirst-start = %t\n",
-		h.dataCentre, h.callers, h.peers, h.control, h.store.Address(), stopGrace, h.gate, h.ready, h.backend.service, h.backend.proxy.Address(), first)
+	text := strings.NewReplacer(
+		"{{region}}", "r", "{{zone}}", h.dataCentre, "{{service}}", h.backend.service, "{{app_addr}}", h.backend.proxy.Address(),
+		"{{bind_addrs.outbound}}", h.callers, "{{bind_addrs.control}}", h.control, "{{bind_addrs.inbound}}", h.gate, "{{bind_addrs.ready_addr}}", h.ready,
+		"{{ip}}:{{port_range.0}}", h.peers, "{{provider.address}}", h.store.Address(),
+		// The platform names the control addresses of three hosts.
+		"{{seed_nodes}}", strings.Join([]string{addresses(0, 3)[2], addresses(1, 3)[2], addresses(2, 3)[2]}, ","),
+		"{{bootstrap}}", fmt.Sprint(first), "{{bounds.grace_s}}", fmt.Sprint(stopGrace.Seconds()),
+		"{{limits.memory_mb}}", "134", "{{limits.link_mbps}}", "1000", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_slack}}", "60",
+	).Replace(h.template)
 	return os.WriteFile(h.settingsFile(), []byte(text), fileMode)
 }
 
@@ -190,6 +198,19 @@
 	return noneOverlaps(h.disturbances, from, to)
 }
 
+// calm reports whether nothing disturbed the host between from and to. The recoveryTime
+// after a disturbance is part of its range.
+func (h *host) calm(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return noneIncludes(h.disturbances, from, to)
+}
+
+// noneIncludes reports whether none of the ranges overlaps the time between from and to.
+func noneIncludes(spans []timeRange, from, to time.Time) bool {
+	return !slices.ContainsFunc(spans, func(s timeRange) bool { return !s.from.After(to) && s.to.After(from) })
+}
+
 // undelayed reports whether nothing delayed requests to the backend between from
 // and to, nor in the recoveryTime before.
 func (h *host) undelayed(from, to time.Time) bool {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -10,11 +10,13 @@
 
 // Proxy forwards TCP connections on loopback and injects faults into them.
 type Proxy struct {
-	target   string
+	target   atomic.Pointer[string]
 	listener net.Listener
 	delay    atomic.Int64
 	// refuse makes the proxy reset new connections at once.
 	refuse atomic.Bool
+	// silent makes the proxy drop all bytes of new connections.
+	silent atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*proxyConn]bool
@@ -34,7 +36,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, conns: map[*proxyConn]bool{}}
+	p := &Proxy{listener: l, conns: map[*proxyConn]bool{}}
+	p.SetTarget(target)
 	go p.serve()
 	return p, nil
 }
@@ -49,6 +52,18 @@
 // again.
 func (p *Proxy) SetRefusing(on bool) { p.refuse.Store(on) }
 
+// SetTarget makes the proxy forward new connections to another address.
+func (p *Proxy) SetTarget(address string) { p.target.Store(&address) }
+
+// SetSilent makes the proxy drop all bytes of open and new connections. Connections that
+// were silenced stay silent after the end of it.
+func (p *Proxy) SetSilent(on bool) {
+	p.silent.Store(on)
+	if on {
+		p.Blackhole(true, true)
+	}
+}
+
 // ResetConnections closes every open connection with a TCP reset.
 func (p *Proxy) ResetConnections() {
 	for _, c := range p.openConns() {
@@ -91,13 +106,17 @@
 
 // forward connects a client to the target until both directions have ended.
 func (p *Proxy) forward(client net.Conn) {
-	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	server, err := net.DialTimeout("tcp", *p.target.Load(), time.Second)
 	if err != nil {
 		(&proxyConn{client: client}).reset()
 		return
 	}
 	c := &proxyConn{client: client, server: server}
 	p.mu.Lock()
+	if p.silent.Load() {
+		c.blackholed[0].Store(true)
+		c.blackholed[1].Store(true)
+	}
 	p.conns[c] = true
 	p.mu.Unlock()
 	var both sync.WaitGroup
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,7 +19,6 @@
 
 	"github.com/daisytide/daisytide/internal/conn/kvstore"
 	"github.com/daisytide/daisytide/internal/standin/store"
-	"github.com/daisytide/daisytide/internal/version/traffic"
 	"github.com/daisytide/daisytide/platform"
 )
 
@@ -31,8 +29,11 @@
 	// FaultDuration is how long faults are injected. The run lasts some seconds
 	// longer, for start-up and recovery.
 	FaultDuration time.Duration
-	// Dir receives the nodes' settings and logs. Binary is the node's executable.
-	Dir, Binary string
+	// Changes draws every other fault from changeFaults.
+	Changes bool
+	// Dir receives the nodes' settings and logs. Binary is the node's executable, and
+	// Template the text of its settings with the platform's placeholders.
+	Dir, Binary, Template string
 	// Logf receives one line per injected fault or other event.
 	Logf func(format string, args ...any)
 }
@@ -58,8 +59,19 @@
 	// lostReplyShare is the share of store writes that take effect while their
 	// reply is lost.
 	lostReplyShare = 0.3
+	// minTurnedAway and maxTurnedAway bound the share of the hosts that the store turns
+	// away while it serves few, and minServesFew and maxServesFew how long.
+	minTurnedAway, maxTurnedAway = 0.35, 0.95
+	minServesFew, maxServesFew   = 4 * time.Second, 9 * time.Second
+	// silenceTime is how long a node may wait on a connection to the store that was
+	// silenced for good: the longest watch of a small fleet, 4.7 s, and its margin of
+	// 0.7 s. Until then it has no path to the store.
+	silenceTime = 6 * time.Second
 )
 
+// changeFaults are the faults of series of changes beside a store that serves few.
+var changeFaults = []string{"configurations in series", "store serves few"}
+
 var services = []string{"s0", "s1", "s2"}
 
 // soak is one run.
@@ -69,13 +81,17 @@
 	store   *store.Store
 	hosts   []*host
 	checker *checker
-	// configNumber is the number of the latest configuration; latestConfig is the
-	// highest number that the store has accepted.
-	configNumber int
-	latestConfig atomic.Int64
-	// configCount counts the configurations. The services of the fixed routes rotate
-	// with it.
-	configCount int
+	// busyAddress is where a server answers 503 to all calls of the store's protocol.
+	busyAddress, storeAddress string
+	// servesFew and inSeries are set while these faults are in progress.
+	servesFew, inSeries atomic.Bool
+	// configMu is held while a configuration is written.
+	configMu sync.Mutex
+	// storeDisturbances are the times in which the store was disturbed, each with the
+	// recoveryTime after it. Those in which it was down or slow are disturbances of all
+	// hosts instead.
+	storeMu           sync.Mutex
+	storeDisturbances []timeRange
 	// faultEnds waits for the faults still in progress.
 	faultEnds sync.WaitGroup
 	stalls    stallDetector
@@ -85,21 +101,31 @@
 func Run(ctx context.Context, o Options) ([]string, error) {
 	s := &soak{options: o, rng: rand.New(rand.NewPCG(o.Seed, 6)), store: store.New(o.Seed)}
 	s.stalls.onStall = s.markStalled
-	s.checker = newChecker(func(n int, from, to time.Time) bool { return s.hosts[n].undisturbed(from, to) })
+	s.checker = newChecker(
+		func(n int, from, to time.Time) bool { return s.hosts[n].undisturbed(from, to) },
+		func(n int, from, to time.Time) bool { return s.hosts[n].calm(from, to) && s.storeCalm(from, to) })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	defer l.Close()
 	go func() { _ = (&http.Server{Handler: s.store.Handler()}).Serve(l) }()
+	busy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer busy.Close()
+	s.busyAddress = busy.Addr().String()
+	go s.serveBusy(busy)
 	for i := range o.Hosts {
-		h, err := newHost(i, o.Dir, o.Binary, services[i%len(services)], l.Addr().String(), s.checker)
+		h, err := newHost(i, o, services[i%len(services)], l.Addr().String(), s.checker)
 		if err != nil {
 			return nil, err
 		}
 		s.hosts = append(s.hosts, h)
 	}
-	s.applyNextConfig(ctx)
+	s.storeAddress = l.Addr().String()
+	s.applyNextConfig(ctx, s.rng)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, runCtx := errgroup.WithContext(ctx)
@@ -120,7 +146,7 @@
 	defer stopCalls()
 	for i, h := range s.hosts {
 		for k := range callersPerHost {
-			c := &caller{host: h, checker: s.checker, ids: &ids, latestConfig: func() int { return int(s.latestConfig.Load()) }, client: &http.Client{Transport: &http.Transport{}}}
+			c := newCaller(h, s.checker, &ids)
 			g.Go(func() error {
 				c.run(callCtx, o.Seed+uint64(100*i+k))
 				return nil
@@ -175,52 +201,6 @@
 	}
 }
 
-// applyNextConfig writes the next configuration to the store. Configuration n has a
-// route /vK/ for each K from 1 to n, so that callers can see which configurations a
-// node has received.
-func (s *soak) applyNextConfig(ctx context.Context) {
-	s.configNumber += 1 + s.rng.IntN(4)
-	s.configCount++
-	route := func(name, prefix string, kind traffic.RequestKind, service string) traffic.Route {
-		return traffic.Route{
-			Name: name, Host: routeHost, Prefix: prefix, Kind: kind, TimeLimit: callerTimeout, Objective: callerTimeout / 2,
-			Priority: 1, Attempts: 2, Shares: []traffic.WeightedService{{Service: service, Weight: 1}},
-		}
-	}
-	c := traffic.Config{Callers: traffic.CallerLimits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}}
-	for _, name := range services {
-		c.Services = append(c.Services, traffic.Service{Name: name, Connections: 100, HealthPath: healthPath})
-	}
-	c.Routes = append(c.Routes,
-		route("read", "/read/", traffic.Idempotent, services[s.configCount%len(services)]),
-		route("once", "/once/", traffic.Once, services[(s.configCount+1)%len(services)]),
-		route("up", "/up/", traffic.Upload, services[2]))
-	for n := 1; n <= s.configNumber; n++ {
-		c.Routes = append(c.Routes, route(fmt.Sprintf("v%d", n), fmt.Sprintf("/v%d/", n), traffic.Idempotent, services[n%len(services)]))
-	}
-	value, err := platform.EncodeConfig(uint64(s.configNumber), c)
-	if err != nil {
-		s.checker.addViolation("encode a configuration: %v", err)
-		return
-	}
-	for ctx.Err() == nil {
-		e, err := s.store.Get(ctx, platform.KeyConfig)
-		if err == nil {
-			_, err = s.store.CompareAndSwap(ctx, platform.KeyConfig, e.Revision, value, "")
-		}
-		if err == nil {
-			break
-		}
-		sleep(ctx, 50*time.Millisecond)
-	}
-	s.checker.mu.Lock()
-	for n := int(s.latestConfig.Load()) + 1; n <= s.configNumber; n++ {
-		s.checker.acked[n] = time.Now()
-	}
-	s.checker.mu.Unlock()
-	s.latestConfig.Store(int64(s.configNumber))
-}
-
 // oddEntries are keys and values that another writer may leave in the store.
 var oddEntries = []struct{ key, value string }{
 	{kvstore.PrefixNodes + "10.255.0.1:65536", "\xa5\x01\x70" + "10.255.0.1:65536" + "\x03\x62c0\x05\x01\x06\x00\x07\x01"},
@@ -293,6 +273,9 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
+	if s.options.Changes && s.rng.IntN(2) == 0 {
+		names = changeFaults
+	}
 	name := names[s.rng.IntN(len(names))]
 	s.options.Logf("%s at host %d for %v", name, h.number, d.Round(time.Millisecond))
 	kinds[name]()
@@ -307,6 +290,80 @@
 	s.faultEnds.Go(func() {
 		sleep(ctx, d)
 		end()
+		for _, h := range hosts {
+			h.markDisturbed(time.Now(), recoveryTime)
+		}
+	})
+}
+
+// disturbStore records that the store is disturbed now.
+func (s *soak) disturbStore() {
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	s.storeDisturbances = append(s.storeDisturbances, timeRange{time.Now(), time.Now().Add(recoveryTime)})
+}
+
+// storeCalm reports whether the store had been calm for recoveryTime at all times between
+// from and to.
+func (s *soak) storeCalm(from, to time.Time) bool {
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	return noneIncludes(s.storeDisturbances, from, to)
+}
+
+// serveBusy answers every call as a store that is busy. It keeps no connection, so that
+// none outlasts the fault.
+func (s *soak) serveBusy(l net.Listener) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	server.SetKeepAlivesEnabled(false)
+	_ = server.Serve(l)
+}
+
+// serveFew makes the store turn away a share of the hosts, in one of three ways, while it
+// serves the others and the operator. It is no disturbance of the others. Two at a time
+// could leave no host served.
+func (s *soak) serveFew(ctx context.Context) {
+	if !s.servesFew.CompareAndSwap(false, true) {
+		return
+	}
+	share := minTurnedAway + s.rng.Float64()*(maxTurnedAway-minTurnedAway)
+	n := min(max(1, int(share*float64(len(s.hosts))+0.5)), len(s.hosts)-1)
+	var away []*host
+	var served []int
+	for i, k := range s.rng.Perm(len(s.hosts)) {
+		if i < n {
+			away = append(away, s.hosts[k])
+		} else {
+			served = append(served, k)
+		}
+	}
+	ways := []string{"with 503", "with a reset", "in silence"}
+	way := s.rng.IntN(len(ways))
+	d := between(s.rng, minServesFew, maxServesFew)
+	s.options.Logf("the store turns hosts away %s for %v and serves hosts %v", ways[way], d.Round(time.Millisecond), served)
+	s.injectFor(ctx, d, away, func() {
+		for _, h := range away {
+			switch way {
+			case 0:
+				h.store.SetTarget(s.busyAddress)
+				h.store.ResetConnections()
+			case 1:
+				h.store.SetRefusing(true)
+				h.store.ResetConnections()
+			case 2:
+				h.store.SetSilent(true)
+			}
+		}
+	}, func() {
+		for _, h := range away {
+			h.store.SetTarget(s.storeAddress)
+			h.store.SetRefusing(false)
+			h.store.SetSilent(false)
+			h.store.ResetConnections()
+		}
+		s.servesFew.Store(false)
 	})
 }
 
@@ -327,6 +384,12 @@
 			s.injectFor(ctx, d, s.hosts, func() { s.store.SetFaults(f) }, func() { s.store.SetFaults(store.Faults{}) })
 		}
 	}
+	silence := func(toStore bool) func() {
+		return func() {
+			h.markDisturbed(time.Now(), silenceTime+recoveryTime)
+			h.store.Blackhole(toStore, true)
+		}
+	}
 	leave := func(d departure) func() {
 		return func() { s.faultEnds.Go(func() { h.backend.drainAndRestart(ctx, d) }) }
 	}
@@ -340,11 +403,12 @@
 		"store down":      storeFault(store.Faults{Down: true}),
 		"store slow":      storeFault(store.Faults{Delay: d / delayDivisor}),
 		"replies lost":    storeFault(store.Faults{LostReplies: lostReplyShare}),
-		"store forgets":   func() { s.injectFor(ctx, d, s.hosts, s.store.CompactHistory, noop) },
-		"leases lapse":    s.store.ExpireLeases,
+		"store forgets":   func() { s.disturbStore(); s.store.CompactHistory() },
+		"leases lapse":    func() { s.disturbStore(); s.store.ExpireLeases() },
 		"store refuses":   disturb(func() { h.store.SetRefusing(true); h.store.ResetConnections() }, func() { h.store.SetRefusing(false) }),
-		"store silent":    disturb(func() { h.store.Blackhole(true, true) }, noop),
-		"store one way":   disturb(func() { h.store.Blackhole(false, true) }, noop),
+		"store silent":    silence(true),
+		"store one way":   silence(false),
+		changeFaults[1]:   func() { s.serveFew(ctx) },
 		"backend slow":    disturbAndDelay(func() { h.backend.proxy.SetDelay(d / delayDivisor) }, func() { h.backend.proxy.SetDelay(0) }),
 		"backend reset":   disturbAndDelay(h.backend.proxy.ResetConnections, noop),
 		"backend silent":  disturbAndDelay(func() { h.backend.proxy.Blackhole(true, true) }, noop),
@@ -364,7 +428,11 @@
 			storeFault(store.Faults{Down: true})()
 			leave(departure{skipDrain: true, nodeSignal: syscall.SIGKILL, others: without(s.hosts, h)})()
 		},
-		"configuration": func() { s.applyNextConfig(ctx) },
+		"configuration": func() {
+			rng := rand.New(rand.NewPCG(s.rng.Uint64(), 8))
+			s.faultEnds.Go(func() { s.applyNextConfig(ctx, rng) })
+		},
+		changeFaults[0]: func() { s.applyConfigsInSeries(ctx) },
 		"evacuation":    func() { s.evacuate(ctx, h.dataCentre, d) },
 	}
 }
