--- a/internal/soak/configs.go
+++ b/internal/soak/configs.go
@@ -162,6 +162,7 @@
 // series at a time.
 func (s *soak) applyConfigsInSeries(ctx context.Context) {
 	if !s.inSeries.CompareAndSwap(false, true) {
+		s.options.Logf("a series is in progress already")
 		return
 	}
 	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 7))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -81,8 +81,9 @@
 	store   *store.Store
 	hosts   []*host
 	checker *checker
-	// busyAddress is where a server answers 503 to all calls of the store's protocol.
+	// busyAddress is where a server answers busyStatus to all calls of the store's protocol.
 	busyAddress, storeAddress string
+	busyStatus                atomic.Int64
 	// servesFew and inSeries are set while these faults are in progress.
 	servesFew, inSeries atomic.Bool
 	// configMu is held while a configuration is written.
@@ -315,17 +316,19 @@
 // none outlasts the fault.
 func (s *soak) serveBusy(l net.Listener) {
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		w.WriteHeader(int(s.busyStatus.Load()))
 	})}
 	server.SetKeepAlivesEnabled(false)
 	_ = server.Serve(l)
 }
 
-// serveFew makes the store turn away a share of the hosts, in one of three ways, while it
-// serves the others and the operator. It is no disturbance of the others. Two at a time
-// could leave no host served.
+// serveFew makes the store turn away a share of the hosts, in one of the ways that the
+// platform names, while it serves the others and the operator, who begins a series of
+// changes. It is no disturbance of the others. Two at a time could leave no host served.
 func (s *soak) serveFew(ctx context.Context) {
+	s.applyConfigsInSeries(ctx)
 	if !s.servesFew.CompareAndSwap(false, true) {
+		s.options.Logf("the store serves few already")
 		return
 	}
 	share := minTurnedAway + s.rng.Float64()*(maxTurnedAway-minTurnedAway)
@@ -339,20 +342,21 @@
 			served = append(served, k)
 		}
 	}
-	ways := []string{"with 503", "with a reset", "in silence"}
+	ways := []string{"with 503", "with 429", "with a reset", "in silence"}
 	way := s.rng.IntN(len(ways))
 	d := between(s.rng, minServesFew, maxServesFew)
 	s.options.Logf("the store turns hosts away %s for %v and serves hosts %v", ways[way], d.Round(time.Millisecond), served)
 	s.injectFor(ctx, d, away, func() {
+		s.busyStatus.Store([]int64{http.StatusServiceUnavailable, http.StatusTooManyRequests, 0, 0}[way])
 		for _, h := range away {
 			switch way {
-			case 0:
+			case 0, 1:
 				h.store.SetTarget(s.busyAddress)
 				h.store.ResetConnections()
-			case 1:
+			case 2:
 				h.store.SetRefusing(true)
 				h.store.ResetConnections()
-			case 2:
+			case 3:
 				h.store.SetSilent(true)
 			}
 		}
