Count silenced connections to the store as one reset in the soak

The soak excused a host for six seconds after its connections to the store were silenced, a figure taken from the longest watch of the code under test. The platform's rules count it as a reset of the connections: the host is in touch again after 3 s.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -63,10 +63,6 @@
 	// away while it serves few, and minServesFew and maxServesFew how long.
 	minTurnedAway, maxTurnedAway = 0.35, 0.95
 	minServesFew, maxServesFew   = 4 * time.Second, 9 * time.Second
-	// silenceTime is how long a node may wait on a connection to the store that was
-	// silenced for good: the longest watch of a small fleet, 4.7 s, and its margin of
-	// 0.7 s. Until then it has no path to the store.
-	silenceTime = 6 * time.Second
 )
 
 // changeFaults are the faults of series of changes beside a store that serves few.
@@ -390,7 +386,7 @@
 	}
 	silence := func(toStore bool) func() {
 		return func() {
-			h.markDisturbed(time.Now(), silenceTime+recoveryTime)
+			h.markDisturbed(time.Now(), recoveryTime)
 			h.store.Blackhole(toStore, true)
 		}
 	}
