Encode configurations for peers without HTML escapes

Nodes that do not watch the store stayed on an old configuration if the newer one was near the store's size limit and its names held characters that JSON escapes for HTML: each took six bytes in the envelope for peers, which exceeded what one message holds.

Found by review. TestLargestConfigurationOfTheStoreFitsIntoAMessageBetweenNodes, names with <: 5,910,949 bytes in the envelope before, over the limit of 4,194,304; passes now.

--- a/internal/version/document/accepted.go
+++ b/internal/version/document/accepted.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -64,9 +65,16 @@
 	StartConfig uint64 `json:"since" cbor:"2,keyasint"`
 }
 
-// Encode encodes the envelope for the store and for peers.
+// Encode encodes the envelope for the store and for peers. It escapes no HTML characters,
+// which take six bytes each then and could exceed what one message holds.
 func (a *AcceptedConfig) Encode() ([]byte, error) {
-	return json.Marshal(a)
+	var out bytes.Buffer
+	e := json.NewEncoder(&out)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(a); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(out.Bytes(), []byte("\n")), nil
 }
 
 // DecodeEnvelope decodes an envelope and the document in it.
