Prefer a member's record with its store access over one without

Earlier versions leave the new field out of records that they pass on. A node that got such a record first never learned that the member had lost the store, and its checksum stayed different, so that each repair sent the record again. Of two records that are equal in incarnation, sequence and state the higher access wins now. Found by review; TestRecordThatAnEarlierBuildPassedOnIsCompletedLater failed before.

--- a/internal/process/membership/record.go
+++ b/internal/process/membership/record.go
@@ -80,7 +80,8 @@
 }
 
 // Supersedes reports whether r replaces old: the higher incarnation wins, then
-// the higher sequence, then the higher state.
+// the higher sequence, then the higher state, then the one with the store access, which
+// earlier versions leave out of a record that they pass on.
 func (r Record) Supersedes(old Record) bool {
 	if r.Incarnation != old.Incarnation {
 		return r.Incarnation > old.Incarnation
@@ -88,7 +89,10 @@
 	if r.Sequence != old.Sequence {
 		return r.Sequence > old.Sequence
 	}
-	return r.State > old.State
+	if r.State != old.State {
+		return r.State > old.State
+	}
+	return r.Store > old.Store
 }
 
 // Serving reports whether the node's upstream may receive new calls.
