Count rejections, slow replies and silent peers in the choice of watchers

A rejection by the store counts as a failure; only a wait for the node's own limit does not. The test that said otherwise is replaced by one for the own limit. A rejected node that had lost the store also called it without a pause: 600 calls in five minutes against 15. - From a store that takes 1.1 s a call no change arrived any more, since a list is bounded by a second. After a timeout the follower goes on from the revision that it knows. - A node whose peers are all silent waited 3.08 s, until its links were closed. Links on which nothing has arrived for 1.5 s no longer count, and silent peers not as watchers. - In a data centre of 24 nodes a silent store was noticed by the only node that it serves after 3.7 s, of 48 after 7.7 s. Up to eight nodes for each watcher try at once. - One failed read of a node that does not watch counted as an outage until its next read, and all nodes renewed their leases. It tries again at once. - A report of loss each second made every watcher read all keys each second. A node reads for such reports at most twice, and once more every ten seconds.

--- a/internal/conn/kvstore/rate_limited_store.go
+++ b/internal/conn/kvstore/rate_limited_store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -26,6 +27,10 @@
 	defaultMaxBackoff = 30 * time.Second
 )
 
+// ErrOwnLimit is wrapped by the error of a call that a RateLimitedStore did not send
+// because of its own rate.
+var ErrOwnLimit = errors.New("the rate of this node's calls to the store")
+
 var errBackingOff = errors.New("the last call to the store failed; the backoff outlasts the call's deadline")
 
 // RateLimitedStore wraps a Store and limits the calls of one node: a token
@@ -91,7 +96,7 @@
 		return &Error{Op: op, Key: key, Outcome: OutcomeNotReached, Err: err}
 	}
 	if err := s.limiter.Wait(ctx); err != nil {
-		return &Error{Op: op, Key: key, Outcome: OutcomeRateLimited, Err: err}
+		return &Error{Op: op, Key: key, Outcome: OutcomeRateLimited, Err: fmt.Errorf("%w: %w", ErrOwnLimit, err)}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/gossip/fleet_test.go
+++ b/internal/process/gossip/fleet_test.go
@@ -123,7 +123,8 @@
 	n.provider = &provider.Provider{
 		Store: n.guard, Holder: n.holder, RolloutEnded: func(string) bool { return false },
 		View: func() provider.WatchView {
-			return provider.NewWatchView(n.members.Index().Members, n.self.Record(), n.gossip.LinkCount(), provider.WatchersPerDataCentre)
+			links, silent := n.gossip.PeerActivity(time.Now())
+			return provider.NewWatchView(n.members.Index().Members, n.self.Record(), links, silent, provider.WatchersPerDataCentre)
 		},
 		PublishAccess: n.self.SetStoreAccess,
 	}
--- a/internal/process/gossip/manager.go
+++ b/internal/process/gossip/manager.go
@@ -161,6 +161,28 @@
 	return len(m.links)
 }
 
+// peerSilentAfter is the time without a message after which a peer is silent. Peers send
+// their digest every second, and a change must be in force within two.
+const peerSilentAfter = 1500 * time.Millisecond
+
+// PeerActivity returns the number of links on which a message arrived lately, and the
+// addresses of the linked peers that are silent.
+func (m *Manager) PeerActivity(now time.Time) (heard int, silent map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, p := range m.links {
+		if now.UnixNano()-p.lastReceived.Load() <= int64(peerSilentAfter) {
+			heard++
+			continue
+		}
+		if silent == nil {
+			silent = map[string]bool{}
+		}
+		silent[address] = true
+	}
+	return heard, silent
+}
+
 // Counters returns the current counters.
 func (m *Manager) Counters() Counters {
 	m.mu.Lock()
--- a/internal/process/node/wire_gossip.go
+++ b/internal/process/node/wire_gossip.go
@@ -65,7 +65,8 @@
 
 // watchView returns what decides whether this node watches the store.
 func (n *Node) watchView() provider.WatchView {
-	return provider.NewWatchView(n.members.Index().Members, n.self.Record(), n.gossip.LinkCount(), provider.WatchersPerDataCentre)
+	links, silent := n.gossip.PeerActivity(time.Now())
+	return provider.NewWatchView(n.members.Index().Members, n.self.Record(), links, silent, provider.WatchersPerDataCentre)
 }
 
 func (n *Node) handleProbe(_ context.Context, address string) (bool, error) {
--- a/internal/process/operated/operated.go
+++ b/internal/process/operated/operated.go
@@ -252,7 +252,8 @@
 	n.registry.LinkCount, n.registry.OnList, n.registry.Publisher = n.gossip.LinkCount, n.gossip.Wake, n.gossip
 	n.store.OnRecovery, n.providerStore.OnRecovery = n.registry.StoreRecovered, n.registry.StoreRecovered
 	n.provider.View = func() provider.WatchView {
-		return provider.NewWatchView(n.members.Index().Members, n.self.Record(), n.gossip.LinkCount(), watchersPerDataCentre(n.dataCentreCount()))
+		links, silent := n.gossip.PeerActivity(time.Now())
+		return provider.NewWatchView(n.members.Index().Members, n.self.Record(), links, silent, watchersPerDataCentre(n.dataCentreCount()))
 	}
 	n.provider.PublishAccess = n.self.SetStoreAccess
 	n.provider.Start()
--- a/internal/process/operated/store_refuses_test.go
+++ b/internal/process/operated/store_refuses_test.go
@@ -25,6 +25,8 @@
 	storeRefuses
 	// storeSilent never replies.
 	storeSilent
+	// storeLimits rejects new calls with 429. Watches in progress end as usual.
+	storeLimits
 )
 
 // Timeouts of the platform's client, which a modalStore applies as well.
@@ -49,10 +51,13 @@
 	if storeMode(m.mode.Load()) == storeRefuses {
 		return &kvstore.Error{Op: op, Key: key, Outcome: kvstore.OutcomeNotReached, Err: errNoReply}
 	}
+	if storeMode(m.mode.Load()) == storeLimits {
+		return &kvstore.Error{Op: op, Key: key, Outcome: kvstore.OutcomeRateLimited, Err: errNoReply}
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := fn(ctx)
-	if storeMode(m.mode.Load()) == storeServes {
+	if mode := storeMode(m.mode.Load()); mode == storeServes || mode == storeLimits {
 		return err
 	}
 	<-ctx.Done()
@@ -110,7 +115,7 @@
 		changes    = 12
 		interval   = 300 * time.Millisecond
 	)
-	for name, mode := range map[string]storeMode{"refuses": storeRefuses, "silent": storeSilent} {
+	for name, mode := range map[string]storeMode{"refuses": storeRefuses, "silent": storeSilent, "limits": storeLimits} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := store.New(1)
--- a/internal/process/provider/follower.go
+++ b/internal/process/provider/follower.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/api"
@@ -38,8 +39,8 @@
 	watchWithoutLinks = 2 * time.Second
 	// minFirstWatch is the shortest watch after a change.
 	minFirstWatch = 100 * time.Millisecond
-	// minCheckInterval is the minimum time between two reads, or between the start of a
-	// watch and a read, because another node has lost the store.
+	// minCheckInterval is the minimum time between the start of a watch and a read because
+	// another node has lost the store.
 	minCheckInterval = 500 * time.Millisecond
 	// followRetryJitter is the maximum random delay after a failed call, in
 	// addition to the backoff of the store's guard.
@@ -88,6 +89,10 @@
 	Progress *Progress
 
 	access storeAccess
+	// after is the store's revision up to which changes are known; 0 if a list is due.
+	after uint64
+	// checks limits the reads because another node has lost the store.
+	checks *rate.Limiter
 	// lostElsewhere is woken when another node has lost the store.
 	lostElsewhere loop.Waker
 	// invalidEntries counts the entries that were not usable.
@@ -96,7 +101,7 @@
 
 // Start prepares a follower whose exported fields are set.
 func (f *Follower) Start() {
-	f.lostElsewhere = loop.NewWaker()
+	f.lostElsewhere, f.checks = loop.NewWaker(), rate.NewLimiter(rate.Every(checkInterval), checkBurst)
 	f.access = storeAccess{publish: publisherOf(f.PublishAccess), maxRetestInterval: retestInterval}
 }
 
@@ -141,9 +146,8 @@
 		case ctx.Err() != nil:
 		case f.access.due(f.View(), time.Now()):
 			f.follow(ctx)
-		case lostElsewhere && f.View().checks():
+		case lostElsewhere && f.View().checks() && f.checks.Allow():
 			f.follow(ctx)
-			ctxtime.Sleep(ctx, minCheckInterval)
 		}
 	}
 	return nil
@@ -164,23 +168,30 @@
 }
 
 // follow lists all keys and then watches them while this node should watch. It reports
-// whether the list succeeded. A watch that failed may have missed changes, so that the
-// next call lists all keys again.
-func (f *Follower) follow(ctx context.Context) (listed bool) {
-	after, err := f.list(ctx)
-	listed = err == nil
-	for afterChange := true; err == nil && f.access.served(f.View()); {
-		after, afterChange, err = f.watch(ctx, after, f.watchDuration(afterChange))
+// whether it had a reply. After a timeout it goes on from the known revision instead: a
+// store that is slow answers a watch, which waits for longer than a list.
+func (f *Follower) follow(ctx context.Context) (replied bool) {
+	var err error
+	resume := f.access.timedOut && f.after != 0
+	if !resume {
+		f.after, err = f.list(ctx)
+		replied = err == nil
+	}
+	for afterChange := true; err == nil && (resume || f.access.served(f.View())); resume = false {
+		afterChange, err = f.watch(ctx, f.watchDuration(afterChange))
+		replied = replied || err == nil
 	}
 	if err == nil || ctx.Err() != nil || errors.Is(err, errDoubted) {
-		return listed
+		return replied
 	}
 	klog.V(1).Infof(logPrefix+"follow the operator's keys: %v", err)
-	if kvstore.OutcomeOf(err) != kvstore.OutcomeHistoryLost {
+	if kvstore.OutcomeOf(err) == kvstore.OutcomeHistoryLost {
+		f.after = 0
+	} else {
 		f.access.failed(err, f.View(), time.Now())
 	}
 	ctxtime.Sleep(ctx, rand.N(followRetryJitter))
-	return listed
+	return replied
 }
 
 // waitForPeers waits for the configuration from peers when a fleet starts for the
@@ -231,26 +242,26 @@
 // errDoubted ends a watch because another node has lost the store.
 var errDoubted = errors.New("another node has lost the store")
 
-// watch waits for changes once. It returns the revision to continue from and whether
-// there were changes.
-func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration) (uint64, bool, error) {
+// watch waits for changes once and reports whether there were any.
+func (f *Follower) watch(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	watchCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.cancelInDoubt(watchCtx, cancel)
-	entries, revision, err := f.Store.Watch(watchCtx, f.Keys.Prefix, after, min(wait, kvstore.MaxWatchWait))
+	entries, revision, err := f.Store.Watch(watchCtx, f.Keys.Prefix, f.after, min(wait, kvstore.MaxWatchWait))
 	f.Progress.StoreReplied(err, time.Now())
 	if err != nil {
 		if cause := context.Cause(watchCtx); errors.Is(cause, errDoubted) {
-			return 0, false, cause
+			return false, cause
 		}
-		return 0, false, err
+		return false, err
 	}
 	f.applyChangedEvacuations(entries)
 	f.applyNewestConfig(entries)
 	for _, e := range entries {
 		f.applyOrder(e, false)
 	}
-	return revision, len(entries) > 0, nil
+	f.after = revision
+	return len(entries) > 0, nil
 }
 
 // cancelInDoubt cancels a watch when another node has lost the store, since the reply of
@@ -259,10 +270,14 @@
 	if !ctxtime.Sleep(ctx, minCheckInterval) {
 		return
 	}
-	select {
-	case <-ctx.Done():
-	case <-f.lostElsewhere:
-		cancel(errDoubted)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-f.lostElsewhere:
+			if f.checks.Allow() {
+				cancel(errDoubted)
+			}
+		}
 	}
 }
 
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/daisytide/daisytide/internal/conn/kvstore"
@@ -83,13 +84,15 @@
 	storeRevision uint64
 
 	access storeAccess
+	// checks limits the reads because another node has lost the store.
+	checks *rate.Limiter
 	// lostElsewhere is woken when another node has lost the store.
 	lostElsewhere loop.Waker
 }
 
 // Start prepares a provider whose exported fields are set; Run needs it if View is set.
 func (p *Provider) Start() {
-	p.lostElsewhere = loop.NewWaker()
+	p.lostElsewhere, p.checks = loop.NewWaker(), rate.NewLimiter(rate.Every(checkInterval), checkBurst)
 	p.access = storeAccess{publish: publisherOf(p.PublishAccess), maxRetestInterval: maxRetestInterval}
 }
 
@@ -180,12 +183,15 @@
 	ctxtime.Sleep(ctx, pollInterval)
 	select {
 	case <-p.lostElsewhere:
-		return true
+		return p.checks.Allow()
 	default:
 		return false
 	}
 }
 
+// isInDoubt reports whether another node has lost the store and this one may check.
+func (p *Provider) isInDoubt() bool { return len(p.lostElsewhere) > 0 && p.checks.Tokens() >= 1 }
+
 // verifyAccess reads the store, as the reply of a watch that hears nothing any more is
 // long in coming.
 func (p *Provider) verifyAccess(ctx context.Context) error {
@@ -290,7 +296,7 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		for p.View().Watches() && len(p.lostElsewhere) == 0 && ctxtime.Sleep(ctx, pollInterval) {
+		for p.View().Watches() && !p.isInDoubt() && ctxtime.Sleep(ctx, pollInterval) {
 		}
 	}()
 	p.mu.Lock()
--- a/internal/process/provider/watchers.go
+++ b/internal/process/provider/watchers.go
@@ -25,9 +25,14 @@
 	// retestInterval is the mean time until a node that has lost the store first tries it
 	// again. It doubles with each failure, up to the limit of the storeAccess.
 	retestInterval = time.Second
-	// checkersPerWatcher is how many nodes read the store for each watcher, the watchers
-	// included, when another node has lost it.
-	checkersPerWatcher = 2
+	// triesPerWatcher is how many nodes of a data centre try the store at the same time
+	// for each watcher, the watchers included, when others have lost it. Each may need a
+	// second to fail, and a change must be in force within two.
+	triesPerWatcher = 8
+	// checkInterval and checkBurst limit how often a node reads the store because another
+	// one has lost it.
+	checkInterval = 10 * time.Second
+	checkBurst    = 2
 )
 
 func watcherHash(address string) uint64 { return xxhash.Sum64String(watcherSalt + address) }
@@ -36,12 +41,12 @@
 // that have not lost the store, by rendezvous hashing. Nodes with different views of the
 // members may get the same rank; the only cost is an additional watch.
 func WatcherRank(members []membership.Record, self membership.Record) int {
-	return NewWatchView(members, self, 0, 0).Before
+	return NewWatchView(members, self, 0, nil, 0).Before
 }
 
 // WatchView is what a node knows when it decides whether to watch the store.
 type WatchView struct {
-	// Links is the number of established peer links.
+	// Links is the number of peer links on which messages arrive.
 	Links int
 	// Lost is set if this node has lost the store.
 	Lost bool
@@ -51,19 +56,21 @@
 	// before this node in the order of the watchers. Served counts those of them that
 	// watch it and had a reply.
 	Before, Served int
-	// LostNearby counts the other members of the data centre that have lost the store.
+	// LostNearby counts the other members of the data centre that have lost the store or
+	// are silent.
 	LostNearby int
 }
 
-// NewWatchView returns the view of a node with the record self.
-func NewWatchView(members []membership.Record, self membership.Record, links, watchers int) WatchView {
+// NewWatchView returns the view of a node with the record self. silent holds the linked
+// peers from which nothing arrives; what these watch does not reach this node.
+func NewWatchView(members []membership.Record, self membership.Record, links int, silent map[string]bool, watchers int) WatchView {
 	v := WatchView{Links: links, Lost: self.Store == membership.StoreLost, Watchers: watchers}
 	own := watcherHash(self.Address)
 	for _, r := range members {
 		if r.State != membership.Alive || r.DataCentre != self.DataCentre || r.Address == self.Address {
 			continue
 		}
-		if r.Store == membership.StoreLost {
+		if r.Store == membership.StoreLost || silent[r.Address] {
 			v.LostNearby++
 			continue
 		}
@@ -80,7 +87,7 @@
 
 // Watches reports whether the node watches the store. A node without links must, since
 // it receives nothing from peers. Members that have lost the store are replaced by the
-// next ones, of which up to twice as many try at once until it serves enough of them.
+// next ones, which try it in growing numbers until it serves enough of them.
 func (v WatchView) Watches() bool {
 	switch {
 	case v.Links == 0:
@@ -90,13 +97,13 @@
 	case v.Before < v.Watchers:
 		return true
 	}
-	return v.Served < v.Watchers && v.Before < v.Watchers+min(v.LostNearby, v.Watchers)
+	return v.Served < v.Watchers && v.Before < min(v.Watchers+v.LostNearby, triesPerWatcher*v.Watchers)
 }
 
 // checks reports whether the node reads the store once when another one has lost it: the
 // watchers may have lost it as well without knowing yet.
 func (v WatchView) checks() bool {
-	return !v.Lost && v.Before < checkersPerWatcher*v.Watchers
+	return !v.Lost && v.Before < triesPerWatcher*v.Watchers
 }
 
 // retestDelay returns the mean time until a node that has lost the store tries it again,
@@ -114,7 +121,9 @@
 	// maxRetestInterval bounds the mean time between attempts, but for retestDelay.
 	maxRetestInterval time.Duration
 	failures          int
-	// retestAt is the earliest next call of a node that has lost the store.
+	// timedOut is set if the last call failed by a timeout.
+	timedOut bool
+	// retestAt is the earliest next call after a failure of a node that does not watch.
 	retestAt time.Time
 }
 
@@ -128,7 +137,7 @@
 
 // served records a reply of the store and reports whether the node goes on watching it.
 func (a *storeAccess) served(v WatchView) (watches bool) {
-	a.failures = 0
+	a.failures, a.timedOut = 0, false
 	v.Lost = false
 	if watches = v.Watches(); watches {
 		a.publish(membership.StoreServes)
@@ -138,15 +147,18 @@
 	return watches
 }
 
-// failed records a failed call. A rejection by a rate limit shows that the store is
-// there.
+// failed records a failed call. One that was not sent because of the node's own limit says
+// nothing of the store; a rejection by the store's limit does, as it may reject some nodes
+// only.
 func (a *storeAccess) failed(err error, v WatchView, now time.Time) {
-	if kvstore.OutcomeOf(err) == kvstore.OutcomeRateLimited {
+	if errors.Is(err, kvstore.ErrOwnLimit) {
 		return
 	}
 	a.failures++
+	a.retestAt = now
 	var timeout net.Error
-	if a.failures < lossAfterFailures && !(errors.As(err, &timeout) && timeout.Timeout()) {
+	a.timedOut = errors.As(err, &timeout) && timeout.Timeout()
+	if a.failures < lossAfterFailures && !a.timedOut {
 		return
 	}
 	a.publish(membership.StoreLost)
@@ -155,8 +167,8 @@
 	a.retestAt = now.Add(mean/2 + rand.N(mean))
 }
 
-// due reports whether the node calls the store now: as a watcher, or to try whether the
-// store serves it again.
+// due reports whether the node calls the store now: as a watcher, or after a failure until
+// the store serves it again.
 func (a *storeAccess) due(v WatchView, now time.Time) bool {
-	return v.Watches() || v.Lost && !now.Before(a.retestAt)
+	return v.Watches() || a.failures > 0 && !now.Before(a.retestAt)
 }
--- a/internal/process/provider/watchers_test.go
+++ b/internal/process/provider/watchers_test.go
@@ -38,14 +38,14 @@
 		members := fleetOf(n, lost, rng)
 		watching := func() (out []int) {
 			for i, self := range members {
-				if NewWatchView(members, self, 3, watchers).Watches() {
+				if NewWatchView(members, self, 3, nil, watchers).Watches() {
 					out = append(out, i)
 				}
 			}
 			return out
 		}
 		first := watching()
-		if len(first) < min(watchers, n-lost) || len(first) > 2*watchers {
+		if len(first) < min(watchers, n-lost) || len(first) > triesPerWatcher*watchers {
 			t.Fatalf("%d of %d nodes watch, %d have lost the store, %d are wanted", len(first), n, lost, watchers)
 		}
 		for _, i := range first {
@@ -65,7 +65,7 @@
 	const watchers, limit = 2, 2.1
 	for _, n := range []int{4, 40, 400} {
 		members := fleetOf(n, n, rand.New(rand.NewPCG(1, 1)))
-		delay := NewWatchView(members, members[0], 3, watchers).retestDelay(time.Second)
+		delay := NewWatchView(members, members[0], 3, nil, watchers).retestDelay(time.Second)
 		if perSecond := float64(n) / delay.Seconds(); perSecond > limit {
 			t.Errorf("%d nodes make %.1f attempts a second, want at most %.1f", n, perSecond, limit)
 		}
@@ -171,14 +171,14 @@
 	})
 }
 
-// Guards against a node that counts the rejection of a call beyond the rate as a loss.
-func TestStoreThatLimitsCallsIsNotLost(t *testing.T) {
+// Guards against a node that counts a wait for its own limit as a loss of the store.
+func TestWaitForTheNodesOwnLimitIsNoLoss(t *testing.T) {
 	l := &accessLog{}
 	a := storeAccess{publish: l.publish, maxRetestInterval: retestInterval}
 	for range 10 {
-		a.failed(&kvstore.Error{Outcome: kvstore.OutcomeRateLimited}, WatchView{}, time.Now())
+		a.failed(&kvstore.Error{Outcome: kvstore.OutcomeRateLimited, Err: kvstore.ErrOwnLimit}, WatchView{}, time.Now())
 	}
 	if l.lost() {
-		t.Error("lost after ten rejections by a rate limit")
+		t.Error("lost after ten waits for the own limit")
 	}
 }
