Pull from another data centre in time while changes go on

Callers of a data centre whose watchers the store refused were served by an old configuration for as long as changes followed each other every quarter of a second, though the other data centres had each at once.

Cause: a node waits 200 to 500 ms before it pulls a configuration across a border. Each further number that the peer announced started that wait anew.

Change: the wait starts when the peer is first ahead of this node. It starts anew once this node holds what the peer announced last, so that a data centre with each change in time still pulls none across a border.

TestPullFromAnotherDataCentreIsNotPutOffByFurtherChanges: without the change no pull in 4 s with a change each 200 ms, with it one after 500 ms or more.

--- a/internal/process/gossip/config_transfer.go
+++ b/internal/process/gossip/config_transfer.go
@@ -92,14 +92,22 @@
 // recordOffer records the configuration number that a peer last reported. A lower
 // one replaces a higher one: a peer's number never decreases within a link, so the
 // higher one was damaged on the way. outside is set for a peer in another data
-// centre, and wait is how long a pull from there waits.
-func (t *configTransfer) recordOffer(address string, number uint64, outside bool, wait time.Duration, now time.Time) {
+// centre, and wait is how long a pull from there waits. A peer that already held a
+// higher number than held keeps its time: changes that follow each other within the
+// wait would otherwise put the pull off for as long as they last.
+func (t *configTransfer) recordOffer(address string, number, held uint64, outside bool, wait time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old, ok := t.offers[address]; ok && old.number == number {
-		return
+	pullFrom := now.Add(wait)
+	if old, ok := t.offers[address]; ok {
+		if old.number == number {
+			return
+		}
+		if old.number > held {
+			pullFrom = old.pullFrom
+		}
 	}
-	t.offers[address] = offer{number: number, outside: outside, pullFrom: now.Add(wait)}
+	t.offers[address] = offer{number: number, outside: outside, pullFrom: pullFrom}
 }
 
 // removePeer removes a peer whose link has closed.
@@ -275,7 +283,7 @@
 	if m.cfg.ConfigObserver != nil {
 		m.cfg.ConfigObserver.HeardFromPeer(p.address, number, now)
 	}
-	m.transfer.recordOffer(p.address, number, p.dataCentre != m.cfg.Self().DataCentre, outsidePullDelay+m.jitter(outsidePullJitter), now)
+	m.transfer.recordOffer(p.address, number, m.cfg.ConfigStore.HighestNumber(), p.dataCentre != m.cfg.Self().DataCentre, outsidePullDelay+m.jitter(outsidePullJitter), now)
 	m.startNextPull(now)
 }
 
--- a/internal/process/gossip/handlers_test.go
+++ b/internal/process/gossip/handlers_test.go
@@ -114,8 +114,8 @@
 func TestDamagedNumberOfAPeerIsReplacedByItsNextOne(t *testing.T) {
 	transfer := newConfigTransfer()
 	now := time.Unix(1000, 0)
-	transfer.recordOffer("10.0.0.2:1", 1<<60, false, 0, now)
-	transfer.recordOffer("10.0.0.2:1", 7, false, 0, now)
+	transfer.recordOffer("10.0.0.2:1", 1<<60, 6, false, 0, now)
+	transfer.recordOffer("10.0.0.2:1", 7, 6, false, 0, now)
 	if peer, number, ok := transfer.startPull(6, now); !ok || number != 7 {
 		t.Errorf("pulls %d from %q, want 7", number, peer)
 	}
@@ -141,30 +141,67 @@
 	const inside, outside, wait = "10.0.0.2:1", "10.1.0.2:1", 200 * time.Millisecond
 	now := time.Unix(1000, 0)
 	transfer := newConfigTransfer()
-	transfer.recordOffer(inside, 6, false, 0, now)
-	transfer.recordOffer(outside, 7, true, wait, now)
+	transfer.recordOffer(inside, 6, 6, false, 0, now)
+	transfer.recordOffer(outside, 7, 6, true, wait, now)
 	if peer, _, ok := transfer.startPull(6, now); ok {
 		t.Errorf("pulls from %s at once, want a wait for the own data centre", peer)
 	}
-	transfer.recordOffer(outside, 7, true, wait, now.Add(wait/2))
+	transfer.recordOffer(outside, 7, 6, true, wait, now.Add(wait/2))
 	if peer, number, ok := transfer.startPull(6, now.Add(wait)); !ok || peer != outside || number != 7 {
 		t.Errorf("pulls %d from %q after the wait, want 7 from the other data centre", number, peer)
 	}
 
 	transfer = newConfigTransfer()
-	transfer.recordOffer(outside, 7, true, wait, now)
+	transfer.recordOffer(outside, 7, 0, true, wait, now)
 	if peer, _, ok := transfer.startPull(0, now); !ok || peer != outside {
 		t.Errorf("pulls from %q, want the other data centre at once: nobody in the own one holds a configuration", peer)
 	}
 
 	transfer = newConfigTransfer()
-	transfer.recordOffer(outside, 7, true, 0, now)
-	transfer.recordOffer(inside, 7, false, 0, now)
+	transfer.recordOffer(outside, 7, 6, true, 0, now)
+	transfer.recordOffer(inside, 7, 6, false, 0, now)
 	if peer, _, _ := transfer.startPull(6, now.Add(wait)); peer != inside {
 		t.Errorf("pulls from %q, want the own data centre when both hold the number", peer)
 	}
 }
 
+// Changes that follow each other within the wait must not put the pull from another
+// data centre off: a data centre whose watchers the store refuses would stay on one
+// configuration for as long as they last.
+func TestPullFromAnotherDataCentreIsNotPutOffByFurtherChanges(t *testing.T) {
+	const inside, outside, wait, interval = "10.0.0.2:1", "10.1.0.2:1", 500 * time.Millisecond, 200 * time.Millisecond
+	start := time.Unix(1000, 0)
+	transfer := newConfigTransfer()
+	transfer.recordOffer(inside, 6, 6, false, 0, start)
+	for i := range uint64(20) {
+		now := start.Add(time.Duration(i) * interval)
+		transfer.recordOffer(outside, 7+i, 6, true, wait, now)
+		if _, _, ok := transfer.startPull(6, now); ok {
+			if waited := now.Sub(start); waited < wait {
+				t.Errorf("pulls after %v, want a wait of %v for the own data centre", waited, wait)
+			}
+			return
+		}
+	}
+	t.Errorf("no pull in %v with a change each %v, want one after %v", 20*interval, interval, wait)
+}
+
+// A data centre that has each change soon must not pull across a border later on, however
+// long the changes go on.
+func TestPullFromAnotherDataCentreWaitsAnewForEachChange(t *testing.T) {
+	const inside, outside, wait, interval = "10.0.0.2:1", "10.1.0.2:1", 500 * time.Millisecond, 200 * time.Millisecond
+	now := time.Unix(1000, 0)
+	transfer := newConfigTransfer()
+	transfer.recordOffer(inside, 6, 6, false, 0, now)
+	for number := uint64(7); number < 27; number++ {
+		now = now.Add(interval)
+		transfer.recordOffer(outside, number, number-1, true, wait, now)
+		if _, _, ok := transfer.startPull(number-1, now); ok {
+			t.Fatalf("pulls %d at once, want a wait for the own data centre", number)
+		}
+	}
+}
+
 // A joiner receives the whole member table over its first link; that must not cross a
 // border if a member of the own data centre is known.
 func TestJoinerDialsItsOwnDataCentreFirst(t *testing.T) {
