Keep the known revision and call the store seldom after a failed read

Two faults of the choice of watchers, found by reading it again: - From a store that is slower than a list's limit no change arrived any more once another node had lost the store: the failed list dropped the revision from which the next watch goes on. It is kept now. - A node whose operators write through it, that does not watch and whose read had failed once, called the store four times a second without end: it began a watch, which ended at once, in place of another read.

--- a/internal/process/provider/follower.go
+++ b/internal/process/provider/follower.go
@@ -174,8 +174,10 @@
 	var err error
 	resume := f.access.timedOut && f.after != 0
 	if !resume {
-		f.after, err = f.list(ctx)
-		replied = err == nil
+		var revision uint64
+		if revision, err = f.list(ctx); err == nil {
+			f.after, replied = revision, true
+		}
 	}
 	for afterChange := true; err == nil && (resume || f.access.served(f.View())); resume = false {
 		afterChange, err = f.watch(ctx, f.watchDuration(afterChange))
--- a/internal/process/provider/provider.go
+++ b/internal/process/provider/provider.go
@@ -168,7 +168,7 @@
 		v := p.View()
 		switch {
 		case p.access.due(v, time.Now()):
-			p.watch(ctx, verify || v.Lost)
+			p.watch(ctx, verify || p.access.failures > 0)
 		case verify && v.checks():
 			_ = p.verifyAccess(ctx)
 		}
@@ -289,7 +289,7 @@
 // watch follows the configuration key until this node is no longer a watcher or another
 // node has lost the store. With verify set it reads the key first.
 func (p *Provider) watch(ctx context.Context, verify bool) {
-	if verify && p.verifyAccess(ctx) != nil {
+	if verify && (p.verifyAccess(ctx) != nil || !p.View().Watches()) {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/process/provider/slow_store_test.go
+++ b/internal/process/provider/slow_store_test.go
@@ -29,6 +29,12 @@
 // Guards against a watcher that gets no change any more from a store that takes 1.1 s for
 // each call, because its lists, which take longer than a second, always fail.
 func TestWatcherHasChangesFromAStoreThatIsSlowerThanAList(t *testing.T) {
+	for name, reported := range map[string]bool{"alone": false, "another node has lost the store": true} {
+		t.Run(name, func(t *testing.T) { expectChangeFromSlowStore(t, reported) })
+	}
+}
+
+func expectChangeFromSlowStore(t *testing.T, reported bool) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New(1)
 		putValue(t, s, opConfig, "1")
@@ -44,6 +50,9 @@
 		}()
 		time.Sleep(10 * time.Second)
 		s.SetFaults(store.Faults{Delay: 1100 * time.Millisecond})
+		if reported {
+			f.StoreLostElsewhere()
+		}
 		time.Sleep(10 * time.Second)
 		putValue(t, s, opConfig, "2")
 		time.Sleep(15 * time.Second)
